--- /dev/null
+++ b/crates/benchlink/src/hosting.rs
@@ -0,0 +1,285 @@
+//! Hosts the instances: each event goes to its own, and what they decide becomes one reply.
+
+use crate::frame::{Batch, Fields, Malformed, Read1, Reply};
+use crate::start::read_terms;
+use std::collections::BTreeMap;
+use trailproxy::interface::*;
+use trailproxy::logic::Dispatcher;
+use trailproxy::units::*;
+
+struct Seat {
+    dispatcher: Dispatcher,
+    tracks: usize,
+    has_event: bool,
+}
+
+#[derive(Default)]
+pub struct Hosting {
+    seats: BTreeMap<u16, Seat>,
+}
+
+impl Hosting {
+    /// Takes a whole batch and gives the reply to it.
+    pub fn turn(&mut self, batch: &Batch) -> Read1<Vec<u8>> {
+        let now = Moment(batch.clock);
+        let mut fields = Fields::new(&batch.records);
+        let mut acting = Vec::new();
+        for i in 0..batch.count {
+            let record = self.record(&mut fields, now, &mut acting);
+            record.map_err(|Malformed(why)| Malformed(format!("record {i}: {why}")))?;
+        }
+        if !fields.is_empty() {
+            return Err("bytes are left over behind the last record".into());
+        }
+        let mut reply = Reply::new();
+        for who in acting {
+            let Some(seat) = self.seats.get_mut(&who) else {
+                continue;
+            };
+            if std::mem::take(&mut seat.has_event) {
+                for action in seat.dispatcher.settle(now) {
+                    write(&mut reply, who, action);
+                }
+            }
+        }
+        Ok(reply.finish())
+    }
+
+    fn record(&mut self, f: &mut Fields, now: Moment, acting: &mut Vec<u16>) -> Read1<()> {
+        let (code, who) = (f.u16()?, f.u16()?);
+        if code == 1070 {
+            let seed = f.u64()?;
+            let terms = read_terms(f.text()?)?;
+            let tracks = terms.tracks.len();
+            let seat = Seat {
+                dispatcher: Dispatcher::new(terms, seed),
+                tracks,
+                has_event: true,
+            };
+            self.seats.insert(who, seat);
+            acting.push(who);
+            return Ok(());
+        }
+        let unknown = || Malformed(format!("instance {who} was never started"));
+        if code == 1050 {
+            return self.seats.remove(&who).map(|_| ()).ok_or_else(unknown);
+        }
+        let seat = self.seats.get_mut(&who).ok_or_else(unknown)?;
+        if let Some(event) = read_event(code, f, seat.tracks)? {
+            seat.dispatcher.take(now, event);
+        }
+        if !std::mem::replace(&mut seat.has_event, true) {
+            acting.push(who);
+        }
+        Ok(())
+    }
+}
+
+/// The event of a record; `None` for those that mean nothing to the decisions.
+fn read_event(code: u16, f: &mut Fields, tracks: usize) -> Read1<Option<Event>> {
+    Ok(Some(match code {
+        1000 => {
+            f.u16()?;
+            let n = f.u16()?;
+            f.bytes(n.into())?;
+            return Ok(None);
+        }
+        1010 => hosts(f)?,
+        1020 => {
+            let (host, ending) = (HostId(f.host()?), ending(f.u8()?)?);
+            let took = Span(f.u32()?.into());
+            load(f)?;
+            Event::Probed { host, ending, took }
+        }
+        1030 => {
+            let object = f.u64()?;
+            Event::Purged {
+                object: (object != 0).then_some(ObjectId(object)),
+                group: GroupId(f.u16()?.into()),
+                ago: Span(f.u32()?.into()),
+            }
+        }
+        1040 => {
+            let id = AccessId(f.u64()?);
+            f.u8()?;
+            f.host()?;
+            f.u32()?;
+            Event::Begun { id }
+        }
+        1060 => arrival(f, tracks)?,
+        1080 => outcome(f)?,
+        1090 => Event::Left {
+            id: AccessId(f.u64()?),
+        },
+        1100 => Event::Woken {
+            wake: WakeId(f.u32()?),
+        },
+        _ => return Err(format!("unknown event code {code}").into()),
+    }))
+}
+
+fn hosts(f: &mut Fields) -> Read1<Event> {
+    let form = match f.u8()? {
+        0 | 1 => ListForm::Whole,
+        2 => ListForm::Changes,
+        3 => ListForm::Failed,
+        other => return Err(format!("unknown form {other} of a list").into()),
+    };
+    f.u64()?;
+    let n = f.u32()?;
+    let mut entries = Vec::new();
+    for _ in 0..n {
+        entries.push(entry(f)?);
+    }
+    Ok(Event::Hosts { form, entries })
+}
+
+fn entry(f: &mut Fields) -> Read1<HostEntry> {
+    let cell = CellId(f.u16()?);
+    let host = HostId(f.host()?);
+    let zone = ZoneId(f.u16()?);
+    let started = f.u64()?;
+    let size = f64::from(f.f32()?);
+    let state = match f.u8()? {
+        0 => HostState::Gone,
+        1 => HostState::Ready,
+        2 => HostState::Draining,
+        other => return Err(format!("unknown readiness {other} of a host").into()),
+    };
+    let kind = KindId(f.u8()?);
+    let started = (started > 0).then_some(Moment(started));
+    Ok(HostEntry {
+        host,
+        cell,
+        zone,
+        kind,
+        started,
+        size,
+        state,
+    })
+}
+
+fn arrival(f: &mut Fields, tracks: usize) -> Read1<Event> {
+    let (id, left, track) = (AccessId(f.u64()?), Span(f.u32()?.into()), f.u16()?);
+    if usize::from(track) >= tracks {
+        return Err(format!("unknown category {track}").into());
+    }
+    let object = ObjectId(f.u64()?);
+    let group = GroupId(f.f32()? as u32);
+    let kbytes = f64::from(f.f32()?);
+    f.u8()?;
+    f.u16()?;
+    let part = f.f32()? as u32;
+    let size_kb = (kbytes.is_finite() && kbytes > 0.0).then_some(kbytes);
+    Ok(Event::Arrived(Arrival {
+        id,
+        left,
+        track: TrackId(track),
+        object,
+        group,
+        part,
+        size_kb,
+    }))
+}
+
+fn outcome(f: &mut Fields) -> Read1<Event> {
+    let (id, hand_off) = (AccessId(f.u64()?), HandOffNo(f.u8()?));
+    f.host()?;
+    let ending = ending(f.u8()?)?;
+    let took = Span(f.u32()?.into());
+    let closed = f.u8()? != 0;
+    let note = match f.u32()? {
+        1 => Note::Hit,
+        2 => Note::Filled,
+        3 => Note::FilledByOrigin,
+        4 => Note::Joined,
+        5 => Note::Stale,
+        6 => Note::SourceRefused,
+        7 => Note::SourceLost,
+        8 => Note::SourceLacks,
+        9 => Note::NoFillPlace,
+        10 => Note::OriginFailed,
+        _ => Note::Untold,
+    };
+    let waited = f.u32()?;
+    let waited = (waited > 0).then_some(Span(waited.into()));
+    let load = load(f)?;
+    Ok(Event::Outcome(Outcome {
+        id,
+        hand_off,
+        ending,
+        took,
+        closed,
+        note,
+        waited,
+        load,
+    }))
+}
+
+fn load(f: &mut Fields) -> Read1<Vec<f64>> {
+    let n = f.u8()?;
+    (0..n).map(|_| f.f32().map(f64::from)).collect()
+}
+
+fn ending(code: u8) -> Read1<Ending> {
+    Ok(match code {
+        0 => Ending::Done,
+        1 => Ending::Error,
+        2 => Ending::Full,
+        3 => Ending::TimedOut,
+        4 => Ending::NoConnection,
+        5 => Ending::Lost,
+        6 => Ending::Withdrawn,
+        7 => Ending::NotSent,
+        8 => Ending::Missed,
+        other => return Err(format!("unknown outcome {other}").into()),
+    })
+}
+
+/// Time-outs and ages travel as 32 bits, of which the top one would make them negative.
+fn wire_span(span: Span) -> u32 {
+    span.0.clamp(1, i32::MAX as u64) as u32
+}
+
+fn write(reply: &mut Reply, who: u16, action: Action) {
+    match action {
+        Action::HandOff(HandOff {
+            id,
+            host,
+            time_out,
+            fill,
+        }) => {
+            let time_out = time_out.map_or(0, wire_span);
+            let code = if fill.is_some() { 1120 } else { 1000 };
+            reply.record(code, who).u64(id.0).host(host.0).u32(time_out);
+            if let Some(fill) = fill {
+                let how =
+                    u8::from(fill.join) | u8::from(fill.held_only) << 1 | u8::from(fill.renew) << 3;
+                reply.host(fill.source.0).u8(fill.rank);
+                reply.u32(fill.oldest.map_or(0, wire_span)).u8(how);
+            }
+        }
+        Action::Reject { id, come_back } => {
+            let come_back = come_back.map_or(0, wire_span);
+            reply.record(1010, who).u64(id.0).u32(come_back);
+        }
+        Action::Abort { id } => {
+            reply.record(1020, who).u64(id.0);
+        }
+        Action::Withdraw { id, hand_off } => {
+            reply.record(1030, who).u64(id.0).u8(hand_off.0);
+        }
+        Action::Wake { at, wake } => {
+            reply.record(1040, who).u64(at.0).u32(wake.0);
+        }
+        Action::Probe { host } => {
+            reply.record(1050, who).host(host.0);
+        }
+        Action::FollowList => {
+            reply.record(1100, who).u8(1);
+        }
+        Action::Log { text } => {
+            reply.record(1080, who).text(&text);
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,294 @@
+//! What goes into a dispatcher and what comes out, in no protocol's words.
+
+use crate::units::*;
+
+/// What a dispatcher is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub zone: ZoneId,
+    /// Dispatchers in all zones together.
+    pub dispatchers: u32,
+    /// Dispatchers by zone; empty where it is not told.
+    pub seats: Vec<u32>,
+    /// The hub to which each zone is tied; hubs stand in a ring in the order of their places.
+    pub hub_of: Vec<ZoneId>,
+    pub parent_kind: Option<KindId>,
+    pub origin_kind: Option<KindId>,
+    pub tracks: Vec<Track>,
+    /// Top pace of one answer; host sizes count answers at this pace.
+    pub flow_kb_per_s: f64,
+    /// What the own zone's link for fills carries; `None` where it is not told.
+    pub link_kb_per_s: Option<f64>,
+    /// Whether the sizes of hosts tell something.
+    pub sizes_tell: bool,
+    pub joins: bool,
+    /// Whether parents and the origin take accesses themselves.
+    pub straight: bool,
+    pub siblings: Siblings,
+    pub notes: NoteLevel,
+    /// What the figures of a load report are, in order.
+    pub load_fields: Vec<LoadField>,
+    pub max_hand_offs: usize,
+    pub second_copies: bool,
+    pub may_withdraw: bool,
+    pub may_probe: bool,
+    /// The longest time for which a client stays away when told to; `None` where it can't be told.
+    pub longest_away: Option<Span>,
+    /// Whether the host list has to be asked for.
+    pub list_on_request: bool,
+    pub cold_cache: Cold,
+    pub cold_parent: Cold,
+    /// By then every copy from before a purge is dropped.
+    pub purge_done: Span,
+}
+
+/// How a host that has just started behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    /// The least share of its capacity with which it starts.
+    pub from: f64,
+    /// It is warm after this, rising evenly at the slowest.
+    pub warm_after: Span,
+    /// It falls over at this multiple of its present capacity, kept up for `fall_after`.
+    pub fall_multiple: f64,
+    pub fall_after: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct Track {
+    pub due: Span,
+    /// The due time grows by this many times the access's own sending time.
+    pub due_stretch: f64,
+    pub importance: f64,
+    /// The share of the importance that an answer past its due time still earns.
+    pub late_share: f64,
+    pub effect: Effect,
+    /// How long a copy is fresh; `None`: until it is purged.
+    pub fresh: Option<Span>,
+    /// How much older than fresh a copy may be when asked for.
+    pub grace: Span,
+    /// Runs at the origin and leaves no copy.
+    pub written: bool,
+}
+
+/// Whether an access may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Retriable,
+    /// Repeats are dropped within a group of hosts, for a while from the first hand-off.
+    Fingerprinted {
+        group: RepeatGroup,
+        window: Span,
+    },
+    Binding,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Which caches can supply a fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Siblings {
+    None,
+    OwnZone,
+    Any,
+}
+
+/// Which notes come with outcomes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoteLevel {
+    All,
+    Hits,
+    None,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadField {
+    InHand,
+    LinkFull,
+    Other,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Hosts {
+        form: ListForm,
+        entries: Vec<HostEntry>,
+    },
+    Arrived(Arrival),
+    /// The answer of a streamed hand-off has begun: it belongs to the client now.
+    Begun {
+        id: AccessId,
+    },
+    Outcome(Outcome),
+    /// The client left, or the final answer is overdue.
+    Left {
+        id: AccessId,
+    },
+    Woken {
+        wake: WakeId,
+    },
+    Probed {
+        host: HostId,
+        ending: Ending,
+        took: Span,
+    },
+    /// Every object of the group where no object is named.
+    Purged {
+        object: Option<ObjectId>,
+        group: GroupId,
+        ago: Span,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListForm {
+    Whole,
+    Changes,
+    /// Asking for the list failed; the old one holds.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostEntry {
+    pub host: HostId,
+    pub cell: CellId,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    /// `None`: long past.
+    pub started: Option<Moment>,
+    pub size: f64,
+    pub state: HostState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub id: AccessId,
+    /// How long the client will wait.
+    pub left: Span,
+    pub track: TrackId,
+    pub object: ObjectId,
+    pub group: GroupId,
+    pub part: u32,
+    pub size_kb: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub id: AccessId,
+    pub hand_off: HandOffNo,
+    pub ending: Ending,
+    pub took: Span,
+    /// The access needs no final answer any more.
+    pub closed: bool,
+    pub note: Note,
+    /// Time to the first byte from the source, or to the fill's failure, where it is told.
+    pub waited: Option<Span>,
+    pub load: Vec<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Done,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Lost,
+    Withdrawn,
+    NotSent,
+    Missed,
+}
+
+impl Ending {
+    /// Whether this ending proves that the hand-off did not run.
+    pub fn never_ran(self) -> bool {
+        matches!(
+            self,
+            Ending::Full | Ending::NoConnection | Ending::NotSent | Ending::Missed
+        )
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    Untold,
+    Hit,
+    Filled,
+    FilledByOrigin,
+    Joined,
+    /// Answered from a copy past its fresh time.
+    Stale,
+    SourceRefused,
+    SourceLost,
+    SourceLacks,
+    /// The cache had no place for a fill.
+    NoFillPlace,
+    /// The origin failed behind the parent.
+    OriginFailed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    HandOff(HandOff),
+    /// Final: trying again is harmless.
+    Reject {
+        id: AccessId,
+        come_back: Option<Span>,
+    },
+    /// Final: promises nothing.
+    Abort {
+        id: AccessId,
+    },
+    Withdraw {
+        id: AccessId,
+        hand_off: HandOffNo,
+    },
+    Wake {
+        at: Moment,
+        wake: WakeId,
+    },
+    Probe {
+        host: HostId,
+    },
+    FollowList,
+    Log {
+        text: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct HandOff {
+    pub id: AccessId,
+    pub host: HostId,
+    /// `None`: until the client gives up.
+    pub time_out: Option<Span>,
+    /// `None`: a plain look at what the host holds.
+    pub fill: Option<Fill>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fill {
+    /// The host itself: no fill.
+    pub source: HostId,
+    /// 0: not kept; 1 to 3: the rank at which it is.
+    pub rank: u8,
+    /// The oldest copy that will do; `None`: as old as the track allows when fresh.
+    pub oldest: Option<Span>,
+    pub join: bool,
+    /// The source gives only what it holds.
+    pub held_only: bool,
+    /// Serve an ageing copy and renew it behind.
+    pub renew: bool,
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,108 @@
+//! Points in time, spans of time and one type for each kind of id.
+
+use std::ops::{Add, AddAssign, Sub};
+
+/// A point on the caller's clock, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(pub u64);
+
+/// A length of time, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub u64);
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub const fn from_millis(ms: u64) -> Span {
+        Span(ms * 1_000)
+    }
+
+    pub const fn from_secs(s: u64) -> Span {
+        Span(s * 1_000_000)
+    }
+
+    /// Negative and unordered figures give the empty span.
+    pub fn from_secs_f64(s: f64) -> Span {
+        Span((s.max(0.0) * 1e6) as u64)
+    }
+
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    pub fn times(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor.max(0.0)) as u64)
+    }
+}
+
+impl Moment {
+    /// The span from `earlier` to this moment; empty if `earlier` is later.
+    pub fn since(self, earlier: Moment) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Moment;
+    fn add(self, span: Span) -> Moment {
+        Moment(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Moment {
+    type Output = Moment;
+    fn sub(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl AddAssign for Span {
+    fn add_assign(&mut self, other: Span) {
+        *self = *self + other;
+    }
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    /// One access, as long as it is open.
+    AccessId(u64);
+    /// The place of a hand-off among those of its access, from 0.
+    HandOffNo(u8);
+    /// A cache host, a parent or the origin.
+    HostId(u64);
+    /// An object, whatever the part.
+    ObjectId(u64);
+    /// A group of objects that may be purged together.
+    GroupId(u32);
+    /// The place of a track in the terms.
+    TrackId(u16);
+    /// A zone, by its place in the terms.
+    ZoneId(u16);
+    /// A kind of machine, by its place in the terms.
+    KindId(u8);
+    /// A set of caches that share the fingerprints they have seen.
+    CellId(u16);
+    /// Names a wake-up that was asked for.
+    WakeId(u32);
+}
