--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -100,11 +100,10 @@
             }
         }
         1040 => {
-            let id = AccessId(f.u64()?);
-            f.u8()?;
+            let (id, hand_off) = (AccessId(f.u64()?), HandOffNo(f.u8()?));
             f.host()?;
             f.u32()?;
-            Event::Begun { id }
+            Event::Begun { id, hand_off }
         }
         1060 => arrival(f, tracks)?,
         1080 => outcome(f)?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -123,6 +123,7 @@
     /// The answer of a streamed hand-off has begun: it belongs to the client now.
     Begun {
         id: AccessId,
+        hand_off: HandOffNo,
     },
     Outcome(Outcome),
     /// The client left, or the final answer is overdue.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,65 +12,6 @@
 //! 3. spill: past a crowded cache to the next in the object's hash order
 //! 4. silence watch: overdue hand-offs of a host not heard since count as failures, and are moved
 //! 5. keep-rank: objects seen again outrank those seen once
-//!
-//! ```
-//! use trailproxy::{interface::*, logic::Dispatcher, units::*};
-//! let cold = Cold {
-//!     from: 0.25,
-//!     warm_after: Span::from_secs(14),
-//!     fall_multiple: 4.0,
-//!     fall_after: Span::from_secs(1),
-//! };
-//! let pages = Track {
-//!     due: Span::from_millis(300),
-//!     due_stretch: 2.0,
-//!     importance: 1.0,
-//!     late_share: 0.0,
-//!     effect: Effect::Retriable,
-//!     fresh: None,
-//!     grace: Span::ZERO,
-//!     written: false,
-//! };
-//! let terms = Terms {
-//!     zone: ZoneId(0),
-//!     dispatchers: 1,
-//!     seats: vec![1],
-//!     hub_of: vec![],
-//!     parent_kind: None,
-//!     origin_kind: None,
-//!     tracks: vec![pages],
-//!     flow_kb_per_s: 4000.0,
-//!     link_kb_per_s: None,
-//!     sizes_tell: true,
-//!     joins: false,
-//!     straight: false,
-//!     siblings: Siblings::None,
-//!     notes: NoteLevel::All,
-//!     load_fields: vec![],
-//!     max_hand_offs: 4,
-//!     second_copies: false,
-//!     may_withdraw: true,
-//!     may_probe: false,
-//!     longest_away: None,
-//!     list_on_request: false,
-//!     cold_cache: cold,
-//!     cold_parent: cold,
-//!     purge_done: Span::from_secs(6),
-//! };
-//! let mut dispatcher = Dispatcher::new(terms, 7);
-//! let now = Moment(1_000_000);
-//! dispatcher.take(now, Event::Arrived(Arrival {
-//!     id: AccessId(1),
-//!     left: Span::from_secs(3),
-//!     track: TrackId(0),
-//!     object: ObjectId(9),
-//!     group: GroupId(0),
-//!     part: 0,
-//!     size_kb: Some(200.0),
-//! }));
-//! // No cache is listed: the access is rejected at once.
-//! assert_eq!(dispatcher.settle(now), [Action::Reject { id: AccessId(1), come_back: None }]);
-//! ```
 
 use crate::interface::*;
 use crate::units::*;
@@ -400,8 +341,11 @@
 }
 
 /// A number that follows the object and the host, evenly spread over 0 to 1.
-fn point(object: ObjectId, host: HostId, salt: u64) -> f64 {
-    let mut x = object.0 ^ host.0.rotate_left(29).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt;
+fn point(object: ObjectId, part: u32, host: HostId, salt: u64) -> f64 {
+    let mut x = object.0
+        ^ (u64::from(part) << 52)
+        ^ host.0.rotate_left(29).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        ^ salt;
     for factor in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
         x = (x ^ (x >> 31)).wrapping_mul(factor);
     }
@@ -448,7 +392,15 @@
             Event::Hosts { form, entries } => self.list(form, entries),
             Event::Arrived(arrival) => self.arrive(now, arrival),
             Event::Outcome(outcome) => self.outcome(now, &outcome),
-            Event::Begun { id } | Event::Left { id } => self.close(id),
+            Event::Left { id } => self.close(id),
+            Event::Begun { id, hand_off } => {
+                // The client has it: withdrawing this hand-off would cut the answer off.
+                let access = self.accesses.get_mut(&id);
+                if let Some(begun) = access.and_then(|a| a.tries.get_mut(usize::from(hand_off.0))) {
+                    begun.out = false;
+                }
+                self.close(id);
+            }
             Event::Woken { .. } => self.armed = self.armed.filter(|&at| at > now),
             Event::Probed { .. } => {}
             Event::Purged { object, group, ago } => {
@@ -795,13 +747,22 @@
 
     /// The hosts of a role that an access may go to, in its object's hash order.
     fn in_hash_order(&self, access: &Access, wanted: impl Fn(&Host) -> bool) -> Vec<HostId> {
+        // Parts spread over the caches, or one long object crowds one; its fills still meet at one parent.
         let score = |host: &Host| {
+            let part = if host.role == Role::Cache {
+                access.part
+            } else {
+                0
+            };
             let size = if self.terms.sizes_tell {
                 host.entry.size.max(0.01)
             } else {
                 1.0
             };
-            -point(access.object, host.entry.host, 1).max(1e-12).ln() / size
+            -point(access.object, part, host.entry.host, 1)
+                .max(1e-12)
+                .ln()
+                / size
         };
         let mut order: Vec<(f64, HostId)> = self
             .hosts
@@ -867,7 +828,9 @@
             .tries
             .iter()
             .any(|t| t.failed && (t.host == id || t.source == id));
-        !tried && point(access.object, id, 2) < host.breaker.share(now).min(self.warmth(now, host))
+        !tried
+            && point(access.object, access.part, id, 2)
+                < host.breaker.share(now).min(self.warmth(now, host))
     }
 
     fn plan(&mut self, now: Moment, id: AccessId) -> Option<Plan> {
