Spill only past a predicted stretch of 3 in place of 1.4

Cause: hand-offs waiting for fills were taken for a crowded cache, so accesses spilled, missed and filled the zone's link further.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,7 +37,7 @@
 /// open on chance errors, more leave a dead host closed longer.
 const RUN_OPENS: u32 = 3;
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, higher lateness.
-const SPILL_AT: f64 = 1.4;
+const SPILL_AT: f64 = 3.0;
 /// Part of a cold host's told limit that the dispatchers use together. Higher risks pushing it over
 /// when traffic is uneven, lower warms it later.
 const COLD_USE: f64 = 0.4;
