Ask parents only for what they hold while the origin's breaker is open

Cause: fetches behind a sick origin hung in the caches' places until healthy caches fell silent and opened.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -179,17 +179,18 @@
     }
 
     /// The part of its usual accesses that the host is to get.
-    fn share(&self, now: Moment) -> f64 {
+    fn share(&self) -> f64 {
         match self.phase {
             Phase::Closed => 1.0,
             Phase::Ramp { share, .. } => share,
-            Phase::Open { until } if now >= until => 1.0,
             Phase::Open { .. } | Phase::Trial => 0.0,
         }
     }
 
-    fn wants_trial(&self, now: Moment) -> bool {
-        matches!(self.phase, Phase::Open { until } if now >= until)
+    /// Whether the next access may be the trial; one that must not be lost leaves others a moment to be it.
+    fn wants_trial(&self, now: Moment, retriable: bool) -> bool {
+        let leave = if retriable { Span::ZERO } else { TRIAL_WITHIN };
+        matches!(self.phase, Phase::Open { until } if now >= until + leave)
     }
 
     fn is_open(&self) -> bool {
@@ -276,7 +277,7 @@
     limit: Moment,
     tries: Vec<Try>,
     wait_until: Moment,
-    /// The cache lacked it and had no source: nothing more can be done.
+    /// Cache and parent lack it, and neither was to ask further.
     lacking: bool,
     wake_at: Option<Moment>,
 }
@@ -303,6 +304,7 @@
     overdue_at: Moment,
     blamed: bool,
     withdrawn: bool,
+    held_only: bool,
     host_trial: bool,
     source_trial: bool,
 }
@@ -313,6 +315,7 @@
     host: HostId,
     source: HostId,
     stale: bool,
+    held_only: bool,
 }
 
 enum Step {
@@ -509,7 +512,7 @@
             if outcome.ending == Ending::Full {
                 access.wait_until = now + FULL_WAIT;
             }
-            if outcome.ending == Ending::Missed && flight.source == flight.host {
+            if outcome.ending == Ending::Missed && flight.held_only {
                 access.lacking = true;
             }
         }
@@ -733,7 +736,7 @@
             }
             return Step::Wait(access.limit.min(now + PATIENCE_BASE));
         }
-        if access.lacking || access.tries.len() >= self.terms.max_hand_offs {
+        if access.tries.len() >= self.terms.max_hand_offs {
             return Step::GiveUp;
         }
         if now < access.wait_until {
@@ -815,22 +818,25 @@
         (in_hand / (host.entry.size * self.warmth(now, host)).max(0.5)).max(1.0)
     }
 
+    fn retriable(&self, access: &Access) -> bool {
+        self.terms.tracks[usize::from(access.track.0)].effect == Effect::Retriable
+    }
+
     /// Whether the breaker and the warmth of a host leave room for this object.
     fn open_to(&self, now: Moment, access: &Access, id: HostId) -> bool {
         let Some(host) = self.hosts.get(&id) else {
             return false;
         };
-        let retriable = self.terms.tracks[usize::from(access.track.0)].effect == Effect::Retriable;
-        if host.breaker.wants_trial(now) && !retriable {
-            return false;
-        }
-        let tried = access
+        if access
             .tries
             .iter()
-            .any(|t| t.failed && (t.host == id || t.source == id));
-        !tried
-            && point(access.object, access.part, id, 2)
-                < host.breaker.share(now).min(self.warmth(now, host))
+            .any(|t| t.failed && (t.host == id || t.source == id))
+        {
+            return false;
+        }
+        let share = host.breaker.share().min(self.warmth(now, host));
+        host.breaker.wants_trial(now, self.retriable(access))
+            || point(access.object, access.part, id, 2) < share
     }
 
     fn plan(&mut self, now: Moment, id: AccessId) -> Option<Plan> {
@@ -849,12 +855,15 @@
         let caches = self.in_hash_order(access, |h| {
             ready(h) && h.role == Role::Cache && h.entry.zone == zone
         });
-        if track.written && self.terms.straight {
-            let origin = *origins.first()?;
+        let origin = origins.first().copied();
+        let origin_open = origin.is_none_or(|id| self.open_to(now, access, id));
+        if access.lacking || track.written && self.terms.straight {
+            let host = origin.filter(|_| origin_open && self.terms.straight)?;
             return Some(Plan {
-                host: origin,
-                source: origin,
+                host,
+                source: host,
                 stale: false,
+                held_only: false,
             });
         }
         let in_time =
@@ -887,21 +896,26 @@
         };
         if track.written {
             let source = *origins.first().or(parents.first())?;
-            return Some(Plan {
+            let plan = Plan {
                 host,
                 source,
                 stale: false,
-            });
+                held_only: false,
+            };
+            return origin_open.then_some(plan);
         }
         let source = parents
             .iter()
             .find(room)
             .or_else(|| origins.iter().find(room))
             .copied();
+        // Behind a sick origin a parent gives what it holds: fetches would hang and fill the caches' places.
+        let held_only = !origin_open && source.is_some();
         Some(Plan {
             host,
             source: source.unwrap_or(host),
             stale: source.is_none(),
+            held_only,
         })
     }
 
@@ -995,7 +1009,7 @@
             rank,
             oldest: self.oldest(now, access, plan.stale),
             join: self.terms.joins,
-            held_only: false,
+            held_only: plan.held_only,
             renew: track.fresh.is_some() && !plan.stale,
         };
         let expected =
@@ -1009,6 +1023,7 @@
             overdue_at: now + expected.times(PATIENCE) + PATIENCE_BASE,
             blamed: false,
             withdrawn: false,
+            held_only: plan.held_only || plan.source == plan.host,
             host_trial: false,
             source_trial: false,
         };
@@ -1055,7 +1070,7 @@
         {
             host.charged.pop_front();
         }
-        let trial = host.breaker.wants_trial(now);
+        let trial = host.breaker.wants_trial(now, true);
         if trial {
             host.breaker.phase = Phase::Trial;
         }
