Learn how slow fills run lately and ask for none that would be late

Also: time-outs at the due time where the cache is crowded, overdue only past twice the usual wait, no blame for sources while the origin is open, quicker return of the origin, and histograms up to 11 s (they ended at 85 ms).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,6 +28,9 @@
 /// How long a breaker stays open (the design's figure). Longer starves a healed host, shorter spends
 /// more accesses on trials.
 const OPEN_FOR: Span = Span::from_secs(10);
+/// The same where there is nowhere else to go: refusing longer than the fault lasts costs most there.
+const ORIGIN_OPEN_FOR: Span = Span::from_secs(3);
+const ORIGIN_DOUBLE_AFTER: Span = Span::from_millis(500);
 /// A trial counts if its first byte came within this (the design's figure).
 const TRIAL_WITHIN: Span = Span::from_secs(1);
 /// The first share of a returning host and the pace of its doubling (the design's figures).
@@ -38,13 +41,18 @@
 const RUN_OPENS: u32 = 3;
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, higher lateness.
 const SPILL_AT: f64 = 3.0;
+/// From this predicted stretch on a cache gives up what is past its due time.
+const CROWDED: f64 = 1.3;
 /// Part of a cold host's told limit that the dispatchers use together. Higher risks pushing it over
 /// when traffic is uneven, lower warms it later.
 const COLD_USE: f64 = 0.4;
 /// What an answer takes besides its sending, for predictions before it is sent.
 const HOP: Span = Span::from_millis(40);
 /// A hand-off is overdue after this many times its predicted time, and a little more.
-const PATIENCE: f64 = 2.0;
+const PATIENCE: f64 = 1.5;
+/// What a fill takes alone besides its sending, in seconds.
+const FILL_BASE: f64 = 0.1;
+const FIRST_WAIT: Span = Span::from_millis(150);
 const PATIENCE_BASE: Span = Span::from_millis(100);
 /// How long an access waits before it goes out again to a host that was full.
 const FULL_WAIT: Span = Span::from_millis(60);
@@ -61,16 +69,25 @@
 }
 
 /// A coarse histogram: each bin is half as wide again as the one before.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Histogram {
-    bins: [u32; 28],
+    bins: [u32; 42],
     total: u32,
 }
 
+impl Default for Histogram {
+    fn default() -> Histogram {
+        Histogram {
+            bins: [0; 42],
+            total: 0,
+        }
+    }
+}
+
 impl Histogram {
     fn add(&mut self, value: f64) {
         let bin = ((value.max(1.0)).ln() / 1.5f64.ln()) as usize;
-        self.bins[bin.min(27)] += 1;
+        self.bins[bin.min(41)] += 1;
         self.total += 1;
         if self.total >= 500 {
             self.bins.iter_mut().for_each(|n| *n /= 2);
@@ -128,17 +145,28 @@
     usual: Histogram,
     pending: Histogram,
     phase: Phase,
+    first_open: Span,
+    open_for: Span,
+    double_after: Span,
     run: u32,
 }
 
 impl Breaker {
-    fn new() -> Breaker {
+    fn new(role: Role) -> Breaker {
+        let (open_for, double_after) = if role == Role::Origin {
+            (ORIGIN_OPEN_FOR, ORIGIN_DOUBLE_AFTER)
+        } else {
+            (OPEN_FOR, DOUBLE_AFTER)
+        };
         let (usual, pending) = Default::default();
         Breaker {
             slots: VecDeque::new(),
             usual,
             pending,
             phase: Phase::Closed,
+            first_open: open_for,
+            open_for,
+            double_after,
             run: 0,
         }
     }
@@ -170,7 +198,7 @@
         if let Phase::Ramp { share, step, clean } = &mut self.phase {
             while now >= *step {
                 *share *= if *clean { 2.0 } else { 1.0 };
-                (*step, *clean) = (*step + DOUBLE_AFTER, true);
+                (*step, *clean) = (*step + self.double_after, true);
             }
             if *share >= 1.0 {
                 self.phase = Phase::Closed;
@@ -198,8 +226,14 @@
     }
 
     fn open(&mut self, now: Moment) {
+        let failed_trial = self.phase == Phase::Trial;
+        self.open_for = if failed_trial {
+            self.open_for.times(2.0).min(OPEN_FOR)
+        } else {
+            self.first_open
+        };
         self.phase = Phase::Open {
-            until: now + OPEN_FOR,
+            until: now + self.open_for,
         };
         self.slots.clear();
         self.run = 0;
@@ -240,7 +274,7 @@
                 self.slots.clear();
                 self.phase = Phase::Ramp {
                     share: FIRST_SHARE,
-                    step: now + DOUBLE_AFTER,
+                    step: now + self.double_after,
                     clean: true,
                 };
             }
@@ -259,6 +293,8 @@
     breaker: Breaker,
     /// When it last answered anything.
     heard: Option<Moment>,
+    /// How many times longer than alone fills from here took lately, and when that was last told.
+    slowness: (f64, Moment),
     /// Hand-offs that are out there now.
     out: u32,
     /// Work sent lately while cold, in seconds of sending.
@@ -340,6 +376,8 @@
     /// Sending times by track: their sum in seconds and their number.
     sending: Vec<(f64, f64)>,
     pooled: [Histogram; 3],
+    /// What answers took besides their sending, by role.
+    waits: [Histogram; 3],
     actions: Vec<Action>,
 }
 
@@ -355,6 +393,12 @@
     ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The slowness of fills from a host, half forgotten every two seconds without news.
+fn slowness(host: &Host, now: Moment) -> f64 {
+    let (told, at) = host.slowness;
+    1.0 + (told - 1.0).max(0.0) * 0.5f64.powf(now.since(at).as_secs_f64() / 2.0)
+}
+
 impl Dispatcher {
     pub fn new(terms: Terms, seed: u64) -> Dispatcher {
         let first_guess = |track: &Track| (track.due.as_secs_f64() * 0.5, 1.0);
@@ -370,6 +414,7 @@
             seen: Default::default(),
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
+            waits: Default::default(),
             actions: if terms.list_on_request {
                 vec![Action::FollowList]
             } else {
@@ -430,8 +475,9 @@
             let new = || Host {
                 entry,
                 role,
-                breaker: Breaker::new(),
+                breaker: Breaker::new(role),
                 heard: None,
+                slowness: (1.0, Moment(0)),
                 out: 0,
                 charged: VecDeque::new(),
             };
@@ -538,12 +584,26 @@
         );
         let own = flight.source == flight.host;
         if let Some(host) = self.hosts.get_mut(&flight.host) {
+            if outcome.ending == Done {
+                let wait = outcome.took - Span::from_secs_f64(flight.work);
+                self.waits[host.role as usize].add(wait.0 as f64);
+            }
             host.out = host.out.saturating_sub(1);
             if answered {
                 host.heard = Some(now);
             }
         }
         let hit = outcome.note == Note::Hit || outcome.note == Note::Stale;
+        let filled = outcome.ending == Done && !hit || outcome.ending == TimedOut;
+        if let Some(source) = self
+            .hosts
+            .get_mut(&flight.source)
+            .filter(|_| filled && !own)
+        {
+            let sample = outcome.took.as_secs_f64() / (flight.work + FILL_BASE);
+            let slowness = slowness(source, now);
+            source.slowness = (slowness + (sample - slowness) * 0.1, now);
+        }
         if hit && let Some(source) = self.hosts.get_mut(&flight.source).filter(|_| !own) {
             if let Some(i) = source.charged.iter().position(|&(at, _)| at == flight.sent) {
                 source.charged.remove(i);
@@ -560,10 +620,11 @@
             (_, Note::OriginFailed) => self.judge_origin(now, Verdict::Bad),
             (_, Note::SourceRefused | Note::SourceLost) => of_source = Some(Verdict::Bad),
             (Done, _) if own => of_host = Some(Verdict::Good(Some(per_byte(outcome.took)))),
-            (Error, Note::Untold) if !own => of_source = Some(Verdict::Bad),
+            (Error, Note::Untold) if !own => {
+                of_source = Some(Verdict::Bad).filter(|_| !self.origin_hides(flight));
+            }
             (Error, _) if own => of_host = Some(Verdict::Bad),
             (NoConnection | Lost, _) => of_host = Some(Verdict::Bad),
-            (TimedOut, _) if !flight.blamed => return self.blame(now, flight),
             _ => {}
         }
         self.judge(now, flight.host, of_host, flight.host_trial);
@@ -585,11 +646,18 @@
         let of_host = (!host_heard).then_some(Verdict::Bad);
         self.judge(now, flight.host, of_host, flight.host_trial);
         if flight.source != flight.host {
-            let of_source = (host_heard && !source_heard).then_some(Verdict::Bad);
+            let of_source = host_heard && !source_heard && !self.origin_hides(flight);
+            let of_source = of_source.then_some(Verdict::Bad);
             self.judge(now, flight.source, of_source, flight.source_trial);
         }
     }
 
+    /// A fetch behind the source may hang on a sick origin: then the source is not to blame.
+    fn origin_hides(&self, flight: &Flight) -> bool {
+        let sick = |h: &Host| h.role == Role::Origin && h.breaker.is_open();
+        !flight.held_only && self.hosts.values().any(sick)
+    }
+
     fn judge_origin(&mut self, now: Moment, verdict: Verdict) {
         let origin = self
             .hosts
@@ -911,6 +979,11 @@
             .copied();
         // Behind a sick origin a parent gives what it holds: fetches would hang and fill the caches' places.
         let held_only = !origin_open && source.is_some();
+        let fill_in_time = |id: &HostId| {
+            let takes = slowness(&self.hosts[id], now) * (access.send + FILL_BASE);
+            now + Span::from_secs_f64(takes) <= access.due
+        };
+        let source = source.filter(fill_in_time);
         Some(Plan {
             host,
             source: source.unwrap_or(host),
@@ -1012,6 +1085,7 @@
             held_only: plan.held_only,
             renew: track.fresh.is_some() && !plan.stale,
         };
+        let role = self.hosts[&plan.host].role;
         let expected =
             HOP + Span::from_secs_f64(access.send * self.stretch(now, &self.hosts[&plan.host]));
         let mut flight = Flight {
@@ -1020,7 +1094,9 @@
             sent: now,
             work: access.send,
             size_kb: access.size_kb,
-            overdue_at: now + expected.times(PATIENCE) + PATIENCE_BASE,
+            overdue_at: now
+                + expected.times(PATIENCE)
+                + self.usual_wait(role).times(2.0).min(track.due.times(0.6)),
             blamed: false,
             withdrawn: false,
             held_only: plan.held_only || plan.source == plan.host,
@@ -1028,6 +1104,10 @@
             source_trial: false,
         };
         let own = flight.work;
+        // An answer past its due time earns little and holds up those that can still be in time.
+        let last = access.due.since(now) + PATIENCE_BASE;
+        let crowded = self.stretch(now, &self.hosts[&plan.host]) > CROWDED;
+        let time_out = (crowded && self.retriable(access)).then_some(last);
         flight.host_trial = self.charge(now, plan.host, work);
         if plan.source != plan.host {
             flight.source_trial = self.charge(now, plan.source, own);
@@ -1051,12 +1131,19 @@
             self.actions.push(Action::HandOff(HandOff {
                 id,
                 host,
-                time_out: None,
+                time_out,
                 fill,
             }));
         }
     }
 
+    /// What an answer of such hosts nearly always takes besides its sending.
+    fn usual_wait(&self, role: Role) -> Span {
+        self.waits[role as usize]
+            .p95()
+            .map_or(FIRST_WAIT, |us| Span(us as u64))
+    }
+
     /// Charges work to a host that started lately; tells whether the hand-off is its trial.
     fn charge(&mut self, now: Moment, id: HostId, work: f64) -> bool {
         let Some(host) = self.hosts.get_mut(&id) else {
