--- a/src/logic.rs
+++ b/src/logic.rs
@@ -554,8 +554,9 @@
         if let Some(attempt) = access.tries.get_mut(usize::from(outcome.hand_off.0)) {
             attempt.out = false;
             attempt.may_have_run = !outcome.ending.never_ran();
-            attempt.failed = !matches!(outcome.ending, Ending::Full | Ending::Missed);
-            if outcome.ending == Ending::Full {
+            attempt.failed = outcome.ending != Ending::Missed;
+            if outcome.ending == Ending::Full && flight.host == flight.source {
+                attempt.failed = false;
                 access.wait_until = now + FULL_WAIT;
             }
             if outcome.ending == Ending::Missed && flight.held_only {
@@ -625,6 +626,11 @@
             }
             (Error, _) if own => of_host = Some(Verdict::Bad),
             (NoConnection | Lost, _) => of_host = Some(Verdict::Bad),
+            // A draining host turns all away before the list tells: one that is only crowded answers
+            // others between, and its run of failures ends.
+            (Full, Note::Untold) if !own => {
+                (of_host, of_source) = (Some(Verdict::Bad), Some(Verdict::Bad));
+            }
             _ => {}
         }
         self.judge(now, flight.host, of_host, flight.host_trial);
@@ -925,6 +931,10 @@
         });
         let origin = origins.first().copied();
         let origin_open = origin.is_none_or(|id| self.open_to(now, access, id));
+        let returning = origin.is_some_and(|id| self.hosts[&id].breaker.phase != Phase::Closed);
+        if access.lacking && !returning {
+            return None;
+        }
         if access.lacking || track.written && self.terms.straight {
             let host = origin.filter(|_| origin_open && self.terms.straight)?;
             return Some(Plan {
