--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,17 +1,18 @@
 //! Every decision of a dispatcher, with its tables and tuned values.
 //!
 //! Call [`Dispatcher::new`] once, [`Dispatcher::take`] for each event of a batch, then
-//! [`Dispatcher::settle`] once: it answers with the actions that lead from what is out, held and timed
-//! to what should be. Events, actions and start settings are in [`crate::interface`].
+//! [`Dispatcher::settle`] once: it answers with the actions that lead from what is out, held and
+//! timed to what should be. Events, actions and start settings are in [`crate::interface`].
 //!
-//! The design: a breaker per host over a sliding window, hash order over caches and parents, stale or
-//! rejection where every parent is open, return by one trial and a rising share. Beside it stand:
+//! The design: a breaker per host over a sliding window, hash order over caches and parents, stale
+//! or rejection where every parent is open, return by one trial and a rising share. Beside it:
 //!
 //! 1. cold budget: a share of its work for a host that started lately, charged at send
-//! 2. due-time admission: an access is taken only if it is predicted to be in time
+//! 2. due-time admission: what is predicted late is not taken, and a late fill not asked for
 //! 3. spill: past a crowded cache to the next in the object's hash order
-//! 4. silence watch: overdue hand-offs of a host not heard since count as failures, and are moved
-//! 5. keep-rank: objects seen again outrank those seen once
+//! 4. silence watch: overdue hand-offs count as failures of whoever was not heard, and are moved
+//! 5. origin shield: while the origin is open, parents are asked only for what they hold
+//! 6. keep-rank: objects seen again outrank those seen once
 
 use crate::interface::*;
 use crate::units::*;
@@ -25,90 +26,91 @@
 const FAILING: f64 = 0.5;
 /// A fill this many times slower than the usual 95th percentile fails (the design's figure).
 const SLOW: f64 = 3.0;
-/// How long a breaker stays open (the design's figure). Longer starves a healed host, shorter spends
-/// more accesses on trials.
+/// How long a breaker stays open (the design's figure). Longer starves a healed host, shorter
+/// spends more accesses on trials.
 const OPEN_FOR: Span = Span::from_secs(10);
-/// The same where there is nowhere else to go: refusing longer than the fault lasts costs most there.
+/// The same for the origin, at first: there is nowhere else to go, so refusing for longer than the
+/// fault lasts costs most there. It doubles with each failed trial, up to the design's figure.
 const ORIGIN_OPEN_FOR: Span = Span::from_secs(3);
-const ORIGIN_DOUBLE_AFTER: Span = Span::from_millis(500);
 /// A trial counts if its first byte came within this (the design's figure).
 const TRIAL_WITHIN: Span = Span::from_secs(1);
 /// The first share of a returning host and the pace of its doubling (the design's figures).
 const FIRST_SHARE: f64 = 0.05;
 const DOUBLE_AFTER: Span = Span::from_secs(2);
-/// This many hard failures with no answer between open a breaker before its window fills. Fewer would
-/// open on chance errors, more leave a dead host closed longer.
+const ORIGIN_DOUBLE_AFTER: Span = Span::from_millis(500);
+/// This many hard failures with no answer between open a breaker before its window fills. Fewer
+/// would open on chance errors, more leave a dead host closed for longer.
 const RUN_OPENS: u32 = 3;
-/// Up to this predicted stretch an access stays at its first cache. Lower loses hits, higher lateness.
+/// Up to this predicted stretch an access stays at its first cache. Lower loses hits: accesses that
+/// wait for fills look like a crowd, spill, miss and fill the link further. Higher loses time.
 const SPILL_AT: f64 = 3.0;
 /// From this predicted stretch on a cache gives up what is past its due time.
 const CROWDED: f64 = 1.3;
 /// Part of a cold host's told limit that the dispatchers use together. Higher risks pushing it over
 /// when traffic is uneven, lower warms it later.
 const COLD_USE: f64 = 0.4;
-/// What an answer takes besides its sending, for predictions before it is sent.
+/// What an answer takes besides its sending, before any is heard.
 const HOP: Span = Span::from_millis(40);
-/// A hand-off is overdue after this many times its predicted time, and a little more.
-const PATIENCE: f64 = 1.5;
-/// What a fill takes alone besides its sending, in seconds.
-const FILL_BASE: f64 = 0.1;
 const FIRST_WAIT: Span = Span::from_millis(150);
-const PATIENCE_BASE: Span = Span::from_millis(100);
-/// How long an access waits before it goes out again to a host that was full.
+const FILL_WAIT: Span = Span::from_millis(100);
+/// A hand-off is overdue after this many times its predicted sending and its usual wait, which
+/// counts up to a part of the due time. Lower blames hosts that are only slow; higher lets a silent
+/// one hold on to its accesses.
+const PATIENCE: f64 = 1.5;
+const WAIT_PATIENCE: f64 = 2.0;
+const WAIT_OF_DUE: f64 = 0.6;
+/// How long an access waits for the origin that was full, and after its due time for an answer.
 const FULL_WAIT: Span = Span::from_millis(60);
+const LAST_WAIT: Span = Span::from_millis(100);
 /// When rejected accesses come back, where clients can be told.
 const COME_BACK: Span = Span::from_millis(500);
 /// Objects seen lately are remembered in two halves of this many.
 const SEEN_HALF: usize = 20_000;
+/// Weight of the newest fill in the slowness of its source, and the time that halves what is old.
+const SLOWNESS_GAIN: f64 = 0.1;
+const SLOWNESS_HALVES: Span = Span::from_secs(2);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
     Cache,
     Parent,
     Origin,
 }
 
-/// A coarse histogram: each bin is half as wide again as the one before.
-#[derive(Clone, Debug)]
-struct Histogram {
-    bins: [u32; 42],
-    total: u32,
-}
+/// A coarse histogram of microseconds: each bin is half as wide again as the one before.
+#[derive(Debug)]
+struct Histogram([u32; 42]);
 
 impl Default for Histogram {
     fn default() -> Histogram {
-        Histogram {
-            bins: [0; 42],
-            total: 0,
-        }
+        Histogram([0; 42])
     }
 }
 
 impl Histogram {
     fn add(&mut self, value: f64) {
-        let bin = ((value.max(1.0)).ln() / 1.5f64.ln()) as usize;
-        self.bins[bin.min(41)] += 1;
-        self.total += 1;
-        if self.total >= 500 {
-            self.bins.iter_mut().for_each(|n| *n /= 2);
-            self.total = self.bins.iter().sum();
+        let bin = value.max(1.0).ln() / 1.5f64.ln();
+        self.0[(bin as usize).min(41)] += 1;
+        if self.0.iter().sum::<u32>() >= 500 {
+            self.0.iter_mut().for_each(|n| *n /= 2);
         }
     }
 
-    fn merge(&mut self, other: &mut Histogram) {
-        for (bin, n) in std::mem::take(other).bins.into_iter().enumerate() {
+    fn merge(&mut self, other: &Histogram) {
+        for (bin, &n) in other.0.iter().enumerate() {
             (0..n).for_each(|_| self.add(1.5f64.powi(bin as i32) * 1.01));
         }
     }
 
-    /// The upper edge of the bin that holds the 95th percentile; `None` when too little is heard.
+    /// The upper edge of the bin of the 95th percentile; `None` when too little is heard.
     fn p95(&self) -> Option<f64> {
-        let mut left = self.total - self.total / 20;
-        for (bin, &n) in self.bins.iter().enumerate() {
-            if n >= left && self.total >= 20 {
+        let total: u32 = self.0.iter().sum();
+        let mut left = total - total / 20;
+        for (bin, &n) in self.0.iter().enumerate().filter(|_| total >= 20) {
+            if n >= left {
                 return Some(1.5f64.powi(bin as i32 + 1));
             }
-            left = left.saturating_sub(n);
+            left -= n;
         }
         None
     }
@@ -117,15 +119,10 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     Closed,
-    Open {
-        until: Moment,
-    },
+    Open(Moment),
     Trial,
-    Ramp {
-        share: f64,
-        step: Moment,
-        clean: bool,
-    },
+    /// The share, when it doubles next, and whether all went well since it last did.
+    Ramp(f64, Moment, bool),
 }
 
 /// What an outcome says of one host.
@@ -140,65 +137,52 @@
 /// The design's breaker, one for each cache, parent and origin.
 #[derive(Debug)]
 struct Breaker {
+    /// By second: good and failed fills.
     slots: VecDeque<(u64, u32, u32)>,
     /// Latencies of clean windows, and those of the present slot.
     usual: Histogram,
     pending: Histogram,
     phase: Phase,
-    first_open: Span,
     open_for: Span,
-    double_after: Span,
+    /// Hard failures since the last answer.
     run: u32,
 }
 
 impl Breaker {
-    fn new(role: Role) -> Breaker {
-        let (open_for, double_after) = if role == Role::Origin {
-            (ORIGIN_OPEN_FOR, ORIGIN_DOUBLE_AFTER)
-        } else {
-            (OPEN_FOR, DOUBLE_AFTER)
-        };
-        let (usual, pending) = Default::default();
+    fn new() -> Breaker {
+        let (usual, pending, slots) = Default::default();
+        let (phase, open_for, run) = (Phase::Closed, Span::ZERO, 0);
         Breaker {
-            slots: VecDeque::new(),
+            slots,
             usual,
             pending,
-            phase: Phase::Closed,
-            first_open: open_for,
+            phase,
             open_for,
-            double_after,
-            run: 0,
+            run,
         }
     }
 
     fn counts(&self) -> (u32, u32) {
-        self.slots
-            .iter()
-            .fold((0, 0), |(good, bad), slot| (good + slot.1, bad + slot.2))
+        let add = |sum: (u32, u32), slot: &(u64, u32, u32)| (sum.0 + slot.1, sum.1 + slot.2);
+        self.slots.iter().fold((0, 0), add)
     }
 
     /// Moves the window and the ramp on to `now`.
-    fn advance(&mut self, now: Moment) {
+    fn advance(&mut self, now: Moment, role: Role) {
         let slot = now.0 / 1_000_000;
         if self.slots.back().is_none_or(|last| last.0 != slot) {
-            let (good, bad) = self.counts();
-            if bad * 10 <= good {
-                self.usual.merge(&mut self.pending);
+            let (good, failed) = self.counts();
+            if failed * 10 <= good {
+                self.usual.merge(&self.pending);
             }
             self.pending = Histogram::default();
             self.slots.push_back((slot, 0, 0));
         }
-        while self
-            .slots
-            .front()
-            .is_some_and(|first| first.0 + WINDOW_SLOTS <= slot)
-        {
-            self.slots.pop_front();
-        }
-        if let Phase::Ramp { share, step, clean } = &mut self.phase {
+        self.slots.retain(|old| old.0 + WINDOW_SLOTS > slot);
+        if let Phase::Ramp(share, step, clean) = &mut self.phase {
             while now >= *step {
                 *share *= if *clean { 2.0 } else { 1.0 };
-                (*step, *clean) = (*step + self.double_after, true);
+                (*step, *clean) = (*step + double_after(role), true);
             }
             if *share >= 1.0 {
                 self.phase = Phase::Closed;
@@ -210,104 +194,151 @@
     fn share(&self) -> f64 {
         match self.phase {
             Phase::Closed => 1.0,
-            Phase::Ramp { share, .. } => share,
-            Phase::Open { .. } | Phase::Trial => 0.0,
+            Phase::Ramp(share, ..) => share,
+            Phase::Open(_) | Phase::Trial => 0.0,
         }
     }
 
-    /// Whether the next access may be the trial; one that must not be lost leaves others a moment to be it.
+    /// Whether the next access may be the trial; one that must not be lost leaves that to others
+    /// for a moment.
     fn wants_trial(&self, now: Moment, retriable: bool) -> bool {
         let leave = if retriable { Span::ZERO } else { TRIAL_WITHIN };
-        matches!(self.phase, Phase::Open { until } if now >= until + leave)
+        matches!(self.phase, Phase::Open(until) if now >= until + leave)
     }
 
     fn is_open(&self) -> bool {
-        matches!(self.phase, Phase::Open { .. } | Phase::Trial)
+        matches!(self.phase, Phase::Open(_) | Phase::Trial)
     }
 
-    fn open(&mut self, now: Moment) {
-        let failed_trial = self.phase == Phase::Trial;
-        self.open_for = if failed_trial {
-            self.open_for.times(2.0).min(OPEN_FOR)
-        } else {
-            self.first_open
-        };
-        self.phase = Phase::Open {
-            until: now + self.open_for,
+    fn open(&mut self, now: Moment, role: Role) {
+        self.open_for = match (role, self.phase) {
+            (Role::Origin, Phase::Trial) => self.open_for.times(2.0).min(OPEN_FOR),
+            (Role::Origin, _) => ORIGIN_OPEN_FOR,
+            _ => OPEN_FOR,
         };
+        self.phase = Phase::Open(now + self.open_for);
         self.slots.clear();
         self.run = 0;
     }
 
-    /// Takes a verdict; `usual` is the 95th percentile to hold it against.
-    fn judge(
-        &mut self,
-        now: Moment,
-        verdict: Verdict,
-        trial: bool,
-        usual: Option<f64>,
-        slow_opens: bool,
-    ) {
-        self.advance(now);
-        let slow = match (verdict, usual) {
-            (Verdict::Good(Some(latency)), Some(p95)) => latency > SLOW * p95,
-            _ => false,
-        };
+    /// Takes a verdict, slow or not against the usual; `lone` where no other host could step in.
+    fn judge(&mut self, now: Moment, role: Role, verdict: Verdict, slow: bool, lone: bool) {
+        self.advance(now, role);
         if let Verdict::Good(Some(latency)) = verdict {
             self.pending.add(latency);
         }
-        let bad = slow || verdict == Verdict::Bad;
-        self.run = if verdict == Verdict::Bad {
-            self.run + 1
-        } else {
-            0
-        };
+        let hard = verdict == Verdict::Bad;
+        let bad = slow || hard;
+        self.run = if hard { self.run + 1 } else { 0 };
         if let Some(slot) = self.slots.back_mut() {
             *(if bad { &mut slot.2 } else { &mut slot.1 }) += 1;
         }
         let (good, failed) = self.counts();
-        let failing =
-            good + failed >= LEAST_FILLS && f64::from(failed) > FAILING * f64::from(good + failed);
-        match &mut self.phase {
-            Phase::Trial if trial && bad => self.open(now),
-            Phase::Trial if trial => {
+        let all = good + failed;
+        let failing = all >= LEAST_FILLS && f64::from(failed) > FAILING * f64::from(all);
+        // Where no other host of its role is closed, what is behind them all is likelier to be
+        // slow, and opening the last one would serve nobody.
+        if self.run >= RUN_OPENS || (failing && (hard || !lone)) {
+            self.open(now, role);
+        } else if let Phase::Ramp(_, _, clean) = &mut self.phase {
+            *clean &= !bad;
+        }
+    }
+
+    fn end_trial(&mut self, now: Moment, role: Role, good: Option<bool>) {
+        match good {
+            // It told nothing of this host, which stays open for the next trial.
+            None => self.phase = Phase::Open(now),
+            Some(false) => self.open(now, role),
+            Some(true) => {
                 self.slots.clear();
-                self.phase = Phase::Ramp {
-                    share: FIRST_SHARE,
-                    step: now + self.double_after,
-                    clean: true,
-                };
+                self.phase = Phase::Ramp(FIRST_SHARE, now + double_after(role), true);
             }
-            Phase::Open { .. } | Phase::Trial => {}
-            _ if self.run >= RUN_OPENS || (failing && (slow_opens || !slow)) => self.open(now),
-            Phase::Ramp { clean, .. } => *clean &= !bad,
-            Phase::Closed => {}
         }
     }
 }
 
+fn double_after(role: Role) -> Span {
+    if role == Role::Origin {
+        ORIGIN_DOUBLE_AFTER
+    } else {
+        DOUBLE_AFTER
+    }
+}
+
 #[derive(Debug)]
 struct Host {
     entry: HostEntry,
     role: Role,
+    cold: Cold,
+    /// How many dispatchers send here.
+    peers: f64,
     breaker: Breaker,
     /// When it last answered anything.
-    heard: Option<Moment>,
+    heard: Moment,
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
     /// Hand-offs that are out there now.
     out: u32,
-    /// Work sent lately while cold, in seconds of sending.
+    /// Work sent lately, in seconds of sending.
     charged: VecDeque<(Moment, f64)>,
 }
 
+impl Host {
+    fn ready(&self) -> bool {
+        self.entry.state == HostState::Ready
+    }
+
+    fn sick(&self) -> bool {
+        self.breaker.is_open()
+    }
+
+    fn slowness(&self, now: Moment) -> f64 {
+        let halvings = now.since(self.slowness.1).as_secs_f64() / SLOWNESS_HALVES.as_secs_f64();
+        1.0 + (self.slowness.0 - 1.0).max(0.0) * 0.5f64.powf(halvings)
+    }
+
+    /// The part of its capacity that it can surely give now.
+    fn warmth(&self, now: Moment) -> f64 {
+        let warm_after = self.cold.warm_after.as_secs_f64().max(0.001);
+        let age = self
+            .entry
+            .started
+            .map_or(f64::MAX, |at| now.since(at).as_secs_f64());
+        (self.cold.from + (1.0 - self.cold.from) * age / warm_after).min(1.0)
+    }
+
+    /// How much slower than alone an answer from here is predicted to be.
+    fn stretch(&self, now: Moment) -> f64 {
+        let in_hand = f64::from(self.out) * self.peers + 1.0;
+        (in_hand / (self.entry.size * self.warmth(now)).max(0.5)).max(1.0)
+    }
+
+    /// Rule 4: whether it can take this work out of this dispatcher's share while it is cold.
+    fn within_budget(&self, now: Moment, work: f64) -> bool {
+        let warmth = self.warmth(now);
+        let within = |charge: &&(Moment, f64)| now.since(charge.0) <= self.cold.fall_after;
+        let charged: f64 = self
+            .charged
+            .iter()
+            .filter(within)
+            .map(|charge| charge.1)
+            .sum();
+        let limit = self.cold.fall_multiple * self.cold.fall_after.as_secs_f64() * COLD_USE;
+        warmth >= 1.0 || charged + work <= limit * warmth * self.entry.size / self.peers
+    }
+
+    fn charge(&mut self, now: Moment, work: f64) {
+        let window = self.cold.fall_after;
+        self.charged.retain(|charge| now.since(charge.0) <= window);
+        self.charged.push_back((now, work));
+    }
+}
+
 #[derive(Debug)]
 struct Access {
-    track: TrackId,
-    object: ObjectId,
-    group: GroupId,
-    part: u32,
-    size_kb: Option<f64>,
+    asked: Arrival,
+    /// Predicted sending time alone, in seconds.
     send: f64,
     due: Moment,
     limit: Moment,
@@ -316,48 +347,58 @@
     /// Cache and parent lack it, and neither was to ask further.
     lacking: bool,
     wake_at: Option<Moment>,
+    /// It has its final answer and is only kept until its hand-offs have ended.
+    ended: bool,
 }
 
-/// A hand-off as its access remembers it.
-#[derive(Debug)]
+impl Access {
+    fn failed_at(&self, id: HostId) -> bool {
+        let named = |t: &Try| t.plan.host == id || t.plan.source == id;
+        self.tries.iter().any(|t| t.failed && named(t))
+    }
+}
+
+/// A hand-off that went out.
+#[derive(Clone, Copy, Debug)]
 struct Try {
-    host: HostId,
-    source: HostId,
+    plan: Plan,
     sent: Moment,
+    overdue_at: Moment,
     out: bool,
     may_have_run: bool,
+    /// Neither its host nor its source is to be tried again.
     failed: bool,
-}
-
-/// A hand-off that is out there, whether or not its access is still open.
-#[derive(Debug)]
-struct Flight {
-    host: HostId,
-    source: HostId,
-    sent: Moment,
-    work: f64,
-    size_kb: Option<f64>,
-    overdue_at: Moment,
     blamed: bool,
     withdrawn: bool,
-    held_only: bool,
-    host_trial: bool,
-    source_trial: bool,
+    trial_of: Option<HostId>,
 }
 
 /// Where an access should go next.
 #[derive(Clone, Copy, Debug)]
 struct Plan {
     host: HostId,
+    /// The host itself: no fill.
     source: HostId,
     stale: bool,
     held_only: bool,
 }
 
+impl Plan {
+    fn new(host: HostId, source: HostId) -> Plan {
+        let (stale, held_only) = (false, false);
+        Plan {
+            host,
+            source,
+            stale,
+            held_only,
+        }
+    }
+}
+
 enum Step {
     Wait(Moment),
     Send(Plan),
-    Withdraw(HandOffNo),
+    Withdraw(usize),
     GiveUp,
 }
 
@@ -365,9 +406,10 @@
 pub struct Dispatcher {
     terms: Terms,
     chance: fastrand::Rng,
+    /// All that were ever listed.
     hosts: BTreeMap<HostId, Host>,
     accesses: BTreeMap<AccessId, Access>,
-    flights: BTreeMap<(AccessId, HandOffNo), Flight>,
+    /// Accesses to look at when settling, those to look at later, and the wake-up asked for.
     touched: BTreeSet<AccessId>,
     timed: BTreeSet<(Moment, AccessId)>,
     armed: Option<Moment>,
@@ -375,30 +417,22 @@
     seen: [BTreeSet<(ObjectId, u32)>; 2],
     /// Sending times by track: their sum in seconds and their number.
     sending: Vec<(f64, f64)>,
+    /// By role: latencies of fills, and what answers took besides their sending.
     pooled: [Histogram; 3],
-    /// What answers took besides their sending, by role.
     waits: [Histogram; 3],
     actions: Vec<Action>,
 }
 
 /// A number that follows the object and the host, evenly spread over 0 to 1.
 fn point(object: ObjectId, part: u32, host: HostId, salt: u64) -> f64 {
-    let mut x = object.0
-        ^ (u64::from(part) << 52)
-        ^ host.0.rotate_left(29).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-        ^ salt;
+    let mut x = object.0 ^ u64::from(part) << 52 ^ salt;
+    x ^= host.0.rotate_left(29).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     for factor in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
         x = (x ^ (x >> 31)).wrapping_mul(factor);
     }
     ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// The slowness of fills from a host, half forgotten every two seconds without news.
-fn slowness(host: &Host, now: Moment) -> f64 {
-    let (told, at) = host.slowness;
-    1.0 + (told - 1.0).max(0.0) * 0.5f64.powf(now.since(at).as_secs_f64() / 2.0)
-}
-
 impl Dispatcher {
     pub fn new(terms: Terms, seed: u64) -> Dispatcher {
         let first_guess = |track: &Track| (track.due.as_secs_f64() * 0.5, 1.0);
@@ -406,7 +440,6 @@
             chance: fastrand::Rng::with_seed(seed),
             hosts: BTreeMap::new(),
             accesses: BTreeMap::new(),
-            flights: BTreeMap::new(),
             touched: BTreeSet::new(),
             timed: BTreeSet::new(),
             armed: None,
@@ -415,11 +448,7 @@
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
             waits: Default::default(),
-            actions: if terms.list_on_request {
-                vec![Action::FollowList]
-            } else {
-                Vec::new()
-            },
+            actions: Vec::from_iter(terms.list_on_request.then_some(Action::FollowList)),
             terms,
         }
     }
@@ -427,33 +456,23 @@
     /// Takes one event; nothing goes out before [`Dispatcher::settle`].
     pub fn take(&mut self, now: Moment, event: Event) {
         match event {
-            Event::Hosts {
-                form: ListForm::Failed,
-                ..
-            } if self.terms.list_on_request => {
-                self.actions.push(Action::FollowList);
-            }
-            Event::Hosts {
-                form: ListForm::Failed,
-                ..
-            } => {}
             Event::Hosts { form, entries } => self.list(form, entries),
             Event::Arrived(arrival) => self.arrive(now, arrival),
             Event::Outcome(outcome) => self.outcome(now, &outcome),
-            Event::Left { id } => self.close(id),
             Event::Begun { id, hand_off } => {
                 // The client has it: withdrawing this hand-off would cut the answer off.
-                let access = self.accesses.get_mut(&id);
-                if let Some(begun) = access.and_then(|a| a.tries.get_mut(usize::from(hand_off.0))) {
-                    begun.out = false;
+                if let Some(attempt) = self.try_mut(id, hand_off) {
+                    attempt.withdrawn = true;
                 }
                 self.close(id);
             }
+            Event::Left { id } => self.close(id),
             Event::Woken { .. } => self.armed = self.armed.filter(|&at| at > now),
             Event::Probed { .. } => {}
             Event::Purged { object, group, ago } => {
-                self.purges
-                    .retain(|_, &mut at| now.since(at) < self.terms.purge_done.times(3.0));
+                // Caches that fill from each other may pass an old copy on until all have heard.
+                let forget = self.terms.purge_done.times(3.0);
+                self.purges.retain(|_, &mut at| now.since(at) < forget);
                 let at = self.purges.entry((group, object)).or_default();
                 *at = (*at).max(now - ago);
             }
@@ -461,57 +480,56 @@
     }
 
     fn list(&mut self, form: ListForm, entries: Vec<HostEntry>) {
+        if form == ListForm::Failed && self.terms.list_on_request {
+            self.actions.push(Action::FollowList);
+        }
         if form == ListForm::Whole {
-            for host in self.hosts.values_mut() {
-                host.entry.state = HostState::Gone;
-            }
+            let all = self.hosts.values_mut();
+            all.for_each(|host| host.entry.state = HostState::Gone);
         }
+        let all_seats = self.terms.dispatchers;
+        let own_seats = self.terms.seats.get(usize::from(self.terms.zone.0));
+        let own_seats = own_seats.copied().unwrap_or(all_seats);
         for entry in entries {
-            let role = match Some(entry.kind) {
-                kind if kind == self.terms.parent_kind => Role::Parent,
-                kind if kind == self.terms.origin_kind => Role::Origin,
-                _ => Role::Cache,
+            let (role, cold, peers) = match Some(entry.kind) {
+                kind if kind == self.terms.parent_kind => {
+                    (Role::Parent, self.terms.cold_parent, all_seats)
+                }
+                kind if kind == self.terms.origin_kind => {
+                    (Role::Origin, self.terms.cold_parent, all_seats)
+                }
+                _ => (Role::Cache, self.terms.cold_cache, own_seats),
             };
-            let new = || Host {
+            let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 entry,
                 role,
-                breaker: Breaker::new(role),
-                heard: None,
-                slowness: (1.0, Moment(0)),
+                cold,
+                peers: f64::from(peers.max(1)),
+                breaker: Breaker::new(),
+                heard: Moment::default(),
+                slowness: (1.0, Moment::default()),
                 out: 0,
                 charged: VecDeque::new(),
-            };
-            let host = self.hosts.entry(entry.host).or_insert_with(new);
+            });
             if host.entry.started != entry.started {
                 // A fresh process: what its predecessor did is no fault of it.
                 host.breaker.phase = Phase::Closed;
-                host.breaker.run = 0;
                 host.breaker.slots.clear();
+                host.breaker.run = 0;
             }
             host.entry = entry;
         }
     }
 
-    fn arrive(&mut self, now: Moment, arrival: Arrival) {
-        let Some(track) = self.terms.tracks.get(usize::from(arrival.track.0)) else {
-            return;
-        };
-        let sending = &mut self.sending[usize::from(arrival.track.0)];
-        let send = match arrival.size_kb {
-            Some(kb) => {
-                let send = kb / self.terms.flow_kb_per_s.max(1.0);
-                *sending = (sending.0 + send, sending.1 + 1.0);
-                send
-            }
-            None => sending.0 / sending.1,
-        };
-        let limit = now + arrival.left;
+    fn arrive(&mut self, now: Moment, asked: Arrival) {
+        let track = &self.terms.tracks[usize::from(asked.track.0)];
+        let told = asked.size_kb.map(|kb| kb / self.terms.flow_kb_per_s);
+        let (sum, n) = &mut self.sending[usize::from(asked.track.0)];
+        (*sum, *n) = told.map_or((*sum, *n), |send| (*sum + send, *n + 1.0));
+        let send = told.unwrap_or(*sum / *n);
+        let limit = now + asked.left;
         let access = Access {
-            track: arrival.track,
-            object: arrival.object,
-            group: arrival.group,
-            part: arrival.part,
-            size_kb: arrival.size_kb,
+            asked,
             send,
             due: limit.min(now + track.due + Span::from_secs_f64(send * track.due_stretch)),
             limit,
@@ -519,205 +537,197 @@
             wait_until: now,
             lacking: false,
             wake_at: None,
+            ended: false,
         };
-        self.accesses.insert(arrival.id, access);
-        self.touched.insert(arrival.id);
+        self.touched.insert(access.asked.id);
+        self.accesses.insert(access.asked.id, access);
+    }
+
+    fn mean_send(&self, access: &Access) -> f64 {
+        let (sum, n) = self.sending[usize::from(access.asked.track.0)];
+        sum / n
+    }
+
+    fn track(&self, access: &Access) -> &Track {
+        &self.terms.tracks[usize::from(access.asked.track.0)]
+    }
+
+    fn retriable(&self, access: &Access) -> bool {
+        self.track(access).effect == Effect::Retriable
+    }
+
+    fn try_mut(&mut self, id: AccessId, no: HandOffNo) -> Option<&mut Try> {
+        self.accesses.get_mut(&id)?.tries.get_mut(usize::from(no.0))
     }
 
+    /// Nothing is owed any more; what is still out is called off.
     fn close(&mut self, id: AccessId) {
-        if let Some(access) = self.accesses.remove(&id) {
-            if let Some(at) = access.wake_at {
-                self.timed.remove(&(at, id));
-            }
-            for (no, _) in access.tries.iter().enumerate().filter(|(_, t)| t.out) {
-                self.withdraw(id, HandOffNo(no as u8));
-            }
+        if let Some(access) = self.accesses.get_mut(&id) {
+            access.ended = true;
+            let timed = access.wake_at.take().map(|at| (at, id));
+            timed.map(|entry| self.timed.remove(&entry));
+            (0..access.tries.len()).for_each(|no| self.withdraw(id, no));
+            self.drop_if_over(id);
         }
     }
 
-    fn withdraw(&mut self, id: AccessId, hand_off: HandOffNo) {
-        if let Some(flight) = self.flights.get_mut(&(id, hand_off)) {
-            if self.terms.may_withdraw && !std::mem::replace(&mut flight.withdrawn, true) {
-                self.actions.push(Action::Withdraw { id, hand_off });
-            }
+    fn drop_if_over(&mut self, id: AccessId) {
+        let over = |access: &Access| access.ended && access.tries.iter().all(|t| !t.out);
+        if self.accesses.get(&id).is_some_and(over) {
+            self.accesses.remove(&id);
+        }
+    }
+
+    fn withdraw(&mut self, id: AccessId, no: usize) {
+        let (hand_off, may) = (HandOffNo(no as u8), self.terms.may_withdraw);
+        let attempt = self
+            .try_mut(id, hand_off)
+            .filter(|t| may && t.out && !t.withdrawn);
+        if let Some(attempt) = attempt {
+            attempt.withdrawn = true;
+            self.actions.push(Action::Withdraw { id, hand_off });
         }
     }
 
     fn outcome(&mut self, now: Moment, outcome: &Outcome) {
-        let Some(flight) = self.flights.remove(&(outcome.id, outcome.hand_off)) else {
-            return;
-        };
-        self.learn(now, outcome, &flight);
-        let Some(access) = self.accesses.get_mut(&outcome.id) else {
+        let (id, ending) = (outcome.id, outcome.ending);
+        let Some(attempt) = self.try_mut(id, outcome.hand_off).filter(|t| t.out) else {
             return;
         };
-        if let Some(attempt) = access.tries.get_mut(usize::from(outcome.hand_off.0)) {
-            attempt.out = false;
-            attempt.may_have_run = !outcome.ending.never_ran();
-            attempt.failed = outcome.ending != Ending::Missed;
-            if outcome.ending == Ending::Full && flight.host == flight.source {
-                attempt.failed = false;
-                access.wait_until = now + FULL_WAIT;
-            }
-            if outcome.ending == Ending::Missed && flight.held_only {
-                access.lacking = true;
-            }
+        let own = attempt.plan.host == attempt.plan.source;
+        let full_origin = own && ending == Ending::Full;
+        attempt.out = false;
+        attempt.may_have_run = !ending.never_ran();
+        // The origin is asked again when full: there is no other.
+        attempt.failed = ending != Ending::Missed && !full_origin;
+        let attempt = *attempt;
+        self.learn(now, outcome, &attempt);
+        if let Some(access) = self.accesses.get_mut(&id) {
+            access.lacking |= ending == Ending::Missed && (attempt.plan.held_only || own);
+            access.wait_until = if full_origin { now + FULL_WAIT } else { now };
         }
+        self.touched.insert(id);
         if outcome.closed {
-            self.close(outcome.id);
-        } else {
-            self.touched.insert(outcome.id);
+            self.close(id);
         }
+        self.drop_if_over(id);
     }
 
     /// Tells cache, parent and origin faults apart, by the note or by who else was heard since.
-    fn learn(&mut self, now: Moment, outcome: &Outcome, flight: &Flight) {
+    fn learn(&mut self, now: Moment, outcome: &Outcome, attempt: &Try) {
         use Ending::*;
-        let per_byte = |took: Span| match flight.size_kb {
-            Some(kb) => took.0 as f64 / (kb + 100.0),
-            None => took.0 as f64,
-        };
-        let waited = outcome.waited.map(|w| w.0 as f64);
-        let latency = waited.unwrap_or_else(|| per_byte(outcome.took));
-        let answered = !matches!(
-            outcome.ending,
-            TimedOut | NoConnection | Lost | Withdrawn | NotSent
-        );
-        let own = flight.source == flight.host;
-        if let Some(host) = self.hosts.get_mut(&flight.host) {
-            if outcome.ending == Done {
-                let wait = outcome.took - Span::from_secs_f64(flight.work);
+        let (ending, took) = (outcome.ending, outcome.took);
+        let access = &self.accesses[&outcome.id];
+        let (send, size_kb) = (access.send, access.asked.size_kb);
+        let Plan { host, source, .. } = attempt.plan;
+        let own = host == source;
+        let answered = matches!(ending, Done | Error | Full | Missed);
+        let hit = matches!(outcome.note, Note::Hit | Note::Stale);
+        let per_byte = took.0 as f64 / size_kb.map_or(1.0, |kb| kb + 100.0);
+        let latency = outcome.waited.map_or(per_byte, |waited| waited.0 as f64);
+        if let Some(host) = self.hosts.get_mut(&host) {
+            host.out -= 1;
+            host.heard = if answered { now } else { host.heard };
+            if ending == Done {
+                let wait = took - Span::from_secs_f64(send);
                 self.waits[host.role as usize].add(wait.0 as f64);
             }
-            host.out = host.out.saturating_sub(1);
-            if answered {
-                host.heard = Some(now);
-            }
-        }
-        let hit = outcome.note == Note::Hit || outcome.note == Note::Stale;
-        let filled = outcome.ending == Done && !hit || outcome.ending == TimedOut;
-        if let Some(source) = self
-            .hosts
-            .get_mut(&flight.source)
-            .filter(|_| filled && !own)
-        {
-            let sample = outcome.took.as_secs_f64() / (flight.work + FILL_BASE);
-            let slowness = slowness(source, now);
-            source.slowness = (slowness + (sample - slowness) * 0.1, now);
         }
-        if hit && let Some(source) = self.hosts.get_mut(&flight.source).filter(|_| !own) {
-            if let Some(i) = source.charged.iter().position(|&(at, _)| at == flight.sent) {
-                source.charged.remove(i);
+        if let Some(source) = self.hosts.get_mut(&source).filter(|_| !own) {
+            if hit {
+                // It never came this far.
+                source
+                    .charged
+                    .retain(|charge| *charge != (attempt.sent, send));
+            } else if matches!(ending, Done | TimedOut) {
+                let sample = took.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
+                let before = source.slowness(now);
+                source.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
             }
         }
-        let mut of_host = answered.then_some(Verdict::Good(None));
-        let mut of_source = None;
-        match (outcome.ending, outcome.note) {
-            (Done, Note::Filled) => of_source = Some(Verdict::Good(Some(latency))),
-            (Done, Note::FilledByOrigin) => {
-                of_source = Some(Verdict::Good(None));
-                self.judge_origin(now, Verdict::Good(Some(latency)));
-            }
-            (_, Note::OriginFailed) => self.judge_origin(now, Verdict::Bad),
-            (_, Note::SourceRefused | Note::SourceLost) => of_source = Some(Verdict::Bad),
-            (Done, _) if own => of_host = Some(Verdict::Good(Some(per_byte(outcome.took)))),
-            (Error, Note::Untold) if !own => {
-                of_source = Some(Verdict::Bad).filter(|_| !self.origin_hides(flight));
-            }
-            (Error, _) if own => of_host = Some(Verdict::Bad),
-            (NoConnection | Lost, _) => of_host = Some(Verdict::Bad),
-            // A draining host turns all away before the list tells: one that is only crowded answers
-            // others between, and its run of failures ends.
-            (Full, Note::Untold) if !own => {
-                (of_host, of_source) = (Some(Verdict::Bad), Some(Verdict::Bad));
-            }
-            _ => {}
-        }
-        self.judge(now, flight.host, of_host, flight.host_trial);
+        let good = |latency| Some(Verdict::Good(latency));
+        let bad = Some(Verdict::Bad);
+        let alive = good(None).filter(|_| answered);
+        let (of_host, of_source, of_origin) = match (ending, outcome.note) {
+            (Done, Note::Filled) => (alive, good(Some(latency)), None),
+            (Done, Note::FilledByOrigin) => (alive, good(None), good(Some(latency))),
+            (_, Note::OriginFailed) => (alive, None, bad),
+            (_, Note::SourceRefused | Note::SourceLost) => (alive, bad, None),
+            (Done, _) if own => (good(Some(per_byte)), None, None),
+            (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
+            (Error, Note::Untold) if !own => (alive, bad, None),
+            (Error, _) if !own => (alive, None, None),
+            (NoConnection | Lost | Error, _) => (bad, None, None),
+            // A draining host turns all away before the list tells: one that is only crowded
+            // answers others between, and its run of failures ends.
+            (Full, Note::Untold) if !own => (bad, bad, None),
+            _ => (alive, None, None),
+        };
+        self.judge(now, host, of_host, attempt);
         if !own {
-            self.judge(now, flight.source, of_source, flight.source_trial);
+            self.judge(now, source, of_source, attempt);
+        }
+        if let Some(origin) = self.origin() {
+            self.judge(now, origin, of_origin, attempt);
         }
     }
 
-    /// A hand-off that brought nothing in time is the host's fault if nothing was heard from it since,
-    /// else the source's if nothing came from there either.
-    fn blame(&mut self, now: Moment, flight: &Flight) {
-        let heard = |id| {
-            self.hosts
-                .get(&id)
-                .and_then(|h: &Host| h.heard)
-                .is_some_and(|at| at > flight.sent)
-        };
-        let (host_heard, source_heard) = (heard(flight.host), heard(flight.source));
-        let of_host = (!host_heard).then_some(Verdict::Bad);
-        self.judge(now, flight.host, of_host, flight.host_trial);
-        if flight.source != flight.host {
-            let of_source = host_heard && !source_heard && !self.origin_hides(flight);
-            let of_source = of_source.then_some(Verdict::Bad);
-            self.judge(now, flight.source, of_source, flight.source_trial);
+    /// A hand-off that brought nothing in time is the host's fault if nothing was heard from it
+    /// since, else the source's if nothing came from there either.
+    fn blame(&mut self, now: Moment, attempt: &Try) {
+        let Plan { host, source, .. } = attempt.plan;
+        let heard = |id: HostId| self.hosts[&id].heard > attempt.sent;
+        if !heard(host) {
+            self.judge(now, host, Some(Verdict::Bad), attempt);
+        } else if host != source && !heard(source) && !self.origin_hides(attempt) {
+            self.judge(now, source, Some(Verdict::Bad), attempt);
         }
     }
 
     /// A fetch behind the source may hang on a sick origin: then the source is not to blame.
-    fn origin_hides(&self, flight: &Flight) -> bool {
-        let sick = |h: &Host| h.role == Role::Origin && h.breaker.is_open();
-        !flight.held_only && self.hosts.values().any(sick)
+    fn origin_hides(&self, attempt: &Try) -> bool {
+        let sick = self.origin().is_some_and(|id| self.hosts[&id].sick());
+        sick && !attempt.plan.held_only
     }
 
-    fn judge_origin(&mut self, now: Moment, verdict: Verdict) {
-        let origin = self
-            .hosts
-            .iter()
-            .find(|(_, host)| host.role == Role::Origin)
-            .map(|(&id, _)| id);
-        if let Some(id) = origin {
-            self.judge(now, id, Some(verdict), false);
-        }
+    fn origin(&self) -> Option<HostId> {
+        let is_origin = |host: &&Host| host.role == Role::Origin && host.ready();
+        self.hosts
+            .values()
+            .find(is_origin)
+            .map(|host| host.entry.host)
     }
 
-    fn judge(&mut self, now: Moment, id: HostId, verdict: Option<Verdict>, trial: bool) {
-        let Some(role) = self.hosts.get(&id).map(|host| host.role) else {
-            return;
-        };
-        // Where no other parent is closed, the origin behind them all is the likelier cause of slowness.
-        let others = self.hosts.iter().any(|(&other, host)| {
-            other != id
-                && host.role == role
-                && host.entry.state == HostState::Ready
-                && !host.breaker.is_open()
-        });
+    fn judge(&mut self, now: Moment, id: HostId, verdict: Option<Verdict>, attempt: &Try) {
+        let role = self.hosts[&id].role;
+        let steps_in = |h: &Host| h.role == role && h.entry.host != id && h.ready() && !h.sick();
+        let lone = !self.hosts.values().any(steps_in);
         let pooled = &mut self.pooled[role as usize];
         let Some(host) = self.hosts.get_mut(&id) else {
             return;
         };
-        let before = host.breaker.is_open();
-        match verdict {
-            // A trial that told nothing of the host leaves it open for the next.
-            None if trial && host.breaker.phase == Phase::Trial => {
-                host.breaker.phase = Phase::Open { until: now }
-            }
-            None => {}
-            Some(verdict) => {
-                if verdict != Verdict::Bad {
-                    host.heard = Some(now);
-                }
-                if let Verdict::Good(Some(latency)) = verdict {
-                    pooled.add(latency);
-                }
-                let usual = host.breaker.usual.p95().or(pooled.p95());
-                let verdict = match verdict {
-                    Verdict::Good(Some(l)) if trial && l > TRIAL_WITHIN.0 as f64 => Verdict::Bad,
-                    other => other,
-                };
-                host.breaker.judge(now, verdict, trial, usual, others);
-            }
+        let before = host.sick();
+        let mut latency = None;
+        if let Some(Verdict::Good(told)) = verdict {
+            host.heard = now;
+            latency = told;
         }
-        let after = host.breaker.is_open();
-        if before != after {
-            let what = if after { "open" } else { "back by trial" };
-            self.actions.push(Action::Log {
-                text: format!("{role:?} {:x} breaker {what}", id.0),
-            });
+        let usual = host.breaker.usual.p95().or(pooled.p95());
+        let slow = latency
+            .zip(usual)
+            .is_some_and(|(told, usual)| told > SLOW * usual);
+        latency.into_iter().for_each(|latency| pooled.add(latency));
+        if attempt.trial_of == Some(id) && host.breaker.phase == Phase::Trial {
+            let late = latency.is_some_and(|latency| latency > TRIAL_WITHIN.0 as f64);
+            let good = verdict.map(|verdict| verdict != Verdict::Bad && !late);
+            host.breaker.end_trial(now, role, good);
+        } else if let Some(verdict) = verdict.filter(|_| !before) {
+            host.breaker.judge(now, role, verdict, slow, lone);
+        }
+        if before != host.sick() {
+            let what = if before { "back by trial" } else { "open" };
+            let text = format!("{role:?} {:x} breaker {what}", id.0);
+            self.actions.push(Action::Log { text });
         }
     }
 
@@ -729,7 +739,7 @@
         }
         while let Some(id) = self.touched.pop_first() {
             self.look_after_overdue(now, id);
-            while self.accesses.contains_key(&id) {
+            while self.accesses.get(&id).is_some_and(|access| !access.ended) {
                 match self.next_step(now, id) {
                     Step::Send(plan) => self.send(now, id, plan),
                     Step::Withdraw(no) => self.withdraw(id, no),
@@ -741,46 +751,33 @@
                 }
             }
         }
-        if let Some(&(at, _)) = self
-            .timed
-            .first()
-            .filter(|(at, _)| self.armed.is_none_or(|armed| *at < armed))
-        {
+        let next = self.timed.first().map(|&(at, _)| at);
+        if let Some(at) = next.filter(|&at| self.armed.is_none_or(|armed| at < armed)) {
+            let wake = WakeId(0);
             self.armed = Some(at);
-            self.actions.push(Action::Wake {
-                at,
-                wake: WakeId(0),
-            });
+            self.actions.push(Action::Wake { at, wake });
         }
         std::mem::take(&mut self.actions)
     }
 
     fn time(&mut self, id: AccessId, until: Moment) {
         if let Some(access) = self.accesses.get_mut(&id) {
-            if let Some(old) = access.wake_at.replace(until) {
-                self.timed.remove(&(old, id));
-            }
+            let old = access.wake_at.replace(until).map(|at| (at, id));
+            old.map(|entry| self.timed.remove(&entry));
             self.timed.insert((until, id));
         }
     }
 
     fn look_after_overdue(&mut self, now: Moment, id: AccessId) {
-        let overdue = |flight: &&mut Flight| now >= flight.overdue_at && !flight.blamed;
-        let range = (id, HandOffNo(0))..=(id, HandOffNo(u8::MAX));
-        let late: Vec<_> = self
-            .flights
-            .range_mut(range)
-            .map(|(_, f)| f)
-            .filter(overdue)
-            .collect();
-        let mut copies = Vec::new();
-        for flight in late {
-            flight.blamed = true;
-            copies.push(Flight { ..*flight });
-        }
-        for flight in copies {
-            self.blame(now, &flight);
+        let mut overdue = Vec::new();
+        if let Some(access) = self.accesses.get_mut(&id) {
+            let late = |t: &&mut Try| t.out && !t.blamed && now >= t.overdue_at;
+            for attempt in access.tries.iter_mut().filter(late) {
+                attempt.blamed = true;
+                overdue.push(*attempt);
+            }
         }
+        overdue.iter().for_each(|attempt| self.blame(now, attempt));
     }
 
     fn next_step(&mut self, now: Moment, id: AccessId) -> Step {
@@ -789,26 +786,16 @@
             return Step::GiveUp;
         }
         if let Some(no) = access.tries.iter().position(|attempt| attempt.out) {
-            let no = HandOffNo(no as u8);
-            let Some(flight) = self.flights.get(&(id, no)) else {
-                return Step::Wait(access.limit);
-            };
-            if now < flight.overdue_at {
-                return Step::Wait(flight.overdue_at.min(access.limit));
+            let attempt = access.tries[no];
+            if now < attempt.overdue_at {
+                return Step::Wait(attempt.overdue_at.min(access.limit));
             }
-            let sick = |id: HostId| {
-                self.hosts
-                    .get(&id)
-                    .is_some_and(|host| host.breaker.is_open())
-            };
-            let retriable =
-                self.terms.tracks[usize::from(access.track.0)].effect == Effect::Retriable;
-            let movable =
-                retriable && self.terms.may_withdraw && !flight.withdrawn && !flight.host_trial;
-            if movable && !flight.source_trial && (sick(flight.host) || sick(flight.source)) {
+            let lost = [attempt.plan.host, attempt.plan.source].map(|id| self.hosts[&id].sick());
+            let free = !attempt.withdrawn && attempt.trial_of.is_none();
+            if lost.contains(&true) && free && self.terms.may_withdraw && self.retriable(access) {
                 return Step::Withdraw(no);
             }
-            return Step::Wait(access.limit.min(now + PATIENCE_BASE));
+            return Step::Wait(access.limit.min(now + LAST_WAIT));
         }
         if access.tries.len() >= self.terms.max_hand_offs {
             return Step::GiveUp;
@@ -816,394 +803,231 @@
         if now < access.wait_until {
             return Step::Wait(access.wait_until.min(access.limit));
         }
-        match self.plan(now, id) {
-            Some(plan) => Step::Send(plan),
-            None => Step::GiveUp,
-        }
+        self.plan(now, id).map_or(Step::GiveUp, Step::Send)
     }
 
-    /// The hosts of a role that an access may go to, in its object's hash order.
-    fn in_hash_order(&self, access: &Access, wanted: impl Fn(&Host) -> bool) -> Vec<HostId> {
-        // Parts spread over the caches, or one long object crowds one; its fills still meet at one parent.
+    /// The ready hosts of a role that an access may go to, in its object's hash order.
+    fn in_hash_order(&self, access: &Access, role: Role) -> Vec<HostId> {
+        let zone = Some(self.terms.zone).filter(|_| role == Role::Cache);
+        let wanted = |host: &&Host| {
+            host.role == role && host.ready() && zone.is_none_or(|zone| host.entry.zone == zone)
+        };
+        // Parts spread over the caches, or one long object crowds one; its fills still meet at one
+        // parent.
+        let part = zone.map_or(0, |_| access.asked.part);
         let score = |host: &Host| {
-            let part = if host.role == Role::Cache {
-                access.part
-            } else {
-                0
-            };
-            let size = if self.terms.sizes_tell {
-                host.entry.size.max(0.01)
-            } else {
-                1.0
-            };
-            -point(access.object, part, host.entry.host, 1)
+            let size = Some(host.entry.size).filter(|_| self.terms.sizes_tell);
+            let spread = -point(access.asked.object, part, host.entry.host, 1)
                 .max(1e-12)
-                .ln()
-                / size
+                .ln();
+            spread / size.unwrap_or(1.0).max(0.01)
         };
-        let mut order: Vec<(f64, HostId)> = self
-            .hosts
-            .iter()
-            .filter(|(_, h)| wanted(h))
-            .map(|(&id, h)| (score(h), id))
-            .collect();
+        let hosts = self.hosts.values().filter(wanted);
+        let mut order: Vec<_> = hosts.map(|host| (score(host), host.entry.host)).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         order.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// The part of its capacity that a host can surely give now.
-    fn warmth(&self, now: Moment, host: &Host) -> f64 {
-        let cold = self.cold(host.role);
-        match host.entry.started {
-            Some(at) if now.since(at) < cold.warm_after => {
-                let part = now.since(at).as_secs_f64() / cold.warm_after.as_secs_f64().max(0.001);
-                cold.from + (1.0 - cold.from) * part
-            }
-            _ => 1.0,
-        }
-    }
-
-    fn cold(&self, role: Role) -> &Cold {
-        if role == Role::Cache {
-            &self.terms.cold_cache
-        } else {
-            &self.terms.cold_parent
-        }
-    }
-
-    /// How many dispatchers send to hosts of this role.
-    fn peers(&self, role: Role) -> f64 {
-        let own_zone = self
-            .terms
-            .seats
-            .get(usize::from(self.terms.zone.0))
-            .copied();
-        let all = self.terms.dispatchers.max(1);
-        f64::from(if role == Role::Cache {
-            own_zone.unwrap_or(all).max(1)
-        } else {
-            all
-        })
-    }
-
-    /// How much slower than alone an answer from a cache is predicted to be.
-    fn stretch(&self, now: Moment, host: &Host) -> f64 {
-        let in_hand = f64::from(host.out) * self.peers(host.role) + 1.0;
-        (in_hand / (host.entry.size * self.warmth(now, host)).max(0.5)).max(1.0)
-    }
-
-    fn retriable(&self, access: &Access) -> bool {
-        self.terms.tracks[usize::from(access.track.0)].effect == Effect::Retriable
-    }
-
     /// Whether the breaker and the warmth of a host leave room for this object.
     fn open_to(&self, now: Moment, access: &Access, id: HostId) -> bool {
-        let Some(host) = self.hosts.get(&id) else {
-            return false;
-        };
-        if access
-            .tries
-            .iter()
-            .any(|t| t.failed && (t.host == id || t.source == id))
-        {
-            return false;
-        }
-        let share = host.breaker.share().min(self.warmth(now, host));
-        host.breaker.wants_trial(now, self.retriable(access))
-            || point(access.object, access.part, id, 2) < share
+        let host = &self.hosts[&id];
+        let share = host.breaker.share().min(host.warmth(now));
+        let within = point(access.asked.object, access.asked.part, id, 2) < share;
+        let trial = host.breaker.wants_trial(now, self.retriable(access));
+        !access.failed_at(id) && (within || trial)
     }
 
     fn plan(&mut self, now: Moment, id: AccessId) -> Option<Plan> {
-        let ids: Vec<HostId> = self.hosts.keys().copied().collect();
-        for host in ids {
-            if let Some(host) = self.hosts.get_mut(&host) {
-                host.breaker.advance(now);
-            }
+        for host in self.hosts.values_mut() {
+            host.breaker.advance(now, host.role);
         }
         let access = &self.accesses[&id];
-        let track = &self.terms.tracks[usize::from(access.track.0)];
-        let ready = |host: &Host| host.entry.state == HostState::Ready;
-        let parents = self.in_hash_order(access, |h| ready(h) && h.role == Role::Parent);
-        let origins = self.in_hash_order(access, |h| ready(h) && h.role == Role::Origin);
-        let zone = self.terms.zone;
-        let caches = self.in_hash_order(access, |h| {
-            ready(h) && h.role == Role::Cache && h.entry.zone == zone
-        });
-        let origin = origins.first().copied();
+        let written = self.track(access).written;
+        let origin = self.origin();
         let origin_open = origin.is_none_or(|id| self.open_to(now, access, id));
-        let returning = origin.is_some_and(|id| self.hosts[&id].breaker.phase != Phase::Closed);
-        if access.lacking && !returning {
+        let closed = |id: HostId| self.hosts[&id].breaker.phase == Phase::Closed;
+        if access.lacking && origin.is_none_or(closed) {
             return None;
         }
-        if access.lacking || track.written && self.terms.straight {
-            let host = origin.filter(|_| origin_open && self.terms.straight)?;
-            return Some(Plan {
-                host,
-                source: host,
-                stale: false,
-                held_only: false,
-            });
+        if (access.lacking || written) && self.terms.straight {
+            return origin.filter(|_| origin_open).map(|id| Plan::new(id, id));
         }
-        let in_time =
-            |stretch: f64| now + HOP + Span::from_secs_f64(access.send * stretch) <= access.due;
-        let stretch = |id: HostId| {
-            self.hosts
-                .get(&id)
-                .map_or(f64::MAX, |host| self.stretch(now, host))
-        };
-        let fits = |id: &HostId| self.within_budget(now, *id, self.mean_send(access.track));
-        let open = |id: &&HostId| self.open_to(now, access, **id) && fits(id);
-        let first = caches
-            .iter()
-            .filter(open)
-            .find(|&&id| stretch(id) <= SPILL_AT);
-        let tried = |id: HostId| access.tries.iter().any(|t| t.failed && t.host == id);
-        let closed = |id: &&HostId| !self.hosts[id].breaker.is_open() && !tried(**id) && fits(id);
-        let least = || {
-            caches
-                .iter()
-                .filter(closed)
-                .min_by(|a, b| stretch(**a).total_cmp(&stretch(**b)))
-        };
-        let host = *first.or_else(least)?;
-        if !in_time(stretch(host)) && !track.written {
-            return None;
+        let host = self.pick_cache(now, access)?;
+        let parents = self.in_hash_order(access, Role::Parent);
+        if written {
+            let source = origin.or(parents.first().copied())?;
+            return origin_open.then_some(Plan::new(host, source));
         }
-        let room = |id: &&HostId| {
-            self.open_to(now, access, **id) && self.within_budget(now, **id, access.send)
+        let room = |id: &HostId| {
+            self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
         };
-        if track.written {
-            let source = *origins.first().or(parents.first())?;
-            let plan = Plan {
-                host,
-                source,
-                stale: false,
-                held_only: false,
-            };
-            return origin_open.then_some(plan);
-        }
-        let source = parents
-            .iter()
-            .find(room)
-            .or_else(|| origins.iter().find(room))
-            .copied();
-        // Behind a sick origin a parent gives what it holds: fetches would hang and fill the caches' places.
-        let held_only = !origin_open && source.is_some();
+        let source = parents.into_iter().chain(origin).find(room);
         let fill_in_time = |id: &HostId| {
-            let takes = slowness(&self.hosts[id], now) * (access.send + FILL_BASE);
-            now + Span::from_secs_f64(takes) <= access.due
+            let takes = Span::from_secs_f64(access.send) + FILL_WAIT;
+            now + takes.times(self.hosts[id].slowness(now)) <= access.due
         };
         let source = source.filter(fill_in_time);
-        Some(Plan {
-            host,
-            source: source.unwrap_or(host),
-            stale: source.is_none(),
-            held_only,
-        })
-    }
-
-    fn mean_send(&self, track: TrackId) -> f64 {
-        let (sum, n) = self.sending[usize::from(track.0)];
-        sum / n
+        let mut plan = Plan::new(host, source.unwrap_or(host));
+        plan.stale = source.is_none();
+        // Behind a sick origin a parent gives what it holds: fetches would hang and fill the
+        // caches' places until they fall silent too.
+        plan.held_only = !origin_open;
+        Some(plan)
     }
 
-    /// Rule 4: whether a cold host can be charged with this work in this dispatcher's share.
-    fn within_budget(&self, now: Moment, id: HostId, work: f64) -> bool {
-        let Some(host) = self.hosts.get(&id) else {
-            return false;
-        };
-        let warmth = self.warmth(now, host);
-        if warmth >= 1.0 {
-            return true;
-        }
-        let cold = self.cold(host.role);
-        let recent = host
-            .charged
-            .iter()
-            .filter(|(at, _)| now.since(*at) <= cold.fall_after);
-        let charged: f64 = recent.map(|(_, work)| work).sum();
-        let limit = cold.fall_multiple * warmth * host.entry.size * cold.fall_after.as_secs_f64();
-        charged + work <= limit * COLD_USE / self.peers(host.role)
+    /// The object's first ready cache that has room, else the least crowded, if it is in time.
+    fn pick_cache(&self, now: Moment, access: &Access) -> Option<HostId> {
+        let mean = self.mean_send(access);
+        let mut caches = self.in_hash_order(access, Role::Cache);
+        caches.retain(|id| self.hosts[id].within_budget(now, mean));
+        let stretch = |id: &HostId| self.hosts[id].stretch(now);
+        let first = |id: &&HostId| self.open_to(now, access, **id) && stretch(id) <= SPILL_AT;
+        let failed = |id: HostId| access.tries.iter().any(|t| t.failed && t.plan.host == id);
+        let usable = |id: &&HostId| !failed(**id) && !self.hosts[id].sick();
+        let crowd = |a: &&HostId, b: &&HostId| stretch(a).total_cmp(&stretch(b));
+        let least = || caches.iter().filter(usable).min_by(crowd);
+        let host = *caches.iter().find(first).or_else(least)?;
+        let takes = Span::from_secs_f64(access.send * stretch(&host)) + HOP;
+        (self.track(access).written || now + takes <= access.due).then_some(host)
     }
 
-    /// Rule 2: whether what may have run allows this hand-off.
+    /// Rule 2: whether what may have run allows a hand-off to this host.
     fn may_run_again(&self, now: Moment, access: &Access, host: HostId) -> bool {
-        let mut open = access.tries.iter().filter(|t| t.may_have_run).peekable();
         if access.tries.iter().any(|t| t.out) && !self.terms.second_copies {
             return false;
         }
-        match self.terms.tracks[usize::from(access.track.0)].effect {
+        let mut ran = access.tries.iter().filter(|t| t.may_have_run);
+        match self.track(access).effect {
             Effect::Retriable => true,
-            Effect::Binding => open.peek().is_none(),
-            Effect::Fingerprinted { group, window } => open.all(|earlier| {
-                let place = |id: HostId| self.hosts.get(&id).map(|h| (h.entry.zone, h.entry.cell));
+            Effect::Binding => ran.next().is_none(),
+            Effect::Fingerprinted { group, window } => ran.all(|earlier| {
+                let [a, b] = [earlier.plan.host, host].map(|id| &self.hosts[&id].entry);
                 let same = match group {
                     RepeatGroup::All => true,
-                    RepeatGroup::Zone => {
-                        place(earlier.host).map(|p| p.0) == place(host).map(|p| p.0)
-                    }
-                    RepeatGroup::Cell => place(earlier.host) == place(host),
+                    RepeatGroup::Zone => a.zone == b.zone,
+                    RepeatGroup::Cell => a.cell == b.cell,
                 };
                 same && now < earlier.sent + window
             }),
         }
     }
 
-    /// Rule 5: the oldest copy that will do, from the latest purge that names the object or its group.
+    /// Rule 5: the oldest copy that will do, given the latest purge of the object or its group.
     fn oldest(&self, now: Moment, access: &Access, stale: bool) -> Option<Span> {
-        let track = &self.terms.tracks[usize::from(access.track.0)];
-        let fresh = track
-            .fresh
-            .map(|fresh| if stale { fresh + track.grace } else { fresh });
-        let keys = [(access.group, Some(access.object)), (access.group, None)];
+        let track = self.track(access);
+        let keys = [Some(access.asked.object), None].map(|key| (access.asked.group, key));
         let purged = keys.iter().filter_map(|key| self.purges.get(key)).max();
-        let purged = purged.map(|&at| now.since(at));
-        match (fresh, purged) {
-            (Some(fresh), Some(purged)) => Some(fresh.min(purged)),
-            (fresh, purged) => fresh.filter(|_| stale).or(purged),
-        }
+        let since = purged.map(|&at| now.since(at));
+        let grace = track.grace.times(f64::from(u8::from(stale)));
+        let aged = track.fresh.filter(|_| stale || purged.is_some());
+        since
+            .into_iter()
+            .chain(aged.map(|fresh| fresh + grace))
+            .min()
     }
 
     /// The one gate that every hand-off passes, with each rule at its own place.
     fn send(&mut self, now: Moment, id: AccessId, plan: Plan) {
         let access = &self.accesses[&id];
-        let track = &self.terms.tracks[usize::from(access.track.0)];
+        let track = self.track(access);
+        let (host, source) = (&self.hosts[&plan.host], &self.hosts[&plan.source]);
+        let (mean, send) = (self.mean_send(access), access.send);
+        let own = plan.host == plan.source;
         // Rule 1: nothing goes out for an access that has ended or whose client has given up.
-        let open = now < access.limit;
+        let open = !access.ended && now < access.limit;
         // Rule 3: neither host nor source may drain or be gone.
-        let listed = |id| {
-            self.hosts
-                .get(&id)
-                .is_some_and(|h: &Host| h.entry.state == HostState::Ready)
-        };
-        let kept = listed(plan.host) && listed(plan.source);
-        let work = self.mean_send(access.track);
-        let cold = self.within_budget(now, plan.host, work);
+        let kept = host.ready() && source.ready();
+        let cold = host.within_budget(now, mean) && (own || source.within_budget(now, send));
         if !(open && kept && cold && self.may_run_again(now, access, plan.host)) {
             return self.give_up(id);
         }
-        let direct = self.hosts[&plan.host].role == Role::Origin;
-        let key = (access.object, access.part);
-        let rank = if track.written { 0 } else { self.rank(key) };
-        let access = &self.accesses[&id];
-        let track = &self.terms.tracks[usize::from(access.track.0)];
+        let key = (access.asked.object, access.asked.part);
         let fill = Fill {
             source: plan.source,
-            rank,
+            rank: if track.written { 0 } else { self.rank(key) },
             oldest: self.oldest(now, access, plan.stale),
             join: self.terms.joins,
-            held_only: plan.held_only,
+            held_only: plan.held_only && !own,
             renew: track.fresh.is_some() && !plan.stale,
         };
-        let role = self.hosts[&plan.host].role;
-        let expected =
-            HOP + Span::from_secs_f64(access.send * self.stretch(now, &self.hosts[&plan.host]));
-        let mut flight = Flight {
-            host: plan.host,
-            source: plan.source,
-            sent: now,
-            work: access.send,
-            size_kb: access.size_kb,
-            overdue_at: now
-                + expected.times(PATIENCE)
-                + self.usual_wait(role).times(2.0).min(track.due.times(0.6)),
-            blamed: false,
-            withdrawn: false,
-            held_only: plan.held_only || plan.source == plan.host,
-            host_trial: false,
-            source_trial: false,
-        };
-        let own = flight.work;
+        let (fill, stretch) = (
+            Some(fill).filter(|_| host.role != Role::Origin),
+            host.stretch(now),
+        );
+        let usual = self.waits[host.role as usize].p95();
+        let usual = usual
+            .map_or(FIRST_WAIT, |us| Span(us as u64))
+            .times(WAIT_PATIENCE);
+        let sending = (Span::from_secs_f64(send * stretch) + HOP).times(PATIENCE);
+        let overdue_at = now + sending + usual.min(track.due.times(WAIT_OF_DUE));
         // An answer past its due time earns little and holds up those that can still be in time.
-        let last = access.due.since(now) + PATIENCE_BASE;
-        let crowded = self.stretch(now, &self.hosts[&plan.host]) > CROWDED;
-        let time_out = (crowded && self.retriable(access)).then_some(last);
-        flight.host_trial = self.charge(now, plan.host, work);
-        if plan.source != plan.host {
-            flight.source_trial = self.charge(now, plan.source, own);
+        let hopeless = self.retriable(access) && stretch > CROWDED;
+        let time_out = hopeless.then(|| access.due.since(now) + LAST_WAIT);
+        if !track.written {
+            self.remember(key);
         }
-        if let Some(host) = self.hosts.get_mut(&plan.host) {
-            host.out += 1;
+        let mut trial_of = None;
+        let charges = [(plan.host, mean, 1), (plan.source, send, 0)];
+        for (id, work, out) in charges.into_iter().take(if own { 1 } else { 2 }) {
+            if let Some(host) = self.hosts.get_mut(&id) {
+                host.charge(now, work);
+                host.out += out;
+                if trial_of.is_none() && host.breaker.wants_trial(now, true) {
+                    host.breaker.phase = Phase::Trial;
+                    trial_of = Some(id);
+                }
+            }
         }
         if let Some(access) = self.accesses.get_mut(&id) {
-            let no = HandOffNo(access.tries.len() as u8);
-            let (host, source) = (plan.host, plan.source);
             access.tries.push(Try {
-                host,
-                source,
+                plan,
                 sent: now,
+                overdue_at,
                 out: true,
                 may_have_run: true,
                 failed: false,
+                blamed: false,
+                withdrawn: false,
+                trial_of,
             });
-            self.flights.insert((id, no), flight);
-            let fill = (!direct).then_some(fill);
-            self.actions.push(Action::HandOff(HandOff {
-                id,
-                host,
-                time_out,
-                fill,
-            }));
         }
+        let host = plan.host;
+        self.actions.push(Action::HandOff(HandOff {
+            id,
+            host,
+            time_out,
+            fill,
+        }));
     }
 
-    /// What an answer of such hosts nearly always takes besides its sending.
-    fn usual_wait(&self, role: Role) -> Span {
-        self.waits[role as usize]
-            .p95()
-            .map_or(FIRST_WAIT, |us| Span(us as u64))
-    }
-
-    /// Charges work to a host that started lately; tells whether the hand-off is its trial.
-    fn charge(&mut self, now: Moment, id: HostId, work: f64) -> bool {
-        let Some(host) = self.hosts.get_mut(&id) else {
-            return false;
-        };
-        host.charged.push_back((now, work));
-        while host
-            .charged
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > Span::from_secs(5))
-        {
-            host.charged.pop_front();
-        }
-        let trial = host.breaker.wants_trial(now, true);
-        if trial {
-            host.breaker.phase = Phase::Trial;
-        }
-        trial
+    /// Objects seen again outrank those seen once, so a flood of the latter pushes none of them
+    /// out.
+    fn rank(&self, key: (ObjectId, u32)) -> u8 {
+        1 + u8::from(self.seen.iter().any(|half| half.contains(&key)))
     }
 
-    /// Objects seen again outrank those seen once, so a flood of the latter pushes none of them out.
-    fn rank(&mut self, key: (ObjectId, u32)) -> u8 {
-        let again = self.seen.iter().any(|half| half.contains(&key));
+    fn remember(&mut self, key: (ObjectId, u32)) {
         if self.seen[0].len() >= SEEN_HALF {
             self.seen.swap(0, 1);
             self.seen[0].clear();
         }
         self.seen[0].insert(key);
-        if again { 2 } else { 1 }
     }
 
-    /// The final answer where nothing more can be done: a rejection where it is sure that nothing ran.
+    /// The final answer where nothing more can be done: a rejection where trying again is harmless.
     fn give_up(&mut self, id: AccessId) {
-        let Some(access) = self.accesses.get(&id) else {
-            return;
-        };
+        let access = &self.accesses[&id];
         let ran = access.tries.iter().any(|t| t.may_have_run);
-        let harmless = match self.terms.tracks[usize::from(access.track.0)].effect {
+        let harmless = match self.track(access).effect {
             Effect::Retriable => true,
             Effect::Binding => !ran,
             Effect::Fingerprinted { group, .. } => !ran || group == RepeatGroup::All,
         };
-        let come_back = self
-            .terms
-            .longest_away
-            .map(|longest| COME_BACK.times(0.75 + 0.5 * self.chance.f64()).min(longest));
-        self.actions.push(if harmless {
-            Action::Reject { id, come_back }
-        } else {
-            Action::Abort { id }
+        let spread = COME_BACK.times(0.75 + 0.5 * self.chance.f64());
+        let come_back = self.terms.longest_away.map(|longest| spread.min(longest));
+        self.actions.push(match harmless {
+            true => Action::Reject { id, come_back },
+            false => Action::Abort { id },
         });
         self.close(id);
     }
