--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,8 +59,8 @@
 const PATIENCE: f64 = 1.5;
 const WAIT_PATIENCE: f64 = 2.0;
 const WAIT_OF_DUE: f64 = 0.6;
-/// How long an access waits for the origin that was full, and after its due time for an answer.
-const FULL_WAIT: Span = Span::from_millis(60);
+/// How long an access waits before it goes to the origin again, and after its due time for an answer.
+const ORIGIN_WAIT: Span = Span::from_millis(60);
 const LAST_WAIT: Span = Span::from_millis(100);
 /// When rejected accesses come back, where clients can be told.
 const COME_BACK: Span = Span::from_millis(500);
@@ -595,16 +595,17 @@
             return;
         };
         let own = attempt.plan.host == attempt.plan.source;
-        let full_origin = own && ending == Ending::Full;
         attempt.out = false;
         attempt.may_have_run = !ending.never_ran();
-        // The origin is asked again when full: there is no other.
-        attempt.failed = ending != Ending::Missed && !full_origin;
+        attempt.failed = ending != Ending::Missed;
         let attempt = *attempt;
         self.learn(now, outcome, &attempt);
+        let origin = self.origin();
         if let Some(access) = self.accesses.get_mut(&id) {
             access.lacking |= ending == Ending::Missed && (attempt.plan.held_only || own);
-            access.wait_until = if full_origin { now + FULL_WAIT } else { now };
+            // The origin is asked again after a while: there is no other.
+            let again = Some(attempt.plan.host) == origin;
+            access.wait_until = if again { now + ORIGIN_WAIT } else { now };
         }
         self.touched.insert(id);
         if outcome.closed {
@@ -728,6 +729,13 @@
             let what = if before { "back by trial" } else { "open" };
             let text = format!("{role:?} {:x} breaker {what}", id.0);
             self.actions.push(Action::Log { text });
+            // What waits there may now be moved.
+            let there = |t: &Try| t.out && (t.plan.host == id || t.plan.source == id);
+            let waiting = self
+                .accesses
+                .iter()
+                .filter(|(_, a)| a.tries.iter().any(there));
+            self.touched.extend(waiting.map(|(id, _)| *id));
         }
     }
 
@@ -834,7 +842,8 @@
         let share = host.breaker.share().min(host.warmth(now));
         let within = point(access.asked.object, access.asked.part, id, 2) < share;
         let trial = host.breaker.wants_trial(now, self.retriable(access));
-        !access.failed_at(id) && (within || trial)
+        let failed = host.role != Role::Origin && access.failed_at(id);
+        !failed && (within || trial)
     }
 
     fn plan(&mut self, now: Moment, id: AccessId) -> Option<Plan> {
--- /dev/null
+++ b/tests/host/mod.rs
@@ -0,0 +1,266 @@
+//! A tiny fake host: it lists machines, hands accesses in, plays outcomes and keeps what went out.
+
+use std::collections::BTreeMap;
+use trailproxy::interface::*;
+use trailproxy::logic::Dispatcher;
+use trailproxy::units::*;
+
+pub const READS: TrackId = TrackId(0);
+pub const CHANGES: TrackId = TrackId(1);
+pub const ORDERS: TrackId = TrackId(2);
+pub const CACHES: [HostId; 3] = [HostId(11), HostId(12), HostId(13)];
+pub const PARENTS: [HostId; 2] = [HostId(21), HostId(22)];
+pub const ORIGIN: HostId = HostId(31);
+
+pub fn ms(ms: u64) -> Span {
+    Span::from_millis(ms)
+}
+
+pub fn terms() -> Terms {
+    let reads = Track {
+        due: ms(400),
+        due_stretch: 2.0,
+        importance: 1.0,
+        late_share: 0.0,
+        effect: Effect::Retriable,
+        fresh: Some(Span::from_secs(8)),
+        grace: Span::from_secs(20),
+        written: false,
+    };
+    let written = Track {
+        written: true,
+        fresh: None,
+        grace: Span::ZERO,
+        ..reads.clone()
+    };
+    let (group, window) = (RepeatGroup::Zone, Span::from_secs(2));
+    let by_mark = Effect::Fingerprinted { group, window };
+    let changes = Track {
+        effect: by_mark,
+        ..written.clone()
+    };
+    let orders = Track {
+        effect: Effect::Binding,
+        ..written
+    };
+    let cold = Cold {
+        from: 0.25,
+        warm_after: Span::from_secs(10),
+        fall_multiple: 2.0,
+        fall_after: Span::from_secs(1),
+    };
+    Terms {
+        zone: ZoneId(1),
+        dispatchers: 1,
+        seats: vec![0, 1],
+        hub_of: vec![ZoneId(0), ZoneId(0)],
+        parent_kind: Some(KindId(1)),
+        origin_kind: Some(KindId(2)),
+        tracks: vec![reads, changes, orders],
+        flow_kb_per_s: 1000.0,
+        link_kb_per_s: None,
+        sizes_tell: true,
+        joins: true,
+        straight: true,
+        siblings: Siblings::OwnZone,
+        notes: NoteLevel::All,
+        load_fields: vec![],
+        max_hand_offs: 6,
+        second_copies: false,
+        may_withdraw: true,
+        may_probe: false,
+        longest_away: Some(Span::from_secs(1)),
+        list_on_request: false,
+        cold_cache: cold,
+        cold_parent: cold,
+        purge_done: Span::from_secs(6),
+    }
+}
+
+pub fn entry(host: HostId) -> HostEntry {
+    let (kind, zone) = match host.0 {
+        11..=19 => (KindId(0), ZoneId(1)),
+        21..=29 => (KindId(1), ZoneId(0)),
+        _ => (KindId(2), ZoneId(0)),
+    };
+    let (cell, started, size, state) = (CellId(0), None, 8.0, HostState::Ready);
+    HostEntry {
+        host,
+        cell,
+        zone,
+        kind,
+        started,
+        size,
+        state,
+    }
+}
+
+pub struct Stage {
+    pub dispatcher: Dispatcher,
+    pub now: Moment,
+    pub handed: Vec<HandOff>,
+    pub finals: BTreeMap<AccessId, Vec<Action>>,
+    pub withdrawn: Vec<AccessId>,
+    pub logged: Vec<String>,
+    wakes: Vec<Moment>,
+    next: u64,
+}
+
+impl Stage {
+    /// All hosts are listed, warm and ready.
+    pub fn new(terms: Terms) -> Stage {
+        let mut stage = Stage {
+            dispatcher: Dispatcher::new(terms, 1),
+            now: Moment(100_000_000),
+            handed: vec![],
+            finals: BTreeMap::new(),
+            withdrawn: vec![],
+            logged: vec![],
+            wakes: vec![],
+            next: 0,
+        };
+        let all = CACHES.iter().chain(&PARENTS).chain([&ORIGIN]);
+        stage.list(ListForm::Whole, all.map(|&host| entry(host)).collect());
+        stage
+    }
+
+    pub fn list(&mut self, form: ListForm, entries: Vec<HostEntry>) {
+        self.event(Event::Hosts { form, entries });
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.dispatcher.take(self.now, event);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        for action in self.dispatcher.settle(self.now) {
+            match action {
+                Action::HandOff(hand_off) => {
+                    assert!(
+                        !self.finals.contains_key(&hand_off.id),
+                        "sent after the final answer"
+                    );
+                    self.handed.push(hand_off);
+                }
+                Action::Reject { id, .. } | Action::Abort { id } => {
+                    self.finals.entry(id).or_default().push(action);
+                }
+                Action::Withdraw { id, .. } => self.withdrawn.push(id),
+                Action::Wake { at, .. } => self.wakes.push(at),
+                Action::Log { text } => self.logged.push(text),
+                Action::Probe { .. } | Action::FollowList => {}
+            }
+        }
+    }
+
+    /// Time passes, and every wake-up that was asked for comes in its turn.
+    pub fn pass(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(at) = self.wakes.iter().copied().filter(|&at| at <= end).min() {
+            self.wakes.retain(|&wake| wake > at);
+            self.now = self.now.max(at);
+            self.event(Event::Woken { wake: WakeId(0) });
+        }
+        self.now = end;
+    }
+
+    pub fn arrive(&mut self, track: TrackId, object: u64) -> AccessId {
+        self.arrive_part(track, object, 0, Some(50.0))
+    }
+
+    pub fn arrive_part(
+        &mut self,
+        track: TrackId,
+        object: u64,
+        part: u32,
+        size_kb: Option<f64>,
+    ) -> AccessId {
+        self.next += 1;
+        let (id, object, group) = (
+            AccessId(self.next),
+            ObjectId(object),
+            GroupId(object as u32 % 4),
+        );
+        let left = Span::from_secs(3);
+        self.event(Event::Arrived(Arrival {
+            id,
+            left,
+            track,
+            object,
+            group,
+            part,
+            size_kb,
+        }));
+        id
+    }
+
+    pub fn answer(&mut self, id: AccessId, ending: Ending, note: Note, took: Span) {
+        let of_access = self.handed.iter().filter(|hand_off| hand_off.id == id);
+        let hand_off = HandOffNo(of_access.count() as u8 - 1);
+        let closed = ending == Ending::Done;
+        let (waited, load) = (Some(took).filter(|_| note != Note::Hit), vec![]);
+        self.event(Event::Outcome(Outcome {
+            id,
+            hand_off,
+            ending,
+            took,
+            closed,
+            note,
+            waited,
+            load,
+        }));
+    }
+
+    /// An access that arrives and is answered after a while.
+    pub fn play(&mut self, object: u64, ending: Ending, note: Note, took: Span) -> AccessId {
+        let id = self.arrive(READS, object);
+        self.pass(took);
+        self.answer(id, ending, note, took);
+        id
+    }
+
+    pub fn last(&self, id: AccessId) -> &HandOff {
+        self.handed
+            .iter()
+            .rfind(|hand_off| hand_off.id == id)
+            .expect("nothing was handed off")
+    }
+
+    pub fn count(&self, id: AccessId) -> usize {
+        self.handed
+            .iter()
+            .filter(|hand_off| hand_off.id == id)
+            .count()
+    }
+
+    pub fn source(&self, id: AccessId) -> HostId {
+        self.last(id).fill.expect("a plain look").source
+    }
+
+    /// Objects, from `start` on, whose first parent is this one.
+    pub fn objects_of(&mut self, parent: HostId, start: u64, n: usize) -> Vec<u64> {
+        let mut probe = Stage::new(terms());
+        let homes = |&object: &u64| {
+            let id = probe.arrive(READS, object);
+            let home = probe.source(id);
+            probe.answer(id, Ending::Done, Note::Hit, ms(20));
+            home == parent
+        };
+        (start..).filter(homes).take(n).collect()
+    }
+
+    pub fn rejected(&self, id: AccessId) -> bool {
+        matches!(
+            self.finals.get(&id).map(Vec::as_slice),
+            Some([Action::Reject { .. }])
+        )
+    }
+
+    pub fn aborted(&self, id: AccessId) -> bool {
+        matches!(
+            self.finals.get(&id).map(Vec::as_slice),
+            Some([Action::Abort { .. }])
+        )
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,563 @@
+//! One short story for each rule, each phase of the breaker and each failure met.
+
+mod host;
+
+use host::*;
+use trailproxy::interface::*;
+use trailproxy::units::*;
+
+/// Fills of one parent that all take this long.
+fn fills(stage: &mut Stage, objects: &[u64], took: Span) {
+    for &object in objects {
+        stage.play(object, Ending::Done, Note::Filled, took);
+    }
+}
+
+fn open_by_slow_fills(stage: &mut Stage) -> Vec<u64> {
+    let objects = stage.objects_of(PARENTS[0], 1000, 60);
+    fills(stage, &objects[..30], ms(30));
+    stage.pass(Span::from_secs(11));
+    fills(stage, &objects[30..45], ms(300));
+    objects[45..].to_vec()
+}
+
+// The ordinary path.
+
+#[test]
+fn two_dispatchers_agree_on_cache_and_parent() {
+    let (mut a, mut b) = (Stage::new(terms()), Stage::new(terms()));
+    for object in 1..30 {
+        let (x, y) = (a.arrive(READS, object), b.arrive(READS, object));
+        assert_eq!((a.last(x).host, a.source(x)), (b.last(y).host, b.source(y)));
+        a.answer(x, Ending::Done, Note::Hit, ms(10));
+        b.answer(y, Ending::Done, Note::Hit, ms(10));
+    }
+}
+
+#[test]
+fn parts_spread_over_caches_and_fill_at_one_parent() {
+    let mut stage = Stage::new(terms());
+    let ids: Vec<_> = (0..12)
+        .map(|part| stage.arrive_part(READS, 5, part, Some(50.0)))
+        .collect();
+    let caches: std::collections::BTreeSet<_> = ids.iter().map(|&id| stage.last(id).host).collect();
+    let parents: std::collections::BTreeSet<_> = ids.iter().map(|&id| stage.source(id)).collect();
+    assert!(caches.len() > 1);
+    assert_eq!(parents.len(), 1);
+}
+
+#[test]
+fn slow_fills_open_a_parent_and_its_objects_go_to_the_next() {
+    let mut stage = Stage::new(terms());
+    let rest = open_by_slow_fills(&mut stage);
+    let id = stage.arrive(READS, rest[0]);
+    assert_eq!(stage.source(id), PARENTS[1]);
+    assert_eq!(stage.logged, ["Parent 15 breaker open"]);
+}
+
+#[test]
+fn nine_slow_fills_say_nothing() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 50);
+    fills(&mut stage, &objects[..30], ms(30));
+    stage.pass(Span::from_secs(11));
+    fills(&mut stage, &objects[30..39], ms(300));
+    let id = stage.arrive(READS, objects[40]);
+    assert_eq!(stage.source(id), PARENTS[0]);
+}
+
+#[test]
+fn half_failing_is_not_enough() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 70);
+    fills(&mut stage, &objects[..30], ms(30));
+    stage.pass(Span::from_secs(11));
+    for pair in objects[30..60].chunks(2) {
+        fills(&mut stage, &pair[..1], ms(30));
+        fills(&mut stage, &pair[1..], ms(300));
+    }
+    let id = stage.arrive(READS, objects[65]);
+    assert_eq!(stage.source(id), PARENTS[0]);
+}
+
+#[test]
+fn an_open_parent_returns_by_one_trial_and_a_rising_share() {
+    let mut stage = Stage::new(terms());
+    let rest = open_by_slow_fills(&mut stage);
+    stage.pass(Span::from_secs(7));
+    let early = stage.arrive(READS, rest[0]);
+    assert_eq!(stage.source(early), PARENTS[1], "still open");
+    stage.pass(Span::from_secs(4));
+    let trial = stage.arrive(READS, rest[1]);
+    assert_eq!(stage.source(trial), PARENTS[0], "the trial");
+    let beside = stage.arrive(READS, rest[2]);
+    assert_eq!(stage.source(beside), PARENTS[1], "one trial only");
+    stage.answer(trial, Ending::Done, Note::Filled, ms(40));
+    let many = stage.objects_of(PARENTS[0], 5000, 200);
+    let share = |stage: &mut Stage| {
+        let home = |&&object: &&u64| {
+            let id = stage.arrive(READS, object);
+            let home = stage.source(id) == PARENTS[0];
+            stage.answer(id, Ending::Done, Note::Hit, ms(0));
+            home
+        };
+        many.iter().filter(home).count()
+    };
+    let first = share(&mut stage);
+    assert!((3..25).contains(&first), "about a twentieth: {first}");
+    stage.pass(ms(4100));
+    let later = share(&mut stage);
+    assert!((25..60).contains(&later), "about a fifth: {later}");
+    stage.pass(Span::from_secs(10));
+    assert_eq!(share(&mut stage), 200);
+}
+
+#[test]
+fn a_failed_trial_opens_again() {
+    let mut stage = Stage::new(terms());
+    let rest = open_by_slow_fills(&mut stage);
+    stage.pass(Span::from_secs(11));
+    stage.play(rest[1], Ending::Error, Note::SourceLost, ms(40));
+    let id = stage.arrive(READS, rest[2]);
+    assert_eq!(stage.source(id), PARENTS[1]);
+}
+
+#[test]
+fn a_trial_that_hits_leaves_the_next_to_try() {
+    let mut stage = Stage::new(terms());
+    let rest = open_by_slow_fills(&mut stage);
+    stage.pass(Span::from_secs(11));
+    stage.play(rest[1], Ending::Done, Note::Hit, ms(5));
+    let id = stage.arrive(READS, rest[2]);
+    assert_eq!(stage.source(id), PARENTS[0]);
+}
+
+#[test]
+fn where_all_parents_and_the_origin_are_open_a_stale_copy_is_asked_for() {
+    let mut stage = Stage::new(terms());
+    for round in 0..3 {
+        for (i, &parent) in PARENTS.iter().enumerate() {
+            let objects = stage.objects_of(parent, 3000 + round * 500 + i as u64, 1);
+            let id = stage.arrive(READS, objects[0]);
+            stage.answer(id, Ending::Error, Note::SourceLost, ms(20));
+            stage.answer(id, Ending::Done, Note::Hit, ms(20));
+        }
+        let id = stage.arrive(ORDERS, 1);
+        stage.answer(id, Ending::NoConnection, Note::Untold, ms(20));
+    }
+    let id = stage.arrive(READS, 77);
+    let fill = stage.last(id).fill.expect("a plain look");
+    assert_eq!(fill.source, stage.last(id).host, "no fill");
+    assert_eq!(fill.oldest, Some(Span::from_secs(28)));
+    stage.answer(id, Ending::Missed, Note::Untold, ms(5));
+    assert!(stage.rejected(id));
+}
+
+// Failures met.
+
+#[test]
+fn three_hard_failures_in_a_row_open_a_host_that_few_fills_reach() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 5);
+    for &object in &objects[..3] {
+        let id = stage.arrive(READS, object);
+        stage.answer(id, Ending::Error, Note::SourceLost, ms(20));
+        stage.answer(id, Ending::Done, Note::Hit, ms(20));
+    }
+    let id = stage.arrive(READS, objects[4]);
+    assert_eq!(stage.source(id), PARENTS[1]);
+}
+
+#[test]
+fn a_silent_cache_is_opened_and_what_may_run_again_is_moved() {
+    let mut stage = Stage::new(terms());
+    let silent = CACHES[0];
+    let mut held = vec![];
+    for object in 0..40 {
+        let id = stage.arrive(READS, object);
+        if stage.last(id).host == silent {
+            held.push(id);
+        } else {
+            stage.answer(id, Ending::Done, Note::Hit, ms(1));
+        }
+    }
+    assert!(held.len() >= 4);
+    stage.pass(ms(400));
+    assert!(
+        stage
+            .logged
+            .iter()
+            .any(|text| text == "Cache b breaker open"),
+        "{:?}",
+        stage.logged
+    );
+    assert!(held[..4].iter().all(|id| stage.withdrawn.contains(id)));
+    stage.answer(held[3], Ending::Withdrawn, Note::Untold, ms(400));
+    assert_ne!(stage.last(held[3]).host, silent);
+}
+
+#[test]
+fn a_parent_silent_behind_a_cache_that_answers_is_the_one_blamed() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 6);
+    let slow: Vec<_> = objects
+        .iter()
+        .map(|&object| stage.arrive(READS, object))
+        .collect();
+    for other in 50..110 {
+        stage.pass(ms(10));
+        stage.play(other, Ending::Done, Note::Hit, ms(1));
+    }
+    assert_eq!(stage.logged, ["Parent 15 breaker open"]);
+    assert!(stage.withdrawn.contains(&slow[5]));
+}
+
+#[test]
+fn a_cache_that_turns_all_away_is_passed_by_before_the_list_tells() {
+    let mut stage = Stage::new(terms());
+    let id = stage.arrive(READS, 3);
+    let first = stage.last(id).host;
+    stage.answer(id, Ending::Full, Note::Untold, ms(2));
+    assert_ne!(stage.last(id).host, first);
+    assert_eq!(stage.count(id), 2, "at once");
+}
+
+fn break_origin(stage: &mut Stage) {
+    for _ in 0..3 {
+        let id = stage.arrive(ORDERS, 9);
+        assert_eq!(stage.last(id).host, ORIGIN);
+        stage.answer(id, Ending::NoConnection, Note::Untold, ms(400));
+        stage.answer(id, Ending::NoConnection, Note::Untold, ms(400));
+    }
+}
+
+#[test]
+fn behind_a_sick_origin_parents_give_only_what_they_hold() {
+    let mut stage = Stage::new(terms());
+    break_origin(&mut stage);
+    let id = stage.arrive(READS, 3);
+    let fill = stage.last(id).fill.expect("a plain look");
+    assert!(fill.held_only && PARENTS.contains(&fill.source));
+    stage.answer(id, Ending::Missed, Note::SourceLacks, ms(10));
+    assert!(stage.rejected(id));
+    let written = stage.arrive(ORDERS, 4);
+    assert!(stage.rejected(written));
+}
+
+#[test]
+fn the_origin_returns_by_an_access_known_to_be_lacking() {
+    let mut stage = Stage::new(terms());
+    break_origin(&mut stage);
+    stage.pass(ms(3100));
+    let id = stage.arrive(READS, 3);
+    if stage.last(id).host != ORIGIN {
+        stage.answer(id, Ending::Missed, Note::SourceLacks, ms(10));
+    }
+    let reached =
+        |stage: &Stage| stage.last(id).host == ORIGIN || !stage.last(id).fill.unwrap().held_only;
+    assert!(reached(&stage));
+}
+
+#[test]
+fn a_parent_is_not_blamed_for_fetches_that_hang_on_a_sick_origin() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 6);
+    let ids: Vec<_> = objects
+        .iter()
+        .map(|&object| stage.arrive(READS, object))
+        .collect();
+    break_origin(&mut stage);
+    for id in ids {
+        stage.answer(id, Ending::Error, Note::Untold, ms(300));
+    }
+    assert_eq!(stage.logged, ["Origin 1f breaker open"]);
+}
+
+#[test]
+fn a_crowded_cache_spills_to_the_next_and_a_hopeless_access_is_rejected() {
+    let mut stage = Stage::new(terms());
+    let mut hosts = vec![];
+    let mut rejected = 0;
+    for _ in 0..400 {
+        let id = stage.arrive(READS, 3);
+        match stage.rejected(id) {
+            true => rejected += 1,
+            false => hosts.push(stage.last(id).host),
+        }
+    }
+    let first = hosts[0];
+    let stayed = hosts.iter().take_while(|&&host| host == first).count();
+    assert!((10..40).contains(&stayed), "{stayed}");
+    assert!(hosts.iter().any(|&host| host != first));
+    assert!(rejected > 20, "{rejected}");
+}
+
+#[test]
+fn a_fill_that_would_be_late_is_not_asked_for() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 40);
+    let ids: Vec<_> = objects[..30]
+        .iter()
+        .map(|&object| stage.arrive(READS, object))
+        .collect();
+    stage.pass(ms(350));
+    for id in ids {
+        stage.answer(id, Ending::Done, Note::Joined, ms(350));
+    }
+    let id = stage.arrive_part(READS, objects[35], 0, Some(1000.0));
+    assert_eq!(stage.source(id), stage.last(id).host);
+    stage.answer(id, Ending::Missed, Note::Untold, ms(3));
+    assert!(stage.rejected(id));
+    assert!(
+        stage.handed.iter().all(|hand_off| hand_off.host != ORIGIN),
+        "the origin is no way out"
+    );
+}
+
+#[test]
+fn objects_seen_again_outrank_those_seen_once() {
+    let mut stage = Stage::new(terms());
+    let first = stage.play(3, Ending::Done, Note::Filled, ms(20));
+    let again = stage.play(3, Ending::Done, Note::Hit, ms(20));
+    let rank = |id| stage.last(id).fill.map(|fill| fill.rank);
+    assert_eq!((rank(first), rank(again)), (Some(1), Some(2)));
+}
+
+#[test]
+fn a_restarted_host_is_not_held_to_its_predecessor() {
+    let mut stage = Stage::new(terms());
+    let rest = open_by_slow_fills(&mut stage);
+    let started = Some(stage.now - Span::from_secs(20));
+    stage.list(
+        ListForm::Changes,
+        vec![HostEntry {
+            started,
+            ..entry(PARENTS[0])
+        }],
+    );
+    let id = stage.arrive(READS, rest[0]);
+    assert_eq!(stage.source(id), PARENTS[0]);
+}
+
+// Rule 1: one final answer, in time, and nothing after it.
+
+#[test]
+fn an_access_never_answered_ends_once_at_its_outer_limit() {
+    let mut stage = Stage::new(terms());
+    let id = stage.arrive(ORDERS, 3);
+    stage.pass(ms(2999));
+    assert!(!stage.finals.contains_key(&id));
+    stage.pass(ms(1));
+    assert!(stage.aborted(id));
+    stage.answer(id, Ending::TimedOut, Note::Untold, ms(3000));
+    stage.pass(Span::from_secs(5));
+    assert_eq!((stage.finals[&id].len(), stage.count(id)), (1, 1));
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing() {
+    let mut stage = Stage::new(terms());
+    let id = stage.arrive(READS, 3);
+    stage.event(Event::Left { id });
+    assert_eq!(stage.withdrawn, [id]);
+    stage.answer(id, Ending::Error, Note::Untold, ms(30));
+    stage.pass(Span::from_secs(5));
+    assert!(stage.finals.is_empty());
+    assert_eq!(stage.count(id), 1);
+}
+
+#[test]
+fn a_stream_that_has_begun_is_left_alone() {
+    let mut stage = Stage::new(terms());
+    let id = stage.arrive(READS, 3);
+    stage.event(Event::Begun {
+        id,
+        hand_off: HandOffNo(0),
+    });
+    stage.pass(Span::from_secs(5));
+    assert!(stage.withdrawn.is_empty() && stage.finals.is_empty());
+}
+
+#[test]
+fn without_a_ready_cache_the_access_is_rejected_at_once() {
+    let mut stage = Stage::new(terms());
+    stage.list(ListForm::Whole, vec![entry(PARENTS[0]), entry(ORIGIN)]);
+    let id = stage.arrive(READS, 3);
+    assert!(stage.rejected(id));
+    let come_back = match &stage.finals[&id][0] {
+        Action::Reject { come_back, .. } => *come_back,
+        _ => None,
+    };
+    assert!(come_back.is_some_and(|span| span <= Span::from_secs(1)));
+}
+
+#[test]
+fn odd_events_are_passed_over() {
+    let mut stage = Stage::new(terms());
+    let id = stage.play(3, Ending::Done, Note::Hit, ms(20));
+    stage.answer(id, Ending::TimedOut, Note::Untold, ms(30));
+    stage.event(Event::Left { id: AccessId(999) });
+    stage.event(Event::Woken { wake: WakeId(77) });
+    stage.event(Event::Begun {
+        id: AccessId(999),
+        hand_off: HandOffNo(4),
+    });
+    assert!(stage.finals.is_empty());
+}
+
+// Rule 2: no effect twice.
+
+#[test]
+fn a_binding_access_that_may_have_run_is_neither_sent_again_nor_rejected() {
+    for ending in [
+        Ending::Error,
+        Ending::Lost,
+        Ending::TimedOut,
+        Ending::Withdrawn,
+    ] {
+        let mut stage = Stage::new(terms());
+        let id = stage.arrive(ORDERS, 3);
+        stage.answer(id, ending, Note::Untold, ms(50));
+        stage.pass(Span::from_secs(1));
+        assert_eq!(stage.count(id), 1, "{ending:?}");
+        assert!(stage.aborted(id), "{ending:?}");
+    }
+}
+
+#[test]
+fn a_binding_access_that_never_ran_goes_out_again() {
+    let mut stage = Stage::new(terms());
+    let id = stage.arrive(ORDERS, 3);
+    stage.answer(id, Ending::Full, Note::Untold, ms(50));
+    assert_eq!(stage.count(id), 1, "not at once");
+    stage.pass(ms(100));
+    assert_eq!(stage.count(id), 2);
+}
+
+#[test]
+fn a_silent_origin_does_not_move_a_binding_access() {
+    let mut stage = Stage::new(terms());
+    let ids: Vec<_> = (0..5).map(|_| stage.arrive(ORDERS, 3)).collect();
+    stage.pass(ms(2000));
+    assert!(
+        stage
+            .logged
+            .iter()
+            .any(|text| text == "Origin 1f breaker open")
+    );
+    assert!(stage.withdrawn.is_empty());
+    assert!(
+        ids.iter()
+            .all(|&id| stage.count(id) == 1 && !stage.finals.contains_key(&id))
+    );
+}
+
+#[test]
+fn a_fingerprinted_access_stays_in_its_group_and_window() {
+    let via_cache = || Terms {
+        straight: false,
+        ..terms()
+    };
+    let mut stage = Stage::new(via_cache());
+    let id = stage.arrive(CHANGES, 3);
+    stage.answer(id, Ending::Error, Note::Untold, ms(50));
+    assert_eq!(stage.count(id), 2, "within the window");
+    let mut late = Stage::new(via_cache());
+    let id = late.arrive(CHANGES, 3);
+    late.pass(ms(2100));
+    late.answer(id, Ending::Error, Note::Untold, ms(2100));
+    assert_eq!(late.count(id), 1, "past the window");
+    assert!(late.aborted(id), "no rejection beyond the group of all");
+}
+
+// Rule 3: drains are kept.
+
+#[test]
+fn nothing_goes_to_a_host_that_drains_or_is_gone() {
+    let mut stage = Stage::new(terms());
+    let draining = |host| HostEntry {
+        state: HostState::Draining,
+        ..entry(host)
+    };
+    stage.list(
+        ListForm::Changes,
+        vec![draining(CACHES[0]), draining(PARENTS[0])],
+    );
+    for object in 0..30 {
+        let id = stage.play(object, Ending::Done, Note::Hit, ms(5));
+        assert_ne!(stage.last(id).host, CACHES[0]);
+        assert_ne!(stage.source(id), PARENTS[0]);
+    }
+}
+
+#[test]
+fn a_host_that_vanishes_from_a_whole_list_is_gone() {
+    let mut stage = Stage::new(terms());
+    let left = [CACHES[1], CACHES[2], PARENTS[1], ORIGIN];
+    stage.list(ListForm::Whole, left.map(entry).to_vec());
+    for object in 0..30 {
+        let id = stage.play(object, Ending::Done, Note::Hit, ms(5));
+        assert!(left.contains(&stage.last(id).host) && left.contains(&stage.source(id)));
+    }
+}
+
+// Rule 4: a cold host is not pushed over.
+
+#[test]
+fn a_cold_cache_and_a_cold_parent_get_no_more_than_their_budget() {
+    let mut stage = Stage::new(terms());
+    let started = Some(stage.now);
+    let cold = [CACHES[0], PARENTS[0]].map(|host| HostEntry {
+        started,
+        ..entry(host)
+    });
+    stage.list(ListForm::Changes, cold.to_vec());
+    let (mut at_cache, mut at_parent) = (0.0, 0.0);
+    for object in 0..400 {
+        let id = stage.arrive_part(READS, object, 0, Some(100.0));
+        if stage.count(id) == 0 {
+            continue;
+        }
+        at_cache += if stage.last(id).host == CACHES[0] {
+            0.1
+        } else {
+            0.0
+        };
+        at_parent += if stage.source(id) == PARENTS[0] {
+            0.1
+        } else {
+            0.0
+        };
+        stage.pass(ms(2));
+        stage.answer(id, Ending::Done, Note::Filled, ms(2));
+    }
+    // Size 8, a quarter of it, twice that, for the 0.8 s that the burst takes.
+    assert!(at_cache > 0.1 && at_cache < 4.0, "{at_cache}");
+    assert!(at_parent > 0.1 && at_parent < 4.0, "{at_parent}");
+}
+
+// Rule 5: purges are kept.
+
+#[test]
+fn a_purge_bounds_the_age_of_the_copy_asked_for() {
+    let mut stage = Stage::new(terms());
+    let ago = ms(300);
+    stage.event(Event::Purged {
+        object: Some(ObjectId(8)),
+        group: GroupId(0),
+        ago,
+    });
+    stage.event(Event::Purged {
+        object: None,
+        group: GroupId(1),
+        ago: ms(500),
+    });
+    stage.pass(Span::from_secs(1));
+    let oldest = |stage: &mut Stage, object| {
+        let id = stage.arrive(READS, object);
+        stage.last(id).fill.expect("a plain look").oldest
+    };
+    assert_eq!(oldest(&mut stage, 8), Some(ms(1300)), "the object");
+    assert_eq!(oldest(&mut stage, 5), Some(ms(1500)), "its group");
+    assert_eq!(oldest(&mut stage, 12), None, "another of the first group");
+}
