Ask for fills only while the zone's link has room for them in time

Cause: with a link filled past what it carries every fill is late, and hits suffer from what waits. Fills under way are estimated from the share that needed one, for objects new and seen; where the link is not told, from the load reports.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,6 +67,7 @@
 /// Objects seen lately are remembered in two halves of this many.
 const SEEN_HALF: usize = 20_000;
 /// Weight of the newest fill in the slowness of its source, and the time that halves what is old.
+const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
 const SLOWNESS_HALVES: Span = Span::from_secs(2);
 
@@ -371,6 +372,9 @@
     blamed: bool,
     withdrawn: bool,
     trial_of: Option<HostId>,
+    /// Seen lately when it went out, and how likely it needs a fill.
+    seen: bool,
+    missing: f64,
 }
 
 /// Where an access should go next.
@@ -420,6 +424,12 @@
     /// By role: latencies of fills, and what answers took besides their sending.
     pooled: [Histogram; 3],
     waits: [Histogram; 3],
+    /// Fills that are likely under way for this dispatcher, and the share that needed one of
+    /// objects new to it and of those seen lately.
+    fills: f64,
+    missing: [f64; 2],
+    /// How full the zone's link was when a cache last told.
+    link_told: f64,
     actions: Vec<Action>,
 }
 
@@ -448,6 +458,9 @@
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
             waits: Default::default(),
+            fills: 0.0,
+            missing: [0.8, 0.2],
+            link_told: 0.0,
             actions: Vec::from_iter(terms.list_on_request.then_some(Action::FollowList)),
             terms,
         }
@@ -634,6 +647,20 @@
                 self.waits[host.role as usize].add(wait.0 as f64);
             }
         }
+        self.fills = (self.fills - attempt.missing).max(0.0);
+        if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
+            let share = &mut self.missing[usize::from(attempt.seen)];
+            *share += (f64::from(u8::from(!hit)) - *share) * MISSING_GAIN;
+        }
+        let full = self
+            .terms
+            .load_fields
+            .iter()
+            .position(|field| *field == LoadField::LinkFull);
+        let is_cache = self.hosts[&host].role == Role::Cache;
+        if let Some(&told) = full.filter(|_| is_cache).and_then(|i| outcome.load.get(i)) {
+            self.link_told = told;
+        }
         if let Some(source) = self.hosts.get_mut(&source).filter(|_| !own) {
             if hit {
                 // It never came this far.
@@ -871,9 +898,10 @@
             self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
         };
         let source = parents.into_iter().chain(origin).find(room);
+        let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
         let fill_in_time = |id: &HostId| {
             let takes = Span::from_secs_f64(access.send) + FILL_WAIT;
-            now + takes.times(self.hosts[id].slowness(now)) <= access.due
+            now + takes.times(self.hosts[id].slowness(now)).max(crowd) <= access.due
         };
         let source = source.filter(fill_in_time);
         let mut plan = Plan::new(host, source.unwrap_or(host));
@@ -884,6 +912,19 @@
         Some(plan)
     }
 
+    /// Fills on the zone's link over those that fit at the pace of an answer.
+    fn link_crowd(&self) -> f64 {
+        let seats = self.terms.seats.get(usize::from(self.terms.zone.0));
+        let seats = f64::from(seats.copied().unwrap_or(1).max(1));
+        let carries = self
+            .terms
+            .link_kb_per_s
+            .map(|link| link / self.terms.flow_kb_per_s);
+        carries.map_or(self.link_told, |carries| {
+            (self.fills + 1.0) * seats / carries
+        })
+    }
+
     /// The object's first ready cache that has room, else the least crowded, if it is in time.
     fn pick_cache(&self, now: Moment, access: &Access) -> Option<HostId> {
         let mean = self.mean_send(access);
@@ -972,9 +1013,15 @@
         // An answer past its due time earns little and holds up those that can still be in time.
         let hopeless = self.retriable(access) && stretch > CROWDED;
         let time_out = hopeless.then(|| access.due.since(now) + LAST_WAIT);
+        let seen = self.seen.iter().any(|half| half.contains(&key));
+        let missing = match own || track.written {
+            true => 0.0,
+            false => self.missing[usize::from(seen)],
+        };
         if !track.written {
             self.remember(key);
         }
+        self.fills += missing;
         let mut trial_of = None;
         let charges = [(plan.host, mean, 1), (plan.source, send, 0)];
         for (id, work, out) in charges.into_iter().take(if own { 1 } else { 2 }) {
@@ -998,6 +1045,8 @@
                 blamed: false,
                 withdrawn: false,
                 trial_of,
+                seen,
+                missing,
             });
         }
         let host = plan.host;
