No time-out at the due time where sizes are not told

Cause: the due time grows with a size that is only guessed there, so large objects were cut off, their fills dropped and begun again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1011,7 +1011,7 @@
         let sending = (Span::from_secs_f64(send * stretch) + HOP).times(PATIENCE);
         let overdue_at = now + sending + usual.min(track.due.times(WAIT_OF_DUE));
         // An answer past its due time earns little and holds up those that can still be in time.
-        let hopeless = self.retriable(access) && stretch > CROWDED;
+        let hopeless = self.retriable(access) && stretch > CROWDED && access.asked.size_kb.is_some();
         let time_out = hopeless.then(|| access.due.since(now) + LAST_WAIT);
         let seen = self.seen.iter().any(|half| half.contains(&key));
         let missing = match own || track.written {
