--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,8 +44,10 @@
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits: accesses that
 /// wait for fills look like a crowd, spill, miss and fill the link further. Higher loses time.
 const SPILL_AT: f64 = 3.0;
-/// From this predicted stretch on a cache gives up what is past its due time.
-const CROWDED: f64 = 1.3;
+
+/// What is added to the sending time of an access whose size is only guessed. Lower lets large ones
+/// crowd the caches, higher rejects small ones.
+const GUESS_MARGIN: f64 = 1.3;
 /// Part of a cold host's told limit that the dispatchers use together. Higher risks pushing it over
 /// when traffic is uneven, lower warms it later.
 const COLD_USE: f64 = 0.4;
@@ -59,7 +61,7 @@
 const PATIENCE: f64 = 1.5;
 const WAIT_PATIENCE: f64 = 2.0;
 const WAIT_OF_DUE: f64 = 0.6;
-/// How long an access waits before it goes to the origin again, and after its due time for an answer.
+/// How long an access waits before it goes to the origin again, and between looks at a late answer.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
 const LAST_WAIT: Span = Span::from_millis(100);
 /// When rejected accesses come back, where clients can be told.
@@ -937,7 +939,12 @@
         let crowd = |a: &&HostId, b: &&HostId| stretch(a).total_cmp(&stretch(b));
         let least = || caches.iter().filter(usable).min_by(crowd);
         let host = *caches.iter().find(first).or_else(least)?;
-        let takes = Span::from_secs_f64(access.send * stretch(&host)) + HOP;
+        let margin = if access.asked.size_kb.is_some() {
+            1.0
+        } else {
+            GUESS_MARGIN
+        };
+        let takes = Span::from_secs_f64(access.send * stretch(&host) * margin) + HOP;
         (self.track(access).written || now + takes <= access.due).then_some(host)
     }
 
@@ -1010,9 +1017,7 @@
             .times(WAIT_PATIENCE);
         let sending = (Span::from_secs_f64(send * stretch) + HOP).times(PATIENCE);
         let overdue_at = now + sending + usual.min(track.due.times(WAIT_OF_DUE));
-        // An answer past its due time earns little and holds up those that can still be in time.
-        let hopeless = self.retriable(access) && stretch > CROWDED && access.asked.size_kb.is_some();
-        let time_out = hopeless.then(|| access.due.since(now) + LAST_WAIT);
+
         let seen = self.seen.iter().any(|half| half.contains(&key));
         let missing = match own || track.written {
             true => 0.0,
@@ -1053,7 +1058,7 @@
         self.actions.push(Action::HandOff(HandOff {
             id,
             host,
-            time_out,
+            time_out: None,
             fill,
         }));
     }
