--- a/src/logic.rs
+++ b/src/logic.rs
@@ -281,9 +281,8 @@
     heard: Moment,
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
-    /// Hand-offs that are out there now, and what the host last told that it has in hand.
+    /// Hand-offs that are out there now.
     out: u32,
-    in_hand: f64,
     /// Work sent lately, in seconds of sending.
     charged: VecDeque<(Moment, f64)>,
 }
@@ -314,7 +313,7 @@
 
     /// How much slower than alone an answer from here is predicted to be.
     fn stretch(&self, now: Moment) -> f64 {
-        let in_hand = (f64::from(self.out) * self.peers).max(self.in_hand) + 1.0;
+        let in_hand = f64::from(self.out) * self.peers + 1.0;
         (in_hand / (self.entry.size * self.warmth(now)).max(0.5)).max(1.0)
     }
 
@@ -525,7 +524,6 @@
                 heard: Moment::default(),
                 slowness: (1.0, Moment::default()),
                 out: 0,
-                in_hand: 0.0,
                 charged: VecDeque::new(),
             });
             if host.entry.started != entry.started {
@@ -656,12 +654,6 @@
             let share = &mut self.missing[usize::from(attempt.seen)];
             *share += (f64::from(u8::from(!hit)) - *share) * MISSING_GAIN;
         }
-        let in_hand = self.terms.load_fields.iter().position(|field| *field == LoadField::InHand);
-        if let Some(&told) = in_hand.and_then(|i| outcome.load.get(i)) {
-            if let Some(host) = self.hosts.get_mut(&host) {
-                host.in_hand = told;
-            }
-        }
         let full = self
             .terms
             .load_fields
