Do not join a fill when asking only for hits

It was taken for the cause of hand-offs that hang at caches which answer others; it was not. Kept as the plainer meaning.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1003,7 +1003,7 @@
             source: plan.source,
             rank: if track.written { 0 } else { self.rank(key) },
             oldest: self.oldest(now, access, plan.stale),
-            join: self.terms.joins,
+            join: self.terms.joins && !own,
             held_only: plan.held_only && !own,
             renew: track.fresh.is_some() && !plan.stale,
         };
