--- a/src/logic.rs
+++ b/src/logic.rs
@@ -374,8 +374,6 @@
     blamed: bool,
     withdrawn: bool,
     trial_of: Option<HostId>,
-    /// Whether it counts as load where it went.
-    counted: bool,
     /// Seen lately when it went out, and how likely it needs a fill.
     seen: bool,
     missing: f64,
@@ -644,14 +642,14 @@
         let per_byte = took.0 as f64 / size_kb.map_or(1.0, |kb| kb + 100.0);
         let latency = outcome.waited.map_or(per_byte, |waited| waited.0 as f64);
         if let Some(host) = self.hosts.get_mut(&host) {
-            host.out -= u32::from(attempt.counted);
+            host.out -= 1;
             host.heard = if answered { now } else { host.heard };
             if ending == Done {
                 let wait = took - Span::from_secs_f64(send);
                 self.waits[host.role as usize].add(wait.0 as f64);
             }
         }
-        self.fills -= if attempt.counted { attempt.missing } else { 0.0 };
+        self.fills = (self.fills - attempt.missing).max(0.0);
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
             let share = &mut self.missing[usize::from(attempt.seen)];
             *share += (f64::from(u8::from(!hit)) - *share) * MISSING_GAIN;
@@ -815,18 +813,6 @@
                 attempt.blamed = true;
                 overdue.push(*attempt);
             }
-            // What should long be over hangs rather than loads the link: to count it on would keep
-            // others out for nothing.
-            let due = access.due;
-            let over = |t: &Try| now.since(t.sent) >= due.since(t.sent).times(2.0);
-            let stuck = |t: &&mut Try| t.out && t.blamed && t.counted && over(t);
-            for attempt in access.tries.iter_mut().filter(stuck) {
-                attempt.counted = false;
-                self.fills -= attempt.missing;
-                if let Some(host) = self.hosts.get_mut(&attempt.plan.host) {
-                    host.out -= 1;
-                }
-            }
         }
         overdue.iter().for_each(|attempt| self.blame(now, attempt));
     }
@@ -1064,7 +1050,6 @@
                 blamed: false,
                 withdrawn: false,
                 trial_of,
-                counted: true,
                 seen,
                 missing,
             });
