--- a/src/logic.rs
+++ b/src/logic.rs
@@ -685,7 +685,10 @@
             (_, Note::SourceRefused | Note::SourceLost) => (alive, bad, None),
             (Done, _) if own => (good(Some(per_byte)), None, None),
             (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
-            (Error, Note::Untold) if !own => (alive, bad, None),
+            // Where every failed fill is noted, an error without a note is the host's own. Else
+            // either may be at fault: the one that answers others between ends its run.
+            (Error, Note::Untold) if !own && self.terms.notes != NoteLevel::All => (bad, bad, None),
+            (Error, Note::Untold) => (bad, None, None),
             (Error, _) if !own => (alive, None, None),
             (NoConnection | Lost | Error, _) => (bad, None, None),
             // A draining host turns all away before the list tells: one that is only crowded
