--- a/src/logic.rs
+++ b/src/logic.rs
@@ -281,9 +281,8 @@
     heard: Moment,
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
-    /// Hand-offs that are out there now; their mean, and when it was taken.
+    /// Hand-offs that are out there now.
     out: u32,
-    mean_out: (f64, Moment),
     /// Work sent lately, in seconds of sending.
     charged: VecDeque<(Moment, f64)>,
 }
@@ -314,7 +313,7 @@
 
     /// How much slower than alone an answer from here is predicted to be.
     fn stretch(&self, now: Moment) -> f64 {
-        let in_hand = f64::from(self.out) + (self.peers - 1.0) * self.usual_out(now) + 1.0;
+        let in_hand = f64::from(self.out) * self.peers + 1.0;
         (in_hand / (self.entry.size * self.warmth(now)).max(0.5)).max(1.0)
     }
 
@@ -332,15 +331,7 @@
         warmth >= 1.0 || charged + work <= limit * warmth * self.entry.size / self.peers
     }
 
-    /// Hand-offs out here in the mean over the last second or so: others are taken to have as many.
-    fn usual_out(&self, now: Moment) -> f64 {
-        let (mean, at) = self.mean_out;
-        let old = (-now.since(at).as_secs_f64()).exp();
-        mean * old + f64::from(self.out) * (1.0 - old)
-    }
-
     fn charge(&mut self, now: Moment, work: f64) {
-        self.mean_out = (self.usual_out(now), now);
         let window = self.cold.fall_after;
         self.charged.retain(|charge| now.since(charge.0) <= window);
         self.charged.push_back((now, work));
@@ -533,7 +524,6 @@
                 heard: Moment::default(),
                 slowness: (1.0, Moment::default()),
                 out: 0,
-                mean_out: (0.0, Moment::default()),
                 charged: VecDeque::new(),
             });
             if host.entry.started != entry.started {
