--- a/src/logic.rs
+++ b/src/logic.rs
@@ -373,7 +373,6 @@
     failed: bool,
     blamed: bool,
     withdrawn: bool,
-    cut: bool,
     trial_of: Option<HostId>,
     /// Seen lately when it went out, and how likely it needs a fill.
     seen: bool,
@@ -670,7 +669,7 @@
                 source
                     .charged
                     .retain(|charge| *charge != (attempt.sent, send));
-            } else if ending == Done || (ending == TimedOut && !attempt.cut) {
+            } else if matches!(ending, Done | TimedOut) {
                 let sample = took.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
                 let before = source.slowness(now);
                 source.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
@@ -1020,9 +1019,6 @@
             .map_or(FIRST_WAIT, |us| Span(us as u64))
             .times(WAIT_PATIENCE);
         let sending = (Span::from_secs_f64(send * stretch) + HOP).times(PATIENCE);
-        let told = access.asked.size_kb.is_some();
-        let hopeless = self.retriable(access) && told && stretch > 1.3;
-        let time_out = hopeless.then(|| access.due.since(now) + LAST_WAIT);
         let overdue_at = now + sending + usual.min(track.due.times(WAIT_OF_DUE));
 
         let seen = self.seen.iter().any(|half| half.contains(&key));
@@ -1056,7 +1052,6 @@
                 failed: false,
                 blamed: false,
                 withdrawn: false,
-                cut: time_out.is_some(),
                 trial_of,
                 seen,
                 missing,
@@ -1066,7 +1061,7 @@
         self.actions.push(Action::HandOff(HandOff {
             id,
             host,
-            time_out,
+            time_out: None,
             fill,
         }));
     }
