--- a/src/logic.rs
+++ b/src/logic.rs
@@ -893,11 +893,11 @@
         if (access.lacking || written) && self.terms.straight {
             return origin.filter(|_| origin_open).map(|id| Plan::new(id, id));
         }
-        let host = self.pick_cache(now, access)?;
+        let cache = self.pick_cache(now, access);
         let parents = self.in_hash_order(access, Role::Parent);
         if written {
             let source = origin.or(parents.first().copied())?;
-            return origin_open.then_some(Plan::new(host, source));
+            return cache.filter(|_| origin_open).map(|host| Plan::new(host, source));
         }
         let room = |id: &HostId| {
             self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
@@ -909,6 +909,11 @@
             now + takes.times(self.hosts[id].slowness(now)).max(crowd) <= access.due
         };
         let source = source.filter(fill_in_time);
+        // With no cache to go to, an access passes them by, straight to where it would be filled.
+        let Some(host) = cache else {
+            let behind = |id: HostId| origin.filter(|_| origin_open).unwrap_or(id);
+            return source.filter(|_| self.terms.straight).map(|id| Plan::new(id, behind(id)));
+        };
         let mut plan = Plan::new(host, source.unwrap_or(host));
         plan.stale = source.is_none();
         // Behind a sick origin a parent gives what it holds: fetches would hang and fill the
@@ -992,6 +997,7 @@
         let track = self.track(access);
         let (host, source) = (&self.hosts[&plan.host], &self.hosts[&plan.source]);
         let (mean, send) = (self.mean_send(access), access.send);
+        let mean = if host.role == Role::Cache { mean } else { send };
         let own = plan.host == plan.source;
         // Rule 1: nothing goes out for an access that has ended or whose client has given up.
         let open = !access.ended && now < access.limit;
@@ -1022,9 +1028,10 @@
         let overdue_at = now + sending + usual.min(track.due.times(WAIT_OF_DUE));
 
         let seen = self.seen.iter().any(|half| half.contains(&key));
-        let missing = match own || track.written {
-            true => 0.0,
-            false => self.missing[usize::from(seen)],
+        let missing = match (host.role, own || track.written) {
+            (Role::Cache, false) => self.missing[usize::from(seen)],
+            (Role::Cache, true) => 0.0,
+            _ => f64::from(u8::from(!track.written)),
         };
         if !track.written {
             self.remember(key);
