Pass crowded caches by only while the link has room; believe what it tells

Where caches tell how full the zone's link is, that counts, not the own estimate, and what only finds its caches crowded passes them by up to 1.2 of it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,6 +69,9 @@
 /// Objects seen lately are remembered in two halves of this many.
 const SEEN_HALF: usize = 20_000;
 /// Weight of the newest fill in the slowness of its source, and the time that halves what is old.
+/// Up to this part of the zone's link what finds its caches crowded passes them by. Higher fills the
+/// link for what has to come over it.
+const LINK_SPARE: f64 = 1.2;
 const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
 const SLOWNESS_HALVES: Span = Span::from_secs(2);
@@ -897,7 +900,9 @@
         let parents = self.in_hash_order(access, Role::Parent);
         if written {
             let source = origin.or(parents.first().copied())?;
-            return cache.filter(|_| origin_open).map(|host| Plan::new(host, source));
+            return cache
+                .filter(|_| origin_open)
+                .map(|host| Plan::new(host, source));
         }
         let room = |id: &HostId| {
             self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
@@ -912,7 +917,12 @@
         // With no cache to go to, an access passes them by, straight to where it would be filled.
         let Some(host) = cache else {
             let behind = |id: HostId| origin.filter(|_| origin_open).unwrap_or(id);
-            return source.filter(|_| self.terms.straight).map(|id| Plan::new(id, behind(id)));
+            let lost = self
+                .in_hash_order(access, Role::Cache)
+                .iter()
+                .all(|id| self.hosts[id].sick());
+            let may = self.terms.straight && (lost || self.link_crowd() < LINK_SPARE);
+            return source.filter(|_| may).map(|id| Plan::new(id, behind(id)));
         };
         let mut plan = Plan::new(host, source.unwrap_or(host));
         plan.stale = source.is_none();
@@ -926,10 +936,9 @@
     fn link_crowd(&self) -> f64 {
         let seats = self.terms.seats.get(usize::from(self.terms.zone.0));
         let seats = f64::from(seats.copied().unwrap_or(1).max(1));
-        let carries = self
-            .terms
-            .link_kb_per_s
-            .map(|link| link / self.terms.flow_kb_per_s);
+        let told = self.terms.load_fields.contains(&LoadField::LinkFull);
+        let carries = self.terms.link_kb_per_s.filter(|_| !told);
+        let carries = carries.map(|link| link / self.terms.flow_kb_per_s);
         carries.map_or(self.link_told, |carries| {
             (self.fills + 1.0) * seats / carries
         })
