--- a/src/logic.rs
+++ b/src/logic.rs
@@ -673,7 +673,10 @@
                     .charged
                     .retain(|charge| *charge != (attempt.sent, send));
             } else if matches!(ending, Done | TimedOut) {
-                let sample = took.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
+                // Of an object of unknown size only the wait says how slow the source is.
+                let waited = outcome.waited.filter(|_| size_kb.is_none());
+                let fill = waited.map_or(took, |waited| waited + Span::from_secs_f64(send));
+                let sample = fill.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
                 let before = source.slowness(now);
                 source.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
             }
