--- a/src/logic.rs
+++ b/src/logic.rs
@@ -377,7 +377,6 @@
     blamed: bool,
     withdrawn: bool,
     trial_of: Option<HostId>,
-    stretch: f64,
     /// Seen lately when it went out, and how likely it needs a fill.
     seen: bool,
     missing: f64,
@@ -677,7 +676,7 @@
                 // Of an object of unknown size only the wait says how slow the source is.
                 let waited = outcome.waited.filter(|_| size_kb.is_none());
                 let fill = waited.map_or(took, |waited| waited + Span::from_secs_f64(send));
-                let sample = fill.as_secs_f64() / (send * attempt.stretch + FILL_WAIT.as_secs_f64());
+                let sample = fill.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
                 let before = source.slowness(now);
                 source.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
             }
@@ -1073,7 +1072,6 @@
                 blamed: false,
                 withdrawn: false,
                 trial_of,
-                stretch,
                 seen,
                 missing,
             });
