--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -10,6 +10,7 @@
 struct Seat {
     dispatcher: Dispatcher,
     tracks: usize,
+    link_full_at: Option<usize>,
     has_event: bool,
 }
 
@@ -49,11 +50,13 @@
         let (code, who) = (f.u16()?, f.u16()?);
         if code == 1070 {
             let seed = f.u64()?;
-            let terms = read_terms(f.text()?)?;
+            let (terms, link_full_at) = read_terms(f.text()?)?;
             let tracks = terms.tracks.len();
+            let dispatcher = Dispatcher::new(terms, seed);
             let seat = Seat {
-                dispatcher: Dispatcher::new(terms, seed),
+                dispatcher,
                 tracks,
+                link_full_at,
                 has_event: true,
             };
             self.seats.insert(who, seat);
@@ -65,7 +68,7 @@
             return self.seats.remove(&who).map(|_| ()).ok_or_else(unknown);
         }
         let seat = self.seats.get_mut(&who).ok_or_else(unknown)?;
-        if let Some(event) = read_event(code, f, seat.tracks)? {
+        if let Some(event) = read_event(code, f, seat)? {
             seat.dispatcher.take(now, event);
         }
         if !std::mem::replace(&mut seat.has_event, true) {
@@ -76,7 +79,7 @@
 }
 
 /// The event of a record; `None` for those that mean nothing to the decisions.
-fn read_event(code: u16, f: &mut Fields, tracks: usize) -> Read1<Option<Event>> {
+fn read_event(code: u16, f: &mut Fields, seat: &Seat) -> Read1<Option<Event>> {
     Ok(Some(match code {
         1000 => {
             f.u16()?;
@@ -86,10 +89,12 @@
         }
         1010 => hosts(f)?,
         1020 => {
-            let (host, ending) = (HostId(f.host()?), ending(f.u8()?)?);
-            let took = Span(f.u32()?.into());
+            // Probes are never sent.
+            f.host()?;
+            ending(f.u8()?)?;
+            f.u32()?;
             load(f)?;
-            Event::Probed { host, ending, took }
+            return Ok(None);
         }
         1030 => {
             let object = f.u64()?;
@@ -105,8 +110,8 @@
             f.u32()?;
             Event::Begun { id, hand_off }
         }
-        1060 => arrival(f, tracks)?,
-        1080 => outcome(f)?,
+        1060 => arrival(f, seat.tracks)?,
+        1080 => outcome(f, seat.link_full_at)?,
         1090 => Event::Left {
             id: AccessId(f.u64()?),
         },
@@ -181,7 +186,7 @@
     }))
 }
 
-fn outcome(f: &mut Fields) -> Read1<Event> {
+fn outcome(f: &mut Fields, link_full_at: Option<usize>) -> Read1<Event> {
     let (id, hand_off) = (AccessId(f.u64()?), HandOffNo(f.u8()?));
     f.host()?;
     let ending = ending(f.u8()?)?;
@@ -203,6 +208,7 @@
     let waited = f.u32()?;
     let waited = (waited > 0).then_some(Span(waited.into()));
     let load = load(f)?;
+    let link_full = link_full_at.and_then(|i| load.get(i).copied());
     Ok(Event::Outcome(Outcome {
         id,
         hand_off,
@@ -211,7 +217,7 @@
         closed,
         note,
         waited,
-        load,
+        link_full,
     }))
 }
 
@@ -242,15 +248,9 @@
 
 fn write(reply: &mut Reply, who: u16, action: Action) {
     match action {
-        Action::HandOff(HandOff {
-            id,
-            host,
-            time_out,
-            fill,
-        }) => {
-            let time_out = time_out.map_or(0, wire_span);
+        Action::HandOff(HandOff { id, host, fill }) => {
             let code = if fill.is_some() { 1120 } else { 1000 };
-            reply.record(code, who).u64(id.0).host(host.0).u32(time_out);
+            reply.record(code, who).u64(id.0).host(host.0).u32(0);
             if let Some(fill) = fill {
                 let how =
                     u8::from(fill.join) | u8::from(fill.held_only) << 1 | u8::from(fill.renew) << 3;
@@ -271,9 +271,6 @@
         Action::Wake { at, wake } => {
             reply.record(1040, who).u64(at.0).u32(wake.0);
         }
-        Action::Probe { host } => {
-            reply.record(1050, who).host(host.0);
-        }
         Action::FollowList => {
             reply.record(1100, who).u8(1);
         }
--- a/crates/benchlink/src/start.rs
+++ b/crates/benchlink/src/start.rs
@@ -85,8 +85,6 @@
         Ok(Track {
             due: self.span(&own("on_time_us"))?,
             due_stretch: self.or(&own("aim_stretch"), 0.0)?,
-            importance: self.must(&own("importance"))?,
-            late_share: self.or(&own("late_worth"), 0.0)?,
             effect,
             fresh: (fresh > 0).then_some(Span(fresh)),
             grace: Span(of_family("usable_after_us")?),
@@ -99,7 +97,8 @@
     }
 }
 
-pub fn read_terms(options: &str) -> Read1<Terms> {
+/// The terms, and the place in a load report of how full a link is.
+pub fn read_terms(options: &str) -> Read1<(Terms, Option<usize>)> {
     let lines = Lines(
         options
             .lines()
@@ -124,21 +123,20 @@
         )?,
     };
     let links: Vec<f64> = lines.list("family_info.feed_kb_per_s")?;
-    let hubs: Vec<u16> = lines.list("family_info.hub_by_zone")?;
-    let load_fields: Vec<String> = match lines.text("report.via") {
-        Some("piggyback") => lines.list("report.fields")?,
-        _ => Vec::new(),
-    };
     let retry_after = lines.or("ceilings.retry_after", false)?;
     let class_count: usize = lines.must("classes.count")?;
     if class_count > usize::from(u16::MAX) {
         return Err(format!("{class_count} classes are too many").into());
     }
-    Ok(Terms {
+    let reported: Vec<String> = match lines.text("report.via") {
+        Some("piggyback") => lines.list("report.fields")?,
+        _ => Vec::new(),
+    };
+    let link_full_at = reported.iter().position(|name| name == "x1");
+    let terms = Terms {
         zone: ZoneId(zone),
         dispatchers: lines.must("balancers")?,
         seats: lines.list("family_info.seats_by_zone")?,
-        hub_of: hubs.into_iter().map(ZoneId).collect(),
         parent_kind,
         origin_kind: lines.kind("family_info.master_kind")?,
         tracks: (0..class_count)
@@ -146,24 +144,18 @@
             .collect::<Read1<_>>()?,
         flow_kb_per_s: lines.must("family_info.stream_kb_per_s")?,
         link_kb_per_s: links.get(usize::from(zone)).copied().filter(|&kb| kb > 0.0),
+        link_told: link_full_at.is_some(),
         sizes_tell: !matches!(lines.text("weights"), Some("silent")),
         joins: lines.or("family_info.joins", false)?,
         straight: lines.or("family_info.straight", false)?,
-        siblings: match lines.text("family_info.peers_fill") {
-            Some("location") => Siblings::OwnZone,
-            Some("any") => Siblings::Any,
-            _ => Siblings::None,
-        },
         notes: match lines.text("family_info.note_level") {
             Some("all") => NoteLevel::All,
             Some("hit") => NoteLevel::Hits,
             _ => NoteLevel::None,
         },
-        load_fields: load_fields.iter().map(|name| load_field(name)).collect(),
         max_hand_offs: lines.must("ceilings.max_attempts")?,
         second_copies: lines.or("ceilings.second_copies", false)?,
         may_withdraw: lines.or("ceilings.cancel", false)?,
-        may_probe: lines.or("ceilings.may_probe", false)?,
         longest_away: match retry_after {
             true => Some(lines.span("ceilings.max_retry_after_us")?),
             false => None,
@@ -172,13 +164,6 @@
         cold_cache,
         cold_parent,
         purge_done: Span(lines.or("family_info.cleared_within_us", 0)?),
-    })
-}
-
-fn load_field(name: &str) -> LoadField {
-    match name {
-        "inflight" => LoadField::InHand,
-        "x1" => LoadField::LinkFull,
-        _ => LoadField::Other,
-    }
+    };
+    Ok((terms, link_full_at))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,8 +10,6 @@
     pub dispatchers: u32,
     /// Dispatchers by zone; empty where it is not told.
     pub seats: Vec<u32>,
-    /// The hub to which each zone is tied; hubs stand in a ring in the order of their places.
-    pub hub_of: Vec<ZoneId>,
     pub parent_kind: Option<KindId>,
     pub origin_kind: Option<KindId>,
     pub tracks: Vec<Track>,
@@ -19,19 +17,17 @@
     pub flow_kb_per_s: f64,
     /// What the own zone's link for fills carries; `None` where it is not told.
     pub link_kb_per_s: Option<f64>,
+    /// Whether caches tell how full it is.
+    pub link_told: bool,
     /// Whether the sizes of hosts tell something.
     pub sizes_tell: bool,
     pub joins: bool,
     /// Whether parents and the origin take accesses themselves.
     pub straight: bool,
-    pub siblings: Siblings,
     pub notes: NoteLevel,
-    /// What the figures of a load report are, in order.
-    pub load_fields: Vec<LoadField>,
     pub max_hand_offs: usize,
     pub second_copies: bool,
     pub may_withdraw: bool,
-    pub may_probe: bool,
     /// The longest time for which a client stays away when told to; `None` where it can't be told.
     pub longest_away: Option<Span>,
     /// Whether the host list has to be asked for.
@@ -59,9 +55,6 @@
     pub due: Span,
     /// The due time grows by this many times the access's own sending time.
     pub due_stretch: f64,
-    pub importance: f64,
-    /// The share of the importance that an answer past its due time still earns.
-    pub late_share: f64,
     pub effect: Effect,
     /// How long a copy is fresh; `None`: until it is purged.
     pub fresh: Option<Span>,
@@ -90,14 +83,6 @@
     Cell,
 }
 
-/// Which caches can supply a fill.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Siblings {
-    None,
-    OwnZone,
-    Any,
-}
-
 /// Which notes come with outcomes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoteLevel {
@@ -106,13 +91,6 @@
     None,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LoadField {
-    InHand,
-    LinkFull,
-    Other,
-}
-
 #[derive(Clone, Debug)]
 pub enum Event {
     Hosts {
@@ -133,11 +111,6 @@
     Woken {
         wake: WakeId,
     },
-    Probed {
-        host: HostId,
-        ending: Ending,
-        took: Span,
-    },
     /// Every object of the group where no object is named.
     Purged {
         object: Option<ObjectId>,
@@ -196,7 +169,8 @@
     pub note: Note,
     /// Time to the first byte from the source, or to the fill's failure, where it is told.
     pub waited: Option<Span>,
-    pub load: Vec<f64>,
+    /// How full the zone's link is, where its caches tell: transfers over those that fit.
+    pub link_full: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -260,9 +234,6 @@
         at: Moment,
         wake: WakeId,
     },
-    Probe {
-        host: HostId,
-    },
     FollowList,
     Log {
         text: String,
@@ -273,8 +244,6 @@
 pub struct HandOff {
     pub id: AccessId,
     pub host: HostId,
-    /// `None`: until the client gives up.
-    pub time_out: Option<Span>,
     /// `None`: a plain look at what the host holds.
     pub fill: Option<Fill>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,7 +44,6 @@
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits: accesses that
 /// wait for fills look like a crowd, spill, miss and fill the link further. Higher loses time.
 const SPILL_AT: f64 = 3.0;
-
 /// What is added to the sending time of an access whose size is only guessed. Lower lets large ones
 /// crowd the caches, higher rejects small ones.
 const GUESS_MARGIN: f64 = 1.3;
@@ -53,7 +52,7 @@
 const COLD_USE: f64 = 0.4;
 /// What an answer takes besides its sending, before any is heard.
 const HOP: Span = Span::from_millis(40);
-const FIRST_WAIT: Span = Span::from_millis(150);
+const FIRST_WAIT: Span = Span::from_millis(300);
 const FILL_WAIT: Span = Span::from_millis(100);
 /// A hand-off is overdue after this many times its predicted sending and its usual wait, which
 /// counts up to a part of the due time. Lower blames hosts that are only slow; higher lets a silent
@@ -68,13 +67,16 @@
 const COME_BACK: Span = Span::from_millis(500);
 /// Objects seen lately are remembered in two halves of this many.
 const SEEN_HALF: usize = 20_000;
-/// Weight of the newest fill in the slowness of its source, and the time that halves what is old.
 /// Up to this part of the zone's link what finds its caches crowded passes them by. Higher fills the
-/// link for what has to come over it.
+/// link for what has to come over it, lower leaves it idle.
 const LINK_SPARE: f64 = 1.2;
+/// Weight of the newest answer in the share that needed a fill, and in the slowness of a source,
+/// which is half forgotten after a while. Higher follows chance, lower follows too late.
 const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
 const SLOWNESS_HALVES: Span = Span::from_secs(2);
+/// How much wider each bin of a histogram is. Wider blurs the 95th percentile upwards.
+const BIN: f64 = 1.7;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
@@ -83,38 +85,26 @@
     Origin,
 }
 
-/// A coarse histogram of microseconds: each bin is half as wide again as the one before.
-#[derive(Debug)]
-struct Histogram([u32; 42]);
-
-impl Default for Histogram {
-    fn default() -> Histogram {
-        Histogram([0; 42])
-    }
-}
+/// A coarse histogram of microseconds: each bin is `BIN` times as wide as the one before.
+#[derive(Debug, Default)]
+struct Histogram([u32; 32]);
 
 impl Histogram {
     fn add(&mut self, value: f64) {
-        let bin = value.max(1.0).ln() / 1.5f64.ln();
-        self.0[(bin as usize).min(41)] += 1;
+        let bin = value.max(1.0).log(BIN) as usize;
+        self.0[bin.min(31)] += 1;
         if self.0.iter().sum::<u32>() >= 500 {
             self.0.iter_mut().for_each(|n| *n /= 2);
         }
     }
 
-    fn merge(&mut self, other: &Histogram) {
-        for (bin, &n) in other.0.iter().enumerate() {
-            (0..n).for_each(|_| self.add(1.5f64.powi(bin as i32) * 1.01));
-        }
-    }
-
     /// The upper edge of the bin of the 95th percentile; `None` when too little is heard.
     fn p95(&self) -> Option<f64> {
         let total: u32 = self.0.iter().sum();
         let mut left = total - total / 20;
         for (bin, &n) in self.0.iter().enumerate().filter(|_| total >= 20) {
             if n >= left {
-                return Some(1.5f64.powi(bin as i32 + 1));
+                return Some(BIN.powi(bin as i32 + 1));
             }
             left -= n;
         }
@@ -122,8 +112,9 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Phase {
+    #[default]
     Closed,
     Open(Moment),
     Trial,
@@ -141,13 +132,13 @@
 }
 
 /// The design's breaker, one for each cache, parent and origin.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Breaker {
     /// By second: good and failed fills.
     slots: VecDeque<(u64, u32, u32)>,
     /// Latencies of clean windows, and those of the present slot.
     usual: Histogram,
-    pending: Histogram,
+    pending: Vec<f64>,
     phase: Phase,
     open_for: Span,
     /// Hard failures since the last answer.
@@ -155,19 +146,6 @@
 }
 
 impl Breaker {
-    fn new() -> Breaker {
-        let (usual, pending, slots) = Default::default();
-        let (phase, open_for, run) = (Phase::Closed, Span::ZERO, 0);
-        Breaker {
-            slots,
-            usual,
-            pending,
-            phase,
-            open_for,
-            run,
-        }
-    }
-
     fn counts(&self) -> (u32, u32) {
         let add = |sum: (u32, u32), slot: &(u64, u32, u32)| (sum.0 + slot.1, sum.1 + slot.2);
         self.slots.iter().fold((0, 0), add)
@@ -178,10 +156,11 @@
         let slot = now.0 / 1_000_000;
         if self.slots.back().is_none_or(|last| last.0 != slot) {
             let (good, failed) = self.counts();
+            let pending = std::mem::take(&mut self.pending);
             if failed * 10 <= good {
-                self.usual.merge(&self.pending);
+                let usual = &mut self.usual;
+                pending.into_iter().for_each(|latency| usual.add(latency));
             }
-            self.pending = Histogram::default();
             self.slots.push_back((slot, 0, 0));
         }
         self.slots.retain(|old| old.0 + WINDOW_SLOTS > slot);
@@ -231,7 +210,7 @@
     fn judge(&mut self, now: Moment, role: Role, verdict: Verdict, slow: bool, lone: bool) {
         self.advance(now, role);
         if let Verdict::Good(Some(latency)) = verdict {
-            self.pending.add(latency);
+            self.pending.push(latency);
         }
         let hard = verdict == Verdict::Bad;
         let bad = slow || hard;
@@ -417,6 +396,7 @@
     chance: fastrand::Rng,
     /// All that were ever listed.
     hosts: BTreeMap<HostId, Host>,
+    origin: Option<HostId>,
     accesses: BTreeMap<AccessId, Access>,
     /// Accesses to look at when settling, those to look at later, and the wake-up asked for.
     touched: BTreeSet<AccessId>,
@@ -454,6 +434,7 @@
         Dispatcher {
             chance: fastrand::Rng::with_seed(seed),
             hosts: BTreeMap::new(),
+            origin: None,
             accesses: BTreeMap::new(),
             touched: BTreeSet::new(),
             timed: BTreeSet::new(),
@@ -486,7 +467,6 @@
             }
             Event::Left { id } => self.close(id),
             Event::Woken { .. } => self.armed = self.armed.filter(|&at| at > now),
-            Event::Probed { .. } => {}
             Event::Purged { object, group, ago } => {
                 // Caches that fill from each other may pass an old copy on until all have heard.
                 let forget = self.terms.purge_done.times(3.0);
@@ -505,25 +485,20 @@
             let all = self.hosts.values_mut();
             all.for_each(|host| host.entry.state = HostState::Gone);
         }
-        let all_seats = self.terms.dispatchers;
-        let own_seats = self.terms.seats.get(usize::from(self.terms.zone.0));
-        let own_seats = own_seats.copied().unwrap_or(all_seats);
+        let (all, own) = (f64::from(self.terms.dispatchers.max(1)), self.own_seats());
         for entry in entries {
+            let (parent, cache) = (self.terms.cold_parent, self.terms.cold_cache);
             let (role, cold, peers) = match Some(entry.kind) {
-                kind if kind == self.terms.parent_kind => {
-                    (Role::Parent, self.terms.cold_parent, all_seats)
-                }
-                kind if kind == self.terms.origin_kind => {
-                    (Role::Origin, self.terms.cold_parent, all_seats)
-                }
-                _ => (Role::Cache, self.terms.cold_cache, own_seats),
+                kind if kind == self.terms.parent_kind => (Role::Parent, parent, all),
+                kind if kind == self.terms.origin_kind => (Role::Origin, parent, all),
+                _ => (Role::Cache, cache, own),
             };
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 entry,
                 role,
                 cold,
-                peers: f64::from(peers.max(1)),
-                breaker: Breaker::new(),
+                peers,
+                breaker: Breaker::default(),
                 heard: Moment::default(),
                 slowness: (1.0, Moment::default()),
                 out: 0,
@@ -531,12 +506,13 @@
             });
             if host.entry.started != entry.started {
                 // A fresh process: what its predecessor did is no fault of it.
-                host.breaker.phase = Phase::Closed;
-                host.breaker.slots.clear();
-                host.breaker.run = 0;
+                host.breaker = Breaker::default();
             }
             host.entry = entry;
         }
+        let is_origin = |host: &&Host| host.role == Role::Origin && host.ready();
+        let origin = self.hosts.values().find(is_origin);
+        self.origin = origin.map(|host| host.entry.host);
     }
 
     fn arrive(&mut self, now: Moment, asked: Arrival) {
@@ -598,10 +574,8 @@
 
     fn withdraw(&mut self, id: AccessId, no: usize) {
         let (hand_off, may) = (HandOffNo(no as u8), self.terms.may_withdraw);
-        let attempt = self
-            .try_mut(id, hand_off)
-            .filter(|t| may && t.out && !t.withdrawn);
-        if let Some(attempt) = attempt {
+        let free = |t: &&mut Try| may && t.out && !t.withdrawn;
+        if let Some(attempt) = self.try_mut(id, hand_off).filter(free) {
             attempt.withdrawn = true;
             self.actions.push(Action::Withdraw { id, hand_off });
         }
@@ -618,11 +592,10 @@
         attempt.failed = ending != Ending::Missed;
         let attempt = *attempt;
         self.learn(now, outcome, &attempt);
-        let origin = self.origin();
         if let Some(access) = self.accesses.get_mut(&id) {
             access.lacking |= ending == Ending::Missed && (attempt.plan.held_only || own);
             // The origin is asked again after a while: there is no other.
-            let again = Some(attempt.plan.host) == origin;
+            let again = Some(attempt.plan.host) == self.origin;
             access.wait_until = if again { now + ORIGIN_WAIT } else { now };
         }
         self.touched.insert(id);
@@ -657,21 +630,15 @@
             let share = &mut self.missing[usize::from(attempt.seen)];
             *share += (f64::from(u8::from(!hit)) - *share) * MISSING_GAIN;
         }
-        let full = self
-            .terms
-            .load_fields
-            .iter()
-            .position(|field| *field == LoadField::LinkFull);
-        let is_cache = self.hosts[&host].role == Role::Cache;
-        if let Some(&told) = full.filter(|_| is_cache).and_then(|i| outcome.load.get(i)) {
+        let of_cache = self.hosts[&host].role == Role::Cache;
+        if let Some(told) = outcome.link_full.filter(|_| of_cache) {
             self.link_told = told;
         }
         if let Some(source) = self.hosts.get_mut(&source).filter(|_| !own) {
             if hit {
                 // It never came this far.
-                source
-                    .charged
-                    .retain(|charge| *charge != (attempt.sent, send));
+                let charged = (attempt.sent, send);
+                source.charged.retain(|charge| *charge != charged);
             } else if matches!(ending, Done | TimedOut) {
                 // Of an object of unknown size only the wait says how slow the source is.
                 let waited = outcome.waited.filter(|_| size_kb.is_none());
@@ -706,7 +673,7 @@
         if !own {
             self.judge(now, source, of_source, attempt);
         }
-        if let Some(origin) = self.origin() {
+        if let Some(origin) = self.origin {
             self.judge(now, origin, of_origin, attempt);
         }
     }
@@ -725,18 +692,10 @@
 
     /// A fetch behind the source may hang on a sick origin: then the source is not to blame.
     fn origin_hides(&self, attempt: &Try) -> bool {
-        let sick = self.origin().is_some_and(|id| self.hosts[&id].sick());
+        let sick = self.origin.is_some_and(|id| self.hosts[&id].sick());
         sick && !attempt.plan.held_only
     }
 
-    fn origin(&self) -> Option<HostId> {
-        let is_origin = |host: &&Host| host.role == Role::Origin && host.ready();
-        self.hosts
-            .values()
-            .find(is_origin)
-            .map(|host| host.entry.host)
-    }
-
     fn judge(&mut self, now: Moment, id: HostId, verdict: Option<Verdict>, attempt: &Try) {
         let role = self.hosts[&id].role;
         let steps_in = |h: &Host| h.role == role && h.entry.host != id && h.ready() && !h.sick();
@@ -752,9 +711,8 @@
             latency = told;
         }
         let usual = host.breaker.usual.p95().or(pooled.p95());
-        let slow = latency
-            .zip(usual)
-            .is_some_and(|(told, usual)| told > SLOW * usual);
+        let limit = usual.map_or(f64::MAX, |usual| SLOW * usual);
+        let slow = latency.is_some_and(|latency| latency > limit);
         latency.into_iter().for_each(|latency| pooled.add(latency));
         if attempt.trial_of == Some(id) && host.breaker.phase == Phase::Trial {
             let late = latency.is_some_and(|latency| latency > TRIAL_WITHIN.0 as f64);
@@ -769,10 +727,8 @@
             self.actions.push(Action::Log { text });
             // What waits there may now be moved.
             let there = |t: &Try| t.out && (t.plan.host == id || t.plan.source == id);
-            let waiting = self
-                .accesses
-                .iter()
-                .filter(|(_, a)| a.tries.iter().any(there));
+            let all = self.accesses.iter();
+            let waiting = all.filter(|(_, access)| access.tries.iter().any(there));
             self.touched.extend(waiting.map(|(id, _)| *id));
         }
     }
@@ -863,10 +819,8 @@
         let part = zone.map_or(0, |_| access.asked.part);
         let score = |host: &Host| {
             let size = Some(host.entry.size).filter(|_| self.terms.sizes_tell);
-            let spread = -point(access.asked.object, part, host.entry.host, 1)
-                .max(1e-12)
-                .ln();
-            spread / size.unwrap_or(1.0).max(0.01)
+            let spread = point(access.asked.object, part, host.entry.host, 1);
+            -spread.max(1e-12).ln() / size.unwrap_or(1.0).max(0.01)
         };
         let hosts = self.hosts.values().filter(wanted);
         let mut order: Vec<_> = hosts.map(|host| (score(host), host.entry.host)).collect();
@@ -890,7 +844,7 @@
         }
         let access = &self.accesses[&id];
         let written = self.track(access).written;
-        let origin = self.origin();
+        let origin = self.origin;
         let origin_open = origin.is_none_or(|id| self.open_to(now, access, id));
         let closed = |id: HostId| self.hosts[&id].breaker.phase == Phase::Closed;
         if access.lacking && origin.is_none_or(closed) {
@@ -903,9 +857,8 @@
         let parents = self.in_hash_order(access, Role::Parent);
         if written {
             let source = origin.or(parents.first().copied())?;
-            return cache
-                .filter(|_| origin_open)
-                .map(|host| Plan::new(host, source));
+            let host = cache.filter(|_| origin_open)?;
+            return Some(Plan::new(host, source));
         }
         let room = |id: &HostId| {
             self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
@@ -920,10 +873,8 @@
         // With no cache to go to, an access passes them by, straight to where it would be filled.
         let Some(host) = cache else {
             let behind = |id: HostId| origin.filter(|_| origin_open).unwrap_or(id);
-            let lost = self
-                .in_hash_order(access, Role::Cache)
-                .iter()
-                .all(|id| self.hosts[id].sick());
+            let caches = self.in_hash_order(access, Role::Cache);
+            let lost = caches.iter().all(|id| self.hosts[id].sick());
             let may = self.terms.straight && (lost || self.link_crowd() < LINK_SPARE);
             return source.filter(|_| may).map(|id| Plan::new(id, behind(id)));
         };
@@ -937,14 +888,15 @@
 
     /// Fills on the zone's link over those that fit at the pace of an answer.
     fn link_crowd(&self) -> f64 {
-        let seats = self.terms.seats.get(usize::from(self.terms.zone.0));
-        let seats = f64::from(seats.copied().unwrap_or(1).max(1));
-        let told = self.terms.load_fields.contains(&LoadField::LinkFull);
-        let carries = self.terms.link_kb_per_s.filter(|_| !told);
-        let carries = carries.map(|link| link / self.terms.flow_kb_per_s);
-        carries.map_or(self.link_told, |carries| {
-            (self.fills + 1.0) * seats / carries
-        })
+        let carries = self.terms.link_kb_per_s.filter(|_| !self.terms.link_told);
+        let under_way = (self.fills + 1.0) * self.own_seats() * self.terms.flow_kb_per_s;
+        carries.map_or(self.link_told, |carries| under_way / carries)
+    }
+
+    /// How many dispatchers send to the caches of the own zone.
+    fn own_seats(&self) -> f64 {
+        let own = self.terms.seats.get(usize::from(self.terms.zone.0));
+        f64::from(own.copied().unwrap_or(self.terms.dispatchers).max(1))
     }
 
     /// The object's first ready cache that has room, else the least crowded, if it is in time.
@@ -954,16 +906,11 @@
         caches.retain(|id| self.hosts[id].within_budget(now, mean));
         let stretch = |id: &HostId| self.hosts[id].stretch(now);
         let first = |id: &&HostId| self.open_to(now, access, **id) && stretch(id) <= SPILL_AT;
-        let failed = |id: HostId| access.tries.iter().any(|t| t.failed && t.plan.host == id);
-        let usable = |id: &&HostId| !failed(**id) && !self.hosts[id].sick();
+        let usable = |id: &&HostId| !access.failed_at(**id) && !self.hosts[id].sick();
         let crowd = |a: &&HostId, b: &&HostId| stretch(a).total_cmp(&stretch(b));
         let least = || caches.iter().filter(usable).min_by(crowd);
         let host = *caches.iter().find(first).or_else(least)?;
-        let margin = if access.asked.size_kb.is_some() {
-            1.0
-        } else {
-            GUESS_MARGIN
-        };
+        let margin = access.asked.size_kb.map_or(GUESS_MARGIN, |_| 1.0);
         let takes = Span::from_secs_f64(access.send * stretch(&host) * margin) + HOP;
         (self.track(access).written || now + takes <= access.due).then_some(host)
     }
@@ -997,60 +944,66 @@
         let since = purged.map(|&at| now.since(at));
         let grace = track.grace.times(f64::from(u8::from(stale)));
         let aged = track.fresh.filter(|_| stale || purged.is_some());
-        since
-            .into_iter()
-            .chain(aged.map(|fresh| fresh + grace))
-            .min()
+        let aged = aged.map(|fresh| fresh + grace);
+        since.into_iter().chain(aged).min()
     }
 
     /// The one gate that every hand-off passes, with each rule at its own place.
-    fn send(&mut self, now: Moment, id: AccessId, plan: Plan) {
-        let access = &self.accesses[&id];
-        let track = self.track(access);
+    fn passes(&self, now: Moment, access: &Access, plan: &Plan) -> bool {
         let (host, source) = (&self.hosts[&plan.host], &self.hosts[&plan.source]);
-        let (mean, send) = (self.mean_send(access), access.send);
-        let mean = if host.role == Role::Cache { mean } else { send };
         let own = plan.host == plan.source;
         // Rule 1: nothing goes out for an access that has ended or whose client has given up.
         let open = !access.ended && now < access.limit;
         // Rule 3: neither host nor source may drain or be gone.
         let kept = host.ready() && source.ready();
-        let cold = host.within_budget(now, mean) && (own || source.within_budget(now, send));
-        if !(open && kept && cold && self.may_run_again(now, access, plan.host)) {
+        let cold = host.within_budget(now, self.work_at(access, host));
+        let cold = cold && (own || source.within_budget(now, access.send));
+        open && kept && cold && self.may_run_again(now, access, plan.host)
+    }
+
+    /// Caches are charged with the mean work of the track, others with that of the access.
+    fn work_at(&self, access: &Access, host: &Host) -> f64 {
+        match host.role {
+            Role::Cache => self.mean_send(access),
+            Role::Parent | Role::Origin => access.send,
+        }
+    }
+
+    fn send(&mut self, now: Moment, id: AccessId, plan: Plan) {
+        let access = &self.accesses[&id];
+        if !self.passes(now, access, &plan) {
             return self.give_up(id);
         }
         let key = (access.asked.object, access.asked.part);
+        let written = self.track(access).written;
+        let seen = !written && self.seen_again(key);
+        let access = &self.accesses[&id];
+        let (track, host) = (self.track(access), &self.hosts[&plan.host]);
+        let own = plan.host == plan.source;
         let fill = Fill {
             source: plan.source,
-            rank: if track.written { 0 } else { self.rank(key) },
+            rank: u8::from(!written) + u8::from(seen),
             oldest: self.oldest(now, access, plan.stale),
             join: self.terms.joins && !own,
             held_only: plan.held_only && !own,
             renew: track.fresh.is_some() && !plan.stale,
         };
-        let (fill, stretch) = (
-            Some(fill).filter(|_| host.role != Role::Origin),
-            host.stretch(now),
-        );
+        let fill = Some(fill).filter(|_| host.role != Role::Origin);
         let usual = self.waits[host.role as usize].p95();
-        let usual = usual
-            .map_or(FIRST_WAIT, |us| Span(us as u64))
-            .times(WAIT_PATIENCE);
-        let sending = (Span::from_secs_f64(send * stretch) + HOP).times(PATIENCE);
-        let overdue_at = now + sending + usual.min(track.due.times(WAIT_OF_DUE));
-
-        let seen = self.seen.iter().any(|half| half.contains(&key));
-        let missing = match (host.role, own || track.written) {
-            (Role::Cache, false) => self.missing[usize::from(seen)],
-            (Role::Cache, true) => 0.0,
-            _ => f64::from(u8::from(!track.written)),
+        let wait = usual.map_or(FIRST_WAIT, |us| Span(us as u64).times(WAIT_PATIENCE));
+        let sending = Span::from_secs_f64(access.send * host.stretch(now)) + HOP;
+        let wait = wait.min(track.due.times(WAIT_OF_DUE));
+        let overdue_at = now + sending.times(PATIENCE) + wait;
+        let missing = match host.role {
+            Role::Cache if own || written => 0.0,
+            Role::Cache => self.missing[usize::from(seen)],
+            Role::Parent | Role::Origin => f64::from(u8::from(!written)),
         };
-        if !track.written {
-            self.remember(key);
-        }
-        self.fills += missing;
+        let charges = [
+            (plan.host, self.work_at(access, host), 1),
+            (plan.source, access.send, 0),
+        ];
         let mut trial_of = None;
-        let charges = [(plan.host, mean, 1), (plan.source, send, 0)];
         for (id, work, out) in charges.into_iter().take(if own { 1 } else { 2 }) {
             if let Some(host) = self.hosts.get_mut(&id) {
                 host.charge(now, work);
@@ -1061,6 +1014,7 @@
                 }
             }
         }
+        self.fills += missing;
         if let Some(access) = self.accesses.get_mut(&id) {
             access.tries.push(Try {
                 plan,
@@ -1077,26 +1031,19 @@
             });
         }
         let host = plan.host;
-        self.actions.push(Action::HandOff(HandOff {
-            id,
-            host,
-            time_out: None,
-            fill,
-        }));
-    }
-
-    /// Objects seen again outrank those seen once, so a flood of the latter pushes none of them
-    /// out.
-    fn rank(&self, key: (ObjectId, u32)) -> u8 {
-        1 + u8::from(self.seen.iter().any(|half| half.contains(&key)))
+        let hand_off = HandOff { id, host, fill };
+        self.actions.push(Action::HandOff(hand_off));
     }
 
-    fn remember(&mut self, key: (ObjectId, u32)) {
+    /// Whether an object was asked for lately, which is remembered of this one too.
+    fn seen_again(&mut self, key: (ObjectId, u32)) -> bool {
+        let again = self.seen.iter().any(|half| half.contains(&key));
         if self.seen[0].len() >= SEEN_HALF {
             self.seen.swap(0, 1);
             self.seen[0].clear();
         }
         self.seen[0].insert(key);
+        again
     }
 
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -20,8 +20,6 @@
     let reads = Track {
         due: ms(400),
         due_stretch: 2.0,
-        importance: 1.0,
-        late_share: 0.0,
         effect: Effect::Retriable,
         fresh: Some(Span::from_secs(8)),
         grace: Span::from_secs(20),
@@ -53,22 +51,19 @@
         zone: ZoneId(1),
         dispatchers: 1,
         seats: vec![0, 1],
-        hub_of: vec![ZoneId(0), ZoneId(0)],
         parent_kind: Some(KindId(1)),
         origin_kind: Some(KindId(2)),
         tracks: vec![reads, changes, orders],
         flow_kb_per_s: 1000.0,
         link_kb_per_s: None,
+        link_told: true,
         sizes_tell: true,
         joins: true,
         straight: true,
-        siblings: Siblings::OwnZone,
         notes: NoteLevel::All,
-        load_fields: vec![],
         max_hand_offs: 6,
         second_copies: false,
         may_withdraw: true,
-        may_probe: false,
         longest_away: Some(Span::from_secs(1)),
         list_on_request: false,
         cold_cache: cold,
@@ -149,7 +144,7 @@
                 Action::Withdraw { id, .. } => self.withdrawn.push(id),
                 Action::Wake { at, .. } => self.wakes.push(at),
                 Action::Log { text } => self.logged.push(text),
-                Action::Probe { .. } | Action::FollowList => {}
+                Action::FollowList => {}
             }
         }
     }
@@ -196,10 +191,21 @@
     }
 
     pub fn answer(&mut self, id: AccessId, ending: Ending, note: Note, took: Span) {
+        self.answer_told(id, ending, note, took, None);
+    }
+
+    pub fn answer_told(
+        &mut self,
+        id: AccessId,
+        ending: Ending,
+        note: Note,
+        took: Span,
+        link_full: Option<f64>,
+    ) {
         let of_access = self.handed.iter().filter(|hand_off| hand_off.id == id);
         let hand_off = HandOffNo(of_access.count() as u8 - 1);
         let closed = ending == Ending::Done;
-        let (waited, load) = (Some(took).filter(|_| note != Note::Hit), vec![]);
+        let waited = Some(took).filter(|_| note != Note::Hit);
         self.event(Event::Outcome(Outcome {
             id,
             hand_off,
@@ -208,7 +214,7 @@
             closed,
             note,
             waited,
-            load,
+            link_full,
         }));
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -275,7 +275,11 @@
 
 #[test]
 fn a_crowded_cache_spills_to_the_next_and_a_hopeless_access_is_rejected() {
-    let mut stage = Stage::new(terms());
+    let straight = false;
+    let mut stage = Stage::new(Terms {
+        straight,
+        ..terms()
+    });
     let mut hosts = vec![];
     let mut rejected = 0;
     for _ in 0..400 {
@@ -314,6 +318,37 @@
     );
 }
 
+#[test]
+fn where_every_cache_is_lost_accesses_go_straight_to_their_parent() {
+    let mut stage = Stage::new(terms());
+    stage.list(ListForm::Whole, vec![entry(PARENTS[0]), entry(ORIGIN)]);
+    let id = stage.arrive(READS, 3);
+    assert_eq!(stage.last(id).host, PARENTS[0]);
+    assert_eq!(stage.source(id), ORIGIN);
+}
+
+#[test]
+fn errors_of_one_cache_are_not_laid_at_its_parents() {
+    let mut stage = Stage::new(terms());
+    for object in 0..40 {
+        let id = stage.arrive(READS, object);
+        if stage.last(id).host == CACHES[0] {
+            stage.answer(id, Ending::Error, Note::Untold, ms(2));
+        }
+        stage.answer(id, Ending::Done, Note::Filled, ms(20));
+    }
+    assert_eq!(stage.logged, ["Cache b breaker open"]);
+}
+
+#[test]
+fn where_the_link_is_full_no_fill_is_asked_for() {
+    let mut stage = Stage::new(terms());
+    let id = stage.arrive(READS, 3);
+    stage.answer_told(id, Ending::Done, Note::Hit, ms(10), Some(12.0));
+    let id = stage.arrive(READS, 4);
+    assert_eq!(stage.source(id), stage.last(id).host);
+}
+
 #[test]
 fn objects_seen_again_outrank_those_seen_once() {
     let mut stage = Stage::new(terms());
@@ -380,7 +415,11 @@
 
 #[test]
 fn without_a_ready_cache_the_access_is_rejected_at_once() {
-    let mut stage = Stage::new(terms());
+    let straight = false;
+    let mut stage = Stage::new(Terms {
+        straight,
+        ..terms()
+    });
     stage.list(ListForm::Whole, vec![entry(PARENTS[0]), entry(ORIGIN)]);
     let id = stage.arrive(READS, 3);
     assert!(stage.rejected(id));
