--- a/crates/benchlink/src/start.rs
+++ b/crates/benchlink/src/start.rs
@@ -154,7 +154,6 @@
             _ => NoteLevel::None,
         },
         max_hand_offs: lines.must("ceilings.max_attempts")?,
-        second_copies: lines.or("ceilings.second_copies", false)?,
         may_withdraw: lines.or("ceilings.cancel", false)?,
         longest_away: match retry_after {
             true => Some(lines.span("ceilings.max_retry_after_us")?),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -26,7 +26,6 @@
     pub straight: bool,
     pub notes: NoteLevel,
     pub max_hand_offs: usize,
-    pub second_copies: bool,
     pub may_withdraw: bool,
     /// The longest time for which a client stays away when told to; `None` where it can't be told.
     pub longest_away: Option<Span>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,15 +50,12 @@
 /// Part of a cold host's told limit that the dispatchers use together. Higher risks pushing it over
 /// when traffic is uneven, lower warms it later.
 const COLD_USE: f64 = 0.4;
-/// What an answer takes besides its sending, before any is heard.
+/// What an answer takes besides its sending, and what a fill does.
 const HOP: Span = Span::from_millis(40);
-const FIRST_WAIT: Span = Span::from_millis(300);
 const FILL_WAIT: Span = Span::from_millis(100);
-/// A hand-off is overdue after this many times its predicted sending and its usual wait, which
-/// counts up to a part of the due time. Lower blames hosts that are only slow; higher lets a silent
-/// one hold on to its accesses.
+/// A hand-off is overdue after this many times its predicted sending and a part of the track's due
+/// time. Lower blames hosts that are only slow; higher lets a silent one hold on to its accesses.
 const PATIENCE: f64 = 1.5;
-const WAIT_PATIENCE: f64 = 2.0;
 const WAIT_OF_DUE: f64 = 0.6;
 /// How long an access waits before it goes to the origin again, and between looks at a late answer.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
@@ -86,7 +83,7 @@
 }
 
 /// A coarse histogram of microseconds: each bin is `BIN` times as wide as the one before.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Histogram([u32; 32]);
 
 impl Histogram {
@@ -132,7 +129,7 @@
 }
 
 /// The design's breaker, one for each cache, parent and origin.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Breaker {
     /// By second: good and failed fills.
     slots: VecDeque<(u64, u32, u32)>,
@@ -251,7 +248,6 @@
     }
 }
 
-#[derive(Debug)]
 struct Host {
     entry: HostEntry,
     role: Role,
@@ -320,7 +316,6 @@
     }
 }
 
-#[derive(Debug)]
 struct Access {
     asked: Arrival,
     /// Predicted sending time alone, in seconds.
@@ -344,7 +339,7 @@
 }
 
 /// A hand-off that went out.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 struct Try {
     plan: Plan,
     sent: Moment,
@@ -362,7 +357,7 @@
 }
 
 /// Where an access should go next.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 struct Plan {
     host: HostId,
     /// The host itself: no fill.
@@ -390,7 +385,6 @@
     GiveUp,
 }
 
-#[derive(Debug)]
 pub struct Dispatcher {
     terms: Terms,
     chance: fastrand::Rng,
@@ -406,9 +400,8 @@
     seen: [BTreeSet<(ObjectId, u32)>; 2],
     /// Sending times by track: their sum in seconds and their number.
     sending: Vec<(f64, f64)>,
-    /// By role: latencies of fills, and what answers took besides their sending.
+    /// Latencies of fills by role.
     pooled: [Histogram; 3],
-    waits: [Histogram; 3],
     /// Fills that are likely under way for this dispatcher, and the share that needed one of
     /// objects new to it and of those seen lately.
     fills: f64,
@@ -443,7 +436,6 @@
             seen: Default::default(),
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
-            waits: Default::default(),
             fills: 0.0,
             missing: [0.8, 0.2],
             link_told: 0.0,
@@ -620,10 +612,6 @@
         if let Some(host) = self.hosts.get_mut(&host) {
             host.out -= 1;
             host.heard = if answered { now } else { host.heard };
-            if ending == Done {
-                let wait = took - Span::from_secs_f64(send);
-                self.waits[host.role as usize].add(wait.0 as f64);
-            }
         }
         self.fills = (self.fills - attempt.missing).max(0.0);
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
@@ -917,12 +905,10 @@
 
     /// Rule 2: whether what may have run allows a hand-off to this host.
     fn may_run_again(&self, now: Moment, access: &Access, host: HostId) -> bool {
-        if access.tries.iter().any(|t| t.out) && !self.terms.second_copies {
-            return false;
-        }
         let mut ran = access.tries.iter().filter(|t| t.may_have_run);
         match self.track(access).effect {
-            Effect::Retriable => true,
+            // It is withdrawn before it goes out again: never two at once.
+            Effect::Retriable => access.tries.iter().all(|t| !t.out),
             Effect::Binding => ran.next().is_none(),
             Effect::Fingerprinted { group, window } => ran.all(|earlier| {
                 let [a, b] = [earlier.plan.host, host].map(|id| &self.hosts[&id].entry);
@@ -989,11 +975,8 @@
             renew: track.fresh.is_some() && !plan.stale,
         };
         let fill = Some(fill).filter(|_| host.role != Role::Origin);
-        let usual = self.waits[host.role as usize].p95();
-        let wait = usual.map_or(FIRST_WAIT, |us| Span(us as u64).times(WAIT_PATIENCE));
         let sending = Span::from_secs_f64(access.send * host.stretch(now)) + HOP;
-        let wait = wait.min(track.due.times(WAIT_OF_DUE));
-        let overdue_at = now + sending.times(PATIENCE) + wait;
+        let overdue_at = now + sending.times(PATIENCE) + track.due.times(WAIT_OF_DUE);
         let missing = match host.role {
             Role::Cache if own || written => 0.0,
             Role::Cache => self.missing[usize::from(seen)],
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -62,7 +62,6 @@
         straight: true,
         notes: NoteLevel::All,
         max_hand_offs: 6,
-        second_copies: false,
         may_withdraw: true,
         longest_away: Some(Span::from_secs(1)),
         list_on_request: false,
