--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,6 +69,7 @@
 const LINK_SPARE: f64 = 1.2;
 /// Weight of the newest answer in the share that needed a fill, and in the slowness of a source,
 /// which is half forgotten after a while. Higher follows chance, lower follows too late.
+const FIRST_MISSING: f64 = 0.4;
 const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
 const SLOWNESS_HALVES: Span = Span::from_secs(2);
@@ -351,8 +352,7 @@
     blamed: bool,
     withdrawn: bool,
     trial_of: Option<HostId>,
-    /// Seen lately when it went out, and how likely it needs a fill.
-    seen: bool,
+    /// How likely it needs a fill.
     missing: f64,
 }
 
@@ -402,10 +402,9 @@
     sending: Vec<(f64, f64)>,
     /// Latencies of fills by role.
     pooled: [Histogram; 3],
-    /// Fills that are likely under way for this dispatcher, and the share that needed one of
-    /// objects new to it and of those seen lately.
+    /// Fills that are likely under way for this dispatcher, and the share that needed one lately.
     fills: f64,
-    missing: [f64; 2],
+    missing: f64,
     /// How full the zone's link was when a cache last told.
     link_told: f64,
     actions: Vec<Action>,
@@ -437,7 +436,7 @@
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
             fills: 0.0,
-            missing: [0.8, 0.2],
+            missing: FIRST_MISSING,
             link_told: 0.0,
             actions: Vec::from_iter(terms.list_on_request.then_some(Action::FollowList)),
             terms,
@@ -615,8 +614,7 @@
         }
         self.fills = (self.fills - attempt.missing).max(0.0);
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
-            let share = &mut self.missing[usize::from(attempt.seen)];
-            *share += (f64::from(u8::from(!hit)) - *share) * MISSING_GAIN;
+            self.missing += (f64::from(u8::from(!hit)) - self.missing) * MISSING_GAIN;
         }
         let of_cache = self.hosts[&host].role == Role::Cache;
         if let Some(told) = outcome.link_full.filter(|_| of_cache) {
@@ -979,7 +977,7 @@
         let overdue_at = now + sending.times(PATIENCE) + track.due.times(WAIT_OF_DUE);
         let missing = match host.role {
             Role::Cache if own || written => 0.0,
-            Role::Cache => self.missing[usize::from(seen)],
+            Role::Cache => self.missing,
             Role::Parent | Role::Origin => f64::from(u8::from(!written)),
         };
         let charges = [
@@ -1009,7 +1007,6 @@
                 blamed: false,
                 withdrawn: false,
                 trial_of,
-                seen,
                 missing,
             });
         }
