--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,7 +56,7 @@
 /// A hand-off is overdue after this many times its predicted sending and a part of the track's due
 /// time. Lower blames hosts that are only slow; higher lets a silent one hold on to its accesses.
 const PATIENCE: f64 = 1.5;
-const WAIT_OF_DUE: f64 = 0.35;
+const WAIT_OF_DUE: f64 = 0.6;
 /// How long an access waits before it goes to the origin again, and between looks at a late answer.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
 const LAST_WAIT: Span = Span::from_millis(100);
