--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,8 +8,8 @@
 //! or rejection where every parent is open, return by one trial and a rising share. Beside it:
 //!
 //! 1. cold budget: a share of its work for a host that started lately, charged at send
-//! 2. due-time admission: what is predicted late is not taken, and a late fill not asked for
-//! 3. spill: past a crowded cache to the next in the object's hash order
+//! 2. due-time admission: what is predicted late is not taken, nor a fill asked for that would be
+//! 3. spill: past a crowded cache to the next in hash order, past them all straight to a parent
 //! 4. silence watch: overdue hand-offs count as failures of whoever was not heard, and are moved
 //! 5. origin shield: while the origin is open, parents are asked only for what they hold
 //! 6. keep-rank: objects seen again outrank those seen once
@@ -20,35 +20,32 @@
 
 /// The design's window, in slots of a second.
 const WINDOW_SLOTS: u64 = 10;
-/// A window of fewer fills says nothing (the design's figure).
+/// A window of fewer fills says nothing; above this share of failures a breaker opens; a fill this
+/// many times slower than the usual 95th percentile fails (the design's figures).
 const LEAST_FILLS: u32 = 10;
-/// Above this share of failures a breaker opens (the design's figure).
 const FAILING: f64 = 0.5;
-/// A fill this many times slower than the usual 95th percentile fails (the design's figure).
 const SLOW: f64 = 3.0;
-/// How long a breaker stays open (the design's figure). Longer starves a healed host, shorter
-/// spends more accesses on trials.
+/// How long caches, parents and the origin stay open at first, doubling with each failed trial up to
+/// the design's figure. Longer starves a healed host, shorter costs trials; the origin tries sooner,
+/// as there is nowhere else to go.
+const FIRST_OPEN: [Span; 3] = [OPEN_FOR, OPEN_FOR, Span::from_secs(3)];
 const OPEN_FOR: Span = Span::from_secs(10);
-/// The same for the origin, at first: there is nowhere else to go, so refusing for longer than the
-/// fault lasts costs most there. It doubles with each failed trial, up to the design's figure.
-const ORIGIN_OPEN_FOR: Span = Span::from_secs(3);
 /// A trial counts if its first byte came within this (the design's figure).
 const TRIAL_WITHIN: Span = Span::from_secs(1);
-/// The first share of a returning host and the pace of its doubling (the design's figures).
+/// The first share of a returning host, and how soon it doubles, by role (the design's figures; the
+/// origin's doubles faster for the same reason).
 const FIRST_SHARE: f64 = 0.05;
-const DOUBLE_AFTER: Span = Span::from_secs(2);
-const ORIGIN_DOUBLE_AFTER: Span = Span::from_millis(500);
-/// This many hard failures with no answer between open a breaker before its window fills. Fewer
-/// would open on chance errors, more leave a dead host closed for longer.
+const DOUBLE_AFTER: [Span; 3] = [DOUBLING, DOUBLING, Span::from_millis(500)];
+const DOUBLING: Span = Span::from_secs(2);
+/// Hard failures with no answer between that open a breaker. Fewer open on chance, more open late.
 const RUN_OPENS: u32 = 3;
-/// Up to this predicted stretch an access stays at its first cache. Lower loses hits: accesses that
-/// wait for fills look like a crowd, spill, miss and fill the link further. Higher loses time.
+/// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as accesses
+/// that wait for fills look like a crowd, spill, miss and fill the link further; higher loses time.
 const SPILL_AT: f64 = 3.0;
 /// What is added to the sending time of an access whose size is only guessed. Lower lets large ones
 /// crowd the caches, higher rejects small ones.
 const GUESS_MARGIN: f64 = 1.3;
-/// Part of a cold host's told limit that the dispatchers use together. Higher risks pushing it over
-/// when traffic is uneven, lower warms it later.
+/// Part of a cold host's told limit that all use together. Higher risks it, lower warms it later.
 const COLD_USE: f64 = 0.4;
 /// What an answer takes besides its sending, and what a fill does.
 const HOP: Span = Span::from_millis(40);
@@ -57,15 +54,14 @@
 /// time. Lower blames hosts that are only slow; higher lets a silent one hold on to its accesses.
 const PATIENCE: f64 = 1.5;
 const WAIT_OF_DUE: f64 = 0.6;
-/// How long an access waits before it goes to the origin again, and between looks at a late answer.
+/// How long an access waits before it goes to the origin again.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
-const LAST_WAIT: Span = Span::from_millis(100);
 /// When rejected accesses come back, where clients can be told.
 const COME_BACK: Span = Span::from_millis(500);
 /// Objects seen lately are remembered in two halves of this many.
 const SEEN_HALF: usize = 20_000;
-/// Up to this part of the zone's link what finds its caches crowded passes them by. Higher fills the
-/// link for what has to come over it, lower leaves it idle.
+/// Up to this part of the zone's link what finds its caches crowded passes them by. Higher fills
+/// the link for what must come over it, lower leaves it idle.
 const LINK_SPARE: f64 = 1.2;
 /// Weight of the newest answer in the share that needed a fill, and in the slowness of a source,
 /// which is half forgotten after a while. Higher follows chance, lower follows too late.
@@ -165,7 +161,7 @@
         if let Phase::Ramp(share, step, clean) = &mut self.phase {
             while now >= *step {
                 *share *= if *clean { 2.0 } else { 1.0 };
-                (*step, *clean) = (*step + double_after(role), true);
+                (*step, *clean) = (*step + DOUBLE_AFTER[role as usize], true);
             }
             if *share >= 1.0 {
                 self.phase = Phase::Closed;
@@ -182,30 +178,24 @@
         }
     }
 
-    /// Whether the next access may be the trial; one that must not be lost leaves that to others
-    /// for a moment.
+    /// Whether the next access may be the trial; one that must not be lost leaves it to others first.
     fn wants_trial(&self, now: Moment, retriable: bool) -> bool {
         let leave = if retriable { Span::ZERO } else { TRIAL_WITHIN };
         matches!(self.phase, Phase::Open(until) if now >= until + leave)
     }
 
-    fn is_open(&self) -> bool {
-        matches!(self.phase, Phase::Open(_) | Phase::Trial)
-    }
-
     fn open(&mut self, now: Moment, role: Role) {
-        self.open_for = match (role, self.phase) {
-            (Role::Origin, Phase::Trial) => self.open_for.times(2.0).min(OPEN_FOR),
-            (Role::Origin, _) => ORIGIN_OPEN_FOR,
-            _ => OPEN_FOR,
+        self.open_for = match self.phase {
+            Phase::Trial => self.open_for.times(2.0).min(OPEN_FOR),
+            _ => FIRST_OPEN[role as usize],
         };
         self.phase = Phase::Open(now + self.open_for);
         self.slots.clear();
         self.run = 0;
     }
 
-    /// Takes a verdict, slow or not against the usual; `lone` where no other host could step in.
-    fn judge(&mut self, now: Moment, role: Role, verdict: Verdict, slow: bool, lone: bool) {
+    /// Takes a verdict, slow or not against the usual.
+    fn judge(&mut self, now: Moment, role: Role, verdict: Verdict, slow: bool) {
         self.advance(now, role);
         if let Verdict::Good(Some(latency)) = verdict {
             self.pending.push(latency);
@@ -214,14 +204,13 @@
         let bad = slow || hard;
         self.run = if hard { self.run + 1 } else { 0 };
         if let Some(slot) = self.slots.back_mut() {
-            *(if bad { &mut slot.2 } else { &mut slot.1 }) += 1;
+            slot.1 += u32::from(!bad);
+            slot.2 += u32::from(bad);
         }
         let (good, failed) = self.counts();
         let all = good + failed;
         let failing = all >= LEAST_FILLS && f64::from(failed) > FAILING * f64::from(all);
-        // Where no other host of its role is closed, what is behind them all is likelier to be
-        // slow, and opening the last one would serve nobody.
-        if self.run >= RUN_OPENS || (failing && (hard || !lone)) {
+        if self.run >= RUN_OPENS || failing {
             self.open(now, role);
         } else if let Phase::Ramp(_, _, clean) = &mut self.phase {
             *clean &= !bad;
@@ -235,20 +224,12 @@
             Some(false) => self.open(now, role),
             Some(true) => {
                 self.slots.clear();
-                self.phase = Phase::Ramp(FIRST_SHARE, now + double_after(role), true);
+                self.phase = Phase::Ramp(FIRST_SHARE, now + DOUBLE_AFTER[role as usize], true);
             }
         }
     }
 }
 
-fn double_after(role: Role) -> Span {
-    if role == Role::Origin {
-        ORIGIN_DOUBLE_AFTER
-    } else {
-        DOUBLE_AFTER
-    }
-}
-
 struct Host {
     entry: HostEntry,
     role: Role,
@@ -272,7 +253,7 @@
     }
 
     fn sick(&self) -> bool {
-        self.breaker.is_open()
+        matches!(self.breaker.phase, Phase::Open(_) | Phase::Trial)
     }
 
     fn slowness(&self, now: Moment) -> f64 {
@@ -283,11 +264,9 @@
     /// The part of its capacity that it can surely give now.
     fn warmth(&self, now: Moment) -> f64 {
         let warm_after = self.cold.warm_after.as_secs_f64().max(0.001);
-        let age = self
-            .entry
-            .started
-            .map_or(f64::MAX, |at| now.since(at).as_secs_f64());
-        (self.cold.from + (1.0 - self.cold.from) * age / warm_after).min(1.0)
+        let age = self.entry.started.map(|at| now.since(at).as_secs_f64());
+        let risen = age.map_or(1.0, |age| (age / warm_after).min(1.0));
+        self.cold.from + (1.0 - self.cold.from) * risen
     }
 
     /// How much slower than alone an answer from here is predicted to be.
@@ -300,12 +279,8 @@
     fn within_budget(&self, now: Moment, work: f64) -> bool {
         let warmth = self.warmth(now);
         let within = |charge: &&(Moment, f64)| now.since(charge.0) <= self.cold.fall_after;
-        let charged: f64 = self
-            .charged
-            .iter()
-            .filter(within)
-            .map(|charge| charge.1)
-            .sum();
+        let lately = self.charged.iter().filter(within);
+        let charged: f64 = lately.map(|charge| charge.1).sum();
         let limit = self.cold.fall_multiple * self.cold.fall_after.as_secs_f64() * COLD_USE;
         warmth >= 1.0 || charged + work <= limit * warmth * self.entry.size / self.peers
     }
@@ -357,7 +332,7 @@
 }
 
 /// Where an access should go next.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Plan {
     host: HostId,
     /// The host itself: no fill.
@@ -368,12 +343,11 @@
 
 impl Plan {
     fn new(host: HostId, source: HostId) -> Plan {
-        let (stale, held_only) = (false, false);
+        let rest = Plan::default();
         Plan {
             host,
             source,
-            stale,
-            held_only,
+            ..rest
         }
     }
 }
@@ -528,9 +502,10 @@
         self.accesses.insert(access.asked.id, access);
     }
 
-    fn mean_send(&self, access: &Access) -> f64 {
+    /// What a hand-off is charged with: caches count the mean of a track, others the access itself.
+    fn work(&self, access: &Access) -> f64 {
         let (sum, n) = self.sending[usize::from(access.asked.track.0)];
-        sum / n
+        access.send.max(sum / n)
     }
 
     fn track(&self, access: &Access) -> &Track {
@@ -552,14 +527,7 @@
             let timed = access.wake_at.take().map(|at| (at, id));
             timed.map(|entry| self.timed.remove(&entry));
             (0..access.tries.len()).for_each(|no| self.withdraw(id, no));
-            self.drop_if_over(id);
-        }
-    }
-
-    fn drop_if_over(&mut self, id: AccessId) {
-        let over = |access: &Access| access.ended && access.tries.iter().all(|t| !t.out);
-        if self.accesses.get(&id).is_some_and(over) {
-            self.accesses.remove(&id);
+            self.touched.insert(id);
         }
     }
 
@@ -593,7 +561,6 @@
         if outcome.closed {
             self.close(id);
         }
-        self.drop_if_over(id);
     }
 
     /// Tells cache, parent and origin faults apart, by the note or by who else was heard since.
@@ -644,8 +611,8 @@
             (_, Note::SourceRefused | Note::SourceLost) => (alive, bad, None),
             (Done, _) if own => (good(Some(per_byte)), None, None),
             (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
-            // Where every failed fill is noted, an error without a note is the host's own. Else
-            // either may be at fault: the one that answers others between ends its run.
+            // Where failed fills are noted, an error without a note is the host's own. Else either
+            // may be at fault: the one that answers others between ends its run.
             (Error, Note::Untold) if !own && self.terms.notes != NoteLevel::All => (bad, bad, None),
             (Error, Note::Untold) => (bad, None, None),
             (Error, _) if !own => (alive, None, None),
@@ -664,8 +631,8 @@
         }
     }
 
-    /// A hand-off that brought nothing in time is the host's fault if nothing was heard from it
-    /// since, else the source's if nothing came from there either.
+    /// An overdue hand-off is the fault of its host if nothing was heard from it since, else of its
+    /// source if nothing came from there either.
     fn blame(&mut self, now: Moment, attempt: &Try) {
         let Plan { host, source, .. } = attempt.plan;
         let heard = |id: HostId| self.hosts[&id].heard > attempt.sent;
@@ -684,8 +651,6 @@
 
     fn judge(&mut self, now: Moment, id: HostId, verdict: Option<Verdict>, attempt: &Try) {
         let role = self.hosts[&id].role;
-        let steps_in = |h: &Host| h.role == role && h.entry.host != id && h.ready() && !h.sick();
-        let lone = !self.hosts.values().any(steps_in);
         let pooled = &mut self.pooled[role as usize];
         let Some(host) = self.hosts.get_mut(&id) else {
             return;
@@ -693,8 +658,7 @@
         let before = host.sick();
         let mut latency = None;
         if let Some(Verdict::Good(told)) = verdict {
-            host.heard = now;
-            latency = told;
+            (host.heard, latency) = (now, told);
         }
         let usual = host.breaker.usual.p95().or(pooled.p95());
         let limit = usual.map_or(f64::MAX, |usual| SLOW * usual);
@@ -705,7 +669,7 @@
             let good = verdict.map(|verdict| verdict != Verdict::Bad && !late);
             host.breaker.end_trial(now, role, good);
         } else if let Some(verdict) = verdict.filter(|_| !before) {
-            host.breaker.judge(now, role, verdict, slow, lone);
+            host.breaker.judge(now, role, verdict, slow);
         }
         if before != host.sick() {
             let what = if before { "back by trial" } else { "open" };
@@ -733,11 +697,15 @@
                     Step::Withdraw(no) => self.withdraw(id, no),
                     Step::GiveUp => self.give_up(id),
                     Step::Wait(until) => {
-                        self.time(id, until);
+                        self.look_again(id, until);
                         break;
                     }
                 }
             }
+            let over = |access: &Access| access.ended && access.tries.iter().all(|t| !t.out);
+            if self.accesses.get(&id).is_some_and(over) {
+                self.accesses.remove(&id);
+            }
         }
         let next = self.timed.first().map(|&(at, _)| at);
         if let Some(at) = next.filter(|&at| self.armed.is_none_or(|armed| at < armed)) {
@@ -748,24 +716,22 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn time(&mut self, id: AccessId, until: Moment) {
+    fn look_again(&mut self, id: AccessId, at: Moment) {
         if let Some(access) = self.accesses.get_mut(&id) {
-            let old = access.wake_at.replace(until).map(|at| (at, id));
+            let old = access.wake_at.replace(at).map(|old| (old, id));
             old.map(|entry| self.timed.remove(&entry));
-            self.timed.insert((until, id));
+            self.timed.insert((at, id));
         }
     }
 
     fn look_after_overdue(&mut self, now: Moment, id: AccessId) {
-        let mut overdue = Vec::new();
-        if let Some(access) = self.accesses.get_mut(&id) {
-            let late = |t: &&mut Try| t.out && !t.blamed && now >= t.overdue_at;
-            for attempt in access.tries.iter_mut().filter(late) {
-                attempt.blamed = true;
-                overdue.push(*attempt);
-            }
+        let late = |t: &&mut Try| t.out && !t.blamed && now >= t.overdue_at;
+        let access = self.accesses.get_mut(&id);
+        if let Some(attempt) = access.and_then(|access| access.tries.iter_mut().find(late)) {
+            attempt.blamed = true;
+            let attempt = *attempt;
+            self.blame(now, &attempt);
         }
-        overdue.iter().for_each(|attempt| self.blame(now, attempt));
     }
 
     fn next_step(&mut self, now: Moment, id: AccessId) -> Step {
@@ -783,7 +749,7 @@
             if lost.contains(&true) && free && self.terms.may_withdraw && self.retriable(access) {
                 return Step::Withdraw(no);
             }
-            return Step::Wait(access.limit.min(now + LAST_WAIT));
+            return Step::Wait(access.limit);
         }
         if access.tries.len() >= self.terms.max_hand_offs {
             return Step::GiveUp;
@@ -800,8 +766,7 @@
         let wanted = |host: &&Host| {
             host.role == role && host.ready() && zone.is_none_or(|zone| host.entry.zone == zone)
         };
-        // Parts spread over the caches, or one long object crowds one; its fills still meet at one
-        // parent.
+        // Parts spread over caches, or a long object crowds one; its fills still meet at one parent.
         let part = zone.map_or(0, |_| access.asked.part);
         let score = |host: &Host| {
             let size = Some(host.entry.size).filter(|_| self.terms.sizes_tell);
@@ -866,8 +831,7 @@
         };
         let mut plan = Plan::new(host, source.unwrap_or(host));
         plan.stale = source.is_none();
-        // Behind a sick origin a parent gives what it holds: fetches would hang and fill the
-        // caches' places until they fall silent too.
+        // Behind a sick origin fetches would hang and fill the caches' places until they fall silent.
         plan.held_only = !origin_open;
         Some(plan)
     }
@@ -887,9 +851,9 @@
 
     /// The object's first ready cache that has room, else the least crowded, if it is in time.
     fn pick_cache(&self, now: Moment, access: &Access) -> Option<HostId> {
-        let mean = self.mean_send(access);
+        let work = self.work(access);
         let mut caches = self.in_hash_order(access, Role::Cache);
-        caches.retain(|id| self.hosts[id].within_budget(now, mean));
+        caches.retain(|id| self.hosts[id].within_budget(now, work));
         let stretch = |id: &HostId| self.hosts[id].stretch(now);
         let first = |id: &&HostId| self.open_to(now, access, **id) && stretch(id) <= SPILL_AT;
         let usable = |id: &&HostId| !access.failed_at(**id) && !self.hosts[id].sick();
@@ -940,19 +904,11 @@
         let open = !access.ended && now < access.limit;
         // Rule 3: neither host nor source may drain or be gone.
         let kept = host.ready() && source.ready();
-        let cold = host.within_budget(now, self.work_at(access, host));
+        let cold = host.within_budget(now, self.work(access));
         let cold = cold && (own || source.within_budget(now, access.send));
         open && kept && cold && self.may_run_again(now, access, plan.host)
     }
 
-    /// Caches are charged with the mean work of the track, others with that of the access.
-    fn work_at(&self, access: &Access, host: &Host) -> f64 {
-        match host.role {
-            Role::Cache => self.mean_send(access),
-            Role::Parent | Role::Origin => access.send,
-        }
-    }
-
     fn send(&mut self, now: Moment, id: AccessId, plan: Plan) {
         let access = &self.accesses[&id];
         if !self.passes(now, access, &plan) {
@@ -981,7 +937,7 @@
             Role::Parent | Role::Origin => f64::from(u8::from(!written)),
         };
         let charges = [
-            (plan.host, self.work_at(access, host), 1),
+            (plan.host, self.work(access), 1),
             (plan.source, access.send, 0),
         ];
         let mut trial_of = None;
