--- a/src/logic.rs
+++ b/src/logic.rs
@@ -240,8 +240,8 @@
     heard: Moment,
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
+    /// Hand-offs that are out, and work sent lately, in seconds of sending.
     out: u32,
-    /// Work sent lately, in seconds of sending, and hand-offs that are out.
     charged: VecDeque<(Moment, f64)>,
 }
 
