--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 const DOUBLE_AFTER: [Span; 3] = [DOUBLING, DOUBLING, Span::from_millis(500)];
 const DOUBLING: Span = Span::from_secs(2);
 /// Hard failures with no answer between that open a breaker. Fewer open on chance, more open late.
-const RUN_OPENS: u32 = 3;
+const RUN_OPENS: u32 = 6;
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as accesses
 /// that wait for fills look like a crowd, spill, miss and fill the link further; higher loses time.
 const SPILL_AT: f64 = 3.0;
@@ -202,7 +202,11 @@
         }
         let hard = verdict == Verdict::Bad;
         let bad = slow || hard;
-        self.run = if hard { self.run + 1 } else { 0 };
+        self.run = match (hard, slow) {
+            (true, _) => self.run + 2,
+            (_, true) => self.run + 1,
+            _ => 0,
+        };
         if let Some(slot) = self.slots.back_mut() {
             slot.1 += u32::from(!bad);
             slot.2 += u32::from(bad);
