--- a/src/logic.rs
+++ b/src/logic.rs
@@ -594,7 +594,7 @@
                 // It never came this far.
                 let charged = (attempt.sent, send);
                 source.charged.retain(|charge| *charge != charged);
-            } else if matches!(ending, Done | TimedOut) && outcome.note != Note::FilledByOrigin {
+            } else if matches!(ending, Done | TimedOut) {
                 // Of an object of unknown size only the wait says how slow the source is.
                 let waited = outcome.waited.filter(|_| size_kb.is_none());
                 let fill = waited.map_or(took, |waited| waited + Span::from_secs_f64(send));
