Weigh failures in a row; behind an open origin ask for held copies however slow

Ten slow answers in a row open a breaker, five at the origin, three hard failures anywhere; six slow ones would have opened parents on fewer fills than the design asks. While the origin is open a source's slowness keeps nobody off what it holds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,8 +37,10 @@
 const FIRST_SHARE: f64 = 0.05;
 const DOUBLE_AFTER: [Span; 3] = [DOUBLING, DOUBLING, Span::from_millis(500)];
 const DOUBLING: Span = Span::from_secs(2);
-/// Hard failures with no answer between that open a breaker. Fewer open on chance, more open late.
-const RUN_OPENS: u32 = 6;
+/// Failures in a row open a breaker from this weight on: a hard one has 4, a slow one 1, or 2 at the
+/// origin, of which a router hears little. A lower sum opens on chance, a higher one late.
+const RUN_OPENS: u32 = 10;
+const SLOW_WEIGHS: [u32; 3] = [1, 1, 2];
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as accesses
 /// that wait for fills look like a crowd, spill, miss and fill the link further; higher loses time.
 const SPILL_AT: f64 = 3.0;
@@ -135,7 +137,7 @@
     pending: Vec<f64>,
     phase: Phase,
     open_for: Span,
-    /// Hard failures since the last answer.
+    /// Failures since the last good answer, by weight.
     run: u32,
 }
 
@@ -145,7 +147,6 @@
         self.slots.iter().fold((0, 0), add)
     }
 
-    /// Moves the window and the ramp on to `now`.
     fn advance(&mut self, now: Moment, role: Role) {
         let slot = now.0 / 1_000_000;
         if self.slots.back().is_none_or(|last| last.0 != slot) {
@@ -169,7 +170,6 @@
         }
     }
 
-    /// The part of its usual accesses that the host is to get.
     fn share(&self) -> f64 {
         match self.phase {
             Phase::Closed => 1.0,
@@ -194,7 +194,6 @@
         self.run = 0;
     }
 
-    /// Takes a verdict, slow or not against the usual.
     fn judge(&mut self, now: Moment, role: Role, verdict: Verdict, slow: bool) {
         self.advance(now, role);
         if let Verdict::Good(Some(latency)) = verdict {
@@ -202,11 +201,8 @@
         }
         let hard = verdict == Verdict::Bad;
         let bad = slow || hard;
-        self.run = match (hard, slow) {
-            (true, _) => self.run + 2,
-            (_, true) => self.run + 1,
-            _ => 0,
-        };
+        let counts = 4 * u32::from(hard) + u32::from(slow) * SLOW_WEIGHS[role as usize];
+        self.run = if bad { self.run + counts } else { 0 };
         if let Some(slot) = self.slots.back_mut() {
             slot.1 += u32::from(!bad);
             slot.2 += u32::from(bad);
@@ -375,7 +371,6 @@
     seen: [BTreeSet<(ObjectId, u32)>; 2],
     /// Sending times by track: their sum in seconds and their number.
     sending: Vec<(f64, f64)>,
-    /// Latencies of fills by role.
     pooled: [Histogram; 3],
     /// Fills that are likely under way for this dispatcher, and the share that needed one lately.
     fills: f64,
@@ -822,7 +817,9 @@
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
         let fill_in_time = |id: &HostId| {
             let takes = Span::from_secs_f64(access.send) + FILL_WAIT;
-            now + takes.times(self.hosts[id].slowness(now)).max(crowd) <= access.due
+            // What a parent holds comes no later for a sick origin behind it.
+            let slowness = Some(self.hosts[id].slowness(now)).filter(|_| origin_open);
+            now + takes.times(slowness.unwrap_or(1.0)).max(crowd) <= access.due
         };
         let source = source.filter(fill_in_time);
         // With no cache to go to, an access passes them by, straight to where it would be filled.
