--- a/src/logic.rs
+++ b/src/logic.rs
@@ -62,9 +62,10 @@
 const COME_BACK: Span = Span::from_millis(500);
 /// Objects seen lately are remembered in two halves of this many.
 const SEEN_HALF: usize = 20_000;
-/// Up to this part of the zone's link what finds its caches crowded passes them by. Higher fills
-/// the link for what must come over it, lower leaves it idle.
-const LINK_SPARE: f64 = 1.2;
+/// How much faster than an answer a fill runs at least: a link fuller than that delays answers; and
+/// up to which part of that what finds its caches crowded passes them by. Higher fills the link.
+const FILL_PACE: f64 = 2.0;
+const LINK_SPARE: f64 = 0.6;
 /// Weight of the newest answer in the share that needed a fill, and in the slowness of a source,
 /// which is half forgotten after a while. Higher follows chance, lower follows too late.
 const FIRST_MISSING: f64 = 0.4;
@@ -841,7 +842,7 @@
     fn link_crowd(&self) -> f64 {
         let carries = self.terms.link_kb_per_s.filter(|_| !self.terms.link_told);
         let under_way = (self.fills + 1.0) * self.own_seats() * self.terms.flow_kb_per_s;
-        carries.map_or(self.link_told, |carries| under_way / carries)
+        carries.map_or(self.link_told / FILL_PACE, |carries| under_way / carries)
     }
 
     /// How many dispatchers send to the caches of the own zone.
