Pass a late parent by for one clearly quicker, next in hash order

Now the next parent in hash order is asked if it ran three times quicker lately; were all slow, the origin would be why.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,8 +41,8 @@
 /// origin, of which a router hears little. A lower sum opens on chance, a higher one late.
 const RUN_OPENS: u32 = 10;
 const SLOW_WEIGHS: [u32; 3] = [1, 1, 2];
-/// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as accesses
-/// that wait for fills look like a crowd, spill, miss and fill the link further; higher loses time.
+/// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as waits for
+/// fills look like a crowd, spill, miss and fill the link further; higher loses time.
 const SPILL_AT: f64 = 3.0;
 /// What is added to the sending time of an access whose size is only guessed. Lower lets large ones
 /// crowd the caches, higher rejects small ones.
@@ -65,6 +65,8 @@
 /// up to which part of that what finds its caches crowded passes them by. Higher fills the link.
 const FILL_PACE: f64 = 2.0;
 const LINK_SPARE: f64 = 0.6;
+/// How many times quicker a later parent must be to be asked in place of a slow one.
+const CONTRAST: f64 = 3.0;
 /// Weight of the newest answer in the share that needed a fill, and in the slowness of a source,
 /// which is half forgotten after a while. Higher follows chance, lower follows too late.
 const FIRST_MISSING: f64 = 0.4;
@@ -118,7 +120,6 @@
     Ramp(f64, Moment, bool),
 }
 
-/// What an outcome says of one host.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Verdict {
     /// It answered; with a latency where one was measured.
@@ -282,12 +283,6 @@
         let limit = self.cold.fall_multiple * self.cold.fall_after.as_secs_f64() * COLD_USE;
         warmth >= 1.0 || charged + work <= limit * warmth * self.entry.size / self.dispatchers
     }
-
-    fn charge(&mut self, now: Moment, work: f64) {
-        let window = self.cold.fall_after;
-        self.charged.retain(|charge| now.since(charge.0) <= window);
-        self.charged.push_back((now, work));
-    }
 }
 
 struct Access {
@@ -312,7 +307,6 @@
     }
 }
 
-/// A hand-off that went out.
 #[derive(Clone, Copy)]
 struct Try {
     plan: Plan,
@@ -329,11 +323,9 @@
     missing: f64,
 }
 
-/// Where an access should go next.
 #[derive(Clone, Copy, Default)]
 struct Plan {
     host: HostId,
-    /// The host itself: no fill.
     source: HostId,
     stale: bool,
     held_only: bool,
@@ -429,7 +421,6 @@
             Event::Left { id } => self.close(id),
             Event::Woken { .. } => self.armed = self.armed.filter(|&at| at > now),
             Event::Purged { object, group, ago } => {
-                // Caches that fill from each other may pass an old copy on until all have heard.
                 let forget = self.terms.purge_done.times(3.0);
                 self.purges.retain(|_, &mut at| now.since(at) < forget);
                 let at = self.purges.entry((group, object)).or_default();
@@ -759,7 +750,6 @@
         self.plan(now, id).map_or(Step::GiveUp, Step::Send)
     }
 
-    /// The ready hosts of a role that an access may go to, in its object's hash order.
     fn in_hash_order(&self, access: &Access, role: Role) -> Vec<HostId> {
         let zone = Some(self.terms.zone).filter(|_| role == Role::Cache);
         let wanted = |host: &&Host| {
@@ -778,7 +768,6 @@
         order.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Whether the breaker and the warmth of a host leave room for this object.
     fn open_to(&self, now: Moment, access: &Access, id: HostId) -> bool {
         let host = &self.hosts[&id];
         let share = host.breaker.share().min(host.warmth(now));
@@ -804,24 +793,10 @@
             return origin.filter(|_| origin_open).map(|id| Plan::new(id, id));
         }
         let cache = self.pick_cache(now, access);
-        let parents = self.in_hash_order(access, Role::Parent);
         if written {
-            let source = origin.or(parents.first().copied())?;
-            let host = cache.filter(|_| origin_open)?;
-            return Some(Plan::new(host, source));
+            return Some(Plan::new(cache?, origin.filter(|_| origin_open)?));
         }
-        let room = |id: &HostId| {
-            self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
-        };
-        let source = parents.into_iter().chain(origin).find(room);
-        let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
-        let fill_in_time = |id: &HostId| {
-            let takes = Span::from_secs_f64(access.send) + FILL_WAIT;
-            // What a parent holds comes no later for a sick origin behind it.
-            let slowness = Some(self.hosts[id].slowness(now)).filter(|_| origin_open);
-            now + takes.times(slowness.unwrap_or(1.0)).max(crowd) <= access.due
-        };
-        let source = source.filter(fill_in_time);
+        let source = self.pick_source(now, access, origin_open);
         // With no cache to go to, an access passes them by, straight to where it would be filled.
         let Some(host) = cache else {
             let behind = |id: HostId| origin.filter(|_| origin_open).unwrap_or(id);
@@ -837,6 +812,30 @@
         Some(plan)
     }
 
+    /// The first open parent, or the origin where none is, if a fill from there would be in time.
+    fn pick_source(&self, now: Moment, access: &Access, origin_open: bool) -> Option<HostId> {
+        let has_room = |id: &HostId| {
+            self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
+        };
+        let mut sources = self.in_hash_order(access, Role::Parent);
+        sources.retain(has_room);
+        if sources.is_empty() {
+            sources.extend(self.origin.filter(has_room));
+        }
+        // Past a late parent for a clearly quicker one only: were all slow, the origin would be why.
+        let slowness = |id: &HostId| self.hosts[id].slowness(now);
+        let first = *sources.first()?;
+        sources.retain(|id| *id == first || slowness(id) * CONTRAST <= slowness(&first));
+        let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
+        let in_time = |id: &HostId| {
+            // What a parent holds comes no later for a sick origin behind it.
+            let slowness = Some(slowness(id)).filter(|_| origin_open).unwrap_or(1.0);
+            let takes = (Span::from_secs_f64(access.send) + FILL_WAIT).times(slowness);
+            now + takes.max(crowd) <= access.due
+        };
+        sources.into_iter().find(in_time)
+    }
+
     /// Fills on the zone's link over those that fit at the pace of an answer.
     fn link_crowd(&self) -> f64 {
         let carries = self.terms.link_kb_per_s.filter(|_| !self.terms.link_told);
@@ -937,14 +936,14 @@
             Role::Cache => self.missing,
             Role::Parent | Role::Origin => f64::from(u8::from(!written)),
         };
-        let charges = [
-            (plan.host, self.work(access), 1),
-            (plan.source, access.send, 0),
-        ];
+        let (work, send) = (self.work(access), access.send);
+        let charges = [(plan.host, work, 1), (plan.source, send, 0)];
         let mut trial_of = None;
         for (id, work, out) in charges.into_iter().take(if own { 1 } else { 2 }) {
             if let Some(host) = self.hosts.get_mut(&id) {
-                host.charge(now, work);
+                let window = host.cold.fall_after;
+                host.charged.retain(|charge| now.since(charge.0) <= window);
+                host.charged.push_back((now, work));
                 host.out += out;
                 if trial_of.is_none() && host.breaker.wants_trial(now, true) {
                     host.breaker.phase = Phase::Trial;
