--- a/src/logic.rs
+++ b/src/logic.rs
@@ -255,6 +255,11 @@
         matches!(self.breaker.phase, Phase::Open(_) | Phase::Trial)
     }
 
+    fn slowed(&mut self, now: Moment, sample: f64) {
+        let before = self.slowness(now);
+        self.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
+    }
+
     fn slowness(&self, now: Moment) -> f64 {
         let halvings = now.since(self.slowness.1).as_secs_f64() / SLOWNESS_HALVES.as_secs_f64();
         1.0 + (self.slowness.0 - 1.0).max(0.0) * 0.5f64.powf(halvings)
@@ -566,6 +571,10 @@
         if let Some(host) = self.hosts.get_mut(&host) {
             host.out -= 1;
             host.heard = if answered { now } else { host.heard };
+            if hit && host.role == Role::Cache {
+                let alone = Span::from_secs_f64(send * host.stretch(now)) + HOP;
+                host.slowed(now, took.as_secs_f64() / alone.as_secs_f64());
+            }
         }
         self.fills = (self.fills - attempt.missing).max(0.0);
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
@@ -585,8 +594,7 @@
                 let waited = outcome.waited.filter(|_| size_kb.is_none());
                 let fill = waited.map_or(took, |waited| waited + Span::from_secs_f64(send));
                 let sample = fill.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
-                let before = source.slowness(now);
-                source.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
+                source.slowed(now, sample);
             }
         }
         let good = |latency| Some(Verdict::Good(latency));
@@ -855,7 +863,8 @@
         let mut caches = self.in_hash_order(access, Role::Cache);
         caches.retain(|id| self.hosts[id].within_budget(now, work));
         let stretch = |id: &HostId| self.hosts[id].stretch(now);
-        let first = |id: &&HostId| self.open_to(now, access, **id) && stretch(id) <= SPILL_AT;
+        let slow = |id: &HostId| stretch(id) * self.hosts[id].slowness(now);
+        let first = |id: &&HostId| self.open_to(now, access, **id) && slow(id) <= SPILL_AT;
         let usable = |id: &&HostId| !access.failed_at(**id) && !self.hosts[id].sick();
         let crowd = |a: &&HostId, b: &&HostId| stretch(a).total_cmp(&stretch(b));
         let least = || caches.iter().filter(usable).min_by(crowd);
