--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,10 +30,9 @@
 /// as there is nowhere else to go.
 const FIRST_OPEN: [Span; 3] = [OPEN_FOR, OPEN_FOR, Span::from_secs(3)];
 const OPEN_FOR: Span = Span::from_secs(10);
-/// A trial counts if its first byte came within this (the design's figure).
+/// A trial's first byte must come within this; the share it leads to, and how soon that doubles, by
+/// role (the design's figures; the origin's doubles faster for the same reason).
 const TRIAL_WITHIN: Span = Span::from_secs(1);
-/// The first share of a returning host, and how soon it doubles, by role (the design's figures; the
-/// origin's doubles faster for the same reason).
 const FIRST_SHARE: f64 = 0.05;
 const DOUBLE_AFTER: [Span; 3] = [DOUBLING, DOUBLING, Span::from_millis(500)];
 const DOUBLING: Span = Span::from_secs(2);
@@ -67,11 +66,12 @@
 const LINK_SPARE: f64 = 0.6;
 /// How many times quicker a later parent must be to be asked in place of a slow one.
 const CONTRAST: f64 = 3.0;
-/// Weight of the newest answer in the share that needed a fill, and in the slowness of a source,
-/// which is half forgotten after a while. Higher follows chance, lower follows too late.
+/// Weight of the newest answer in the share that needed a fill, and in the slowness of a host, which
+/// is half forgotten after a while; one hit, whose size may be guessed wrong, counts up to a limit.
 const FIRST_MISSING: f64 = 0.4;
 const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
+const SLOW_HIT: f64 = 4.0;
 const SLOWNESS_HALVES: Span = Span::from_secs(2);
 /// How much wider each bin of a histogram is. Wider blurs the 95th percentile upwards.
 const BIN: f64 = 1.7;
@@ -122,7 +122,6 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Verdict {
-    /// It answered; with a latency where one was measured.
     Good(Option<f64>),
     /// It refused, broke off or stayed silent.
     Bad,
@@ -138,7 +137,6 @@
     pending: Vec<f64>,
     phase: Phase,
     open_for: Span,
-    /// Failures since the last good answer, by weight.
     run: u32,
 }
 
@@ -237,11 +235,10 @@
     cold: Cold,
     dispatchers: f64,
     breaker: Breaker,
-    /// When it last answered anything.
     heard: Moment,
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
-    /// Hand-offs that are out, and work sent lately, in seconds of sending.
+    /// Hand-offs that are out, and work sent lately in seconds of sending.
     out: u32,
     charged: VecDeque<(Moment, f64)>,
 }
@@ -319,12 +316,10 @@
     overdue_at: Moment,
     out: bool,
     may_have_run: bool,
-    /// Neither its host nor its source is to be tried again.
     failed: bool,
     blamed: bool,
     withdrawn: bool,
     trial_of: Option<HostId>,
-    /// How likely it needs a fill.
     missing: f64,
 }
 
@@ -372,7 +367,6 @@
     /// Fills that are likely under way for this dispatcher, and the share that needed one lately.
     fills: f64,
     missing: f64,
-    /// How full the zone's link was when a cache last told.
     link_told: f64,
     actions: Vec<Action>,
 }
@@ -512,7 +506,6 @@
         self.accesses.get_mut(&id)?.tries.get_mut(usize::from(no.0))
     }
 
-    /// Nothing is owed any more; what is still out is called off.
     fn close(&mut self, id: AccessId) {
         if let Some(access) = self.accesses.get_mut(&id) {
             access.ended = true;
@@ -573,7 +566,10 @@
             host.heard = if answered { now } else { host.heard };
             if hit && host.role == Role::Cache {
                 let alone = Span::from_secs_f64(send * host.stretch(now)) + HOP;
-                host.slowed(now, took.as_secs_f64() / alone.as_secs_f64());
+                host.slowed(
+                    now,
+                    (took.as_secs_f64() / alone.as_secs_f64()).min(SLOW_HIT),
+                );
             }
         }
         self.fills = (self.fills - attempt.missing).max(0.0);
@@ -586,7 +582,6 @@
         }
         if let Some(source) = self.hosts.get_mut(&source).filter(|_| !own) {
             if hit {
-                // It never came this far.
                 let charged = (attempt.sent, send);
                 source.charged.retain(|charge| *charge != charged);
             } else if matches!(ending, Done | TimedOut) {
@@ -851,7 +846,6 @@
         carries.map_or(self.link_told / FILL_PACE, |carries| under_way / carries)
     }
 
-    /// How many dispatchers send to the caches of the own zone.
     fn own_seats(&self) -> f64 {
         let own = self.terms.seats.get(usize::from(self.terms.zone.0));
         f64::from(own.copied().unwrap_or(self.terms.dispatchers).max(1))
@@ -980,7 +974,6 @@
         self.actions.push(Action::HandOff(hand_off));
     }
 
-    /// Whether an object was asked for lately, which is remembered of this one too.
     fn seen_again(&mut self, key: (ObjectId, u32)) -> bool {
         let again = self.seen.iter().any(|half| half.contains(&key));
         if self.seen[0].len() >= SEEN_HALF {
