--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -97,13 +97,11 @@
     pub withdrawn: Vec<AccessId>,
     pub logged: Vec<String>,
     wakes: Vec<Moment>,
-    /// What caches tell of the link.
     pub link_full: Option<f64>,
     next: u64,
 }
 
 impl Stage {
-    /// All hosts are listed, warm and ready.
     pub fn new(terms: Terms) -> Stage {
         let mut stage = Stage {
             dispatcher: Dispatcher::new(terms, 1),
@@ -209,7 +207,6 @@
         }));
     }
 
-    /// An access that arrives and is answered after a while.
     pub fn play(&mut self, object: u64, ending: Ending, note: Note, took: Span) -> AccessId {
         let id = self.arrive(READS, object);
         self.pass(took);
