--- a/src/logic.rs
+++ b/src/logic.rs
@@ -123,7 +123,6 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Verdict {
     Good(Option<f64>),
-    /// It refused, broke off or stayed silent.
     Bad,
 }
 
@@ -132,7 +131,6 @@
 struct Breaker {
     /// By second: good and failed fills.
     slots: VecDeque<(u64, u32, u32)>,
-    /// Latencies of clean windows, and those of the present slot.
     usual: Histogram,
     pending: Vec<f64>,
     phase: Phase,
@@ -580,8 +578,11 @@
         if let Some(told) = outcome.link_full.filter(|_| of_cache) {
             self.link_told = told;
         }
-        if let Some(source) = self.hosts.get_mut(&source).filter(|_| !own) {
-            if hit {
+        // What goes straight to a parent is as late as the fills from there.
+        let straight = self.hosts[&host].role == Role::Parent;
+        let filler = if straight { host } else { source };
+        if let Some(source) = self.hosts.get_mut(&filler).filter(|_| straight || !own) {
+            if hit && !straight {
                 let charged = (attempt.sent, send);
                 source.charged.retain(|charge| *charge != charged);
             } else if matches!(ending, Done | TimedOut) {
@@ -668,7 +669,6 @@
             let what = if before { "back by trial" } else { "open" };
             let text = format!("{role:?} {:x} breaker {what}", id.0);
             self.actions.push(Action::Log { text });
-            // What waits there may now be moved.
             let there = |t: &Try| t.out && (t.plan.host == id || t.plan.source == id);
             let all = self.accesses.iter();
             let waiting = all.filter(|(_, access)| access.tries.iter().any(there));
