--- a/src/logic.rs
+++ b/src/logic.rs
@@ -123,13 +123,14 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Verdict {
     Good(Option<f64>),
+    /// It or another failed.
+    Vague,
     Bad,
 }
 
 /// The design's breaker, one for each cache, parent and origin.
 #[derive(Default)]
 struct Breaker {
-    /// By second: good and failed fills.
     slots: VecDeque<(u64, u32, u32)>,
     usual: Histogram,
     pending: Vec<f64>,
@@ -594,8 +595,9 @@
             }
         }
         let good = |latency| Some(Verdict::Good(latency));
-        let bad = Some(Verdict::Bad);
+        let (bad, vague) = (Some(Verdict::Bad), Some(Verdict::Vague));
         let alive = good(None).filter(|_| answered);
+        let unsure = !own && self.terms.notes != NoteLevel::All;
         let (of_host, of_source, of_origin) = match (ending, outcome.note) {
             (Done, Note::Filled) => (alive, good(Some(latency)), None),
             (Done, Note::FilledByOrigin) => (alive, good(None), good(Some(latency))),
@@ -605,15 +607,12 @@
             // Without notes what took longer than a hit was filled; without sizes any may have been.
             (Done, Note::Untold) if filled => (alive, good(size_kb.map(|_| latency)), None),
             (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
-            // Where failed fills are noted, an error without a note is the host's own. Else either
-            // may be at fault: the one that answers others between ends its run.
-            (Error, Note::Untold) if !own && self.terms.notes != NoteLevel::All => (bad, bad, None),
-            (Error, Note::Untold) => (bad, None, None),
-            (Error, _) if !own => (alive, None, None),
+            // Either may be at fault where failed fills are not noted, or one turns an access away, as
+            // a draining host does before the list tells: the one that answers others ends its run.
+            (Error, Note::Untold) if unsure => (vague, vague, None),
+            (Full, Note::Untold) if !own => (vague, vague, None),
+            (Error, Note::SourceLacks | Note::NoFillPlace) => (alive, None, None),
             (NoConnection | Lost | Error, _) => (bad, None, None),
-            // A draining host turns all away before the list tells: one that is only crowded
-            // answers others between, and its run of failures ends.
-            (Full, Note::Untold) if !own => (bad, bad, None),
             _ => (alive, None, None),
         };
         self.judge(now, host, of_host, attempt);
@@ -656,11 +655,12 @@
         }
         let usual = host.breaker.usual.p95().or(pooled.p95());
         let limit = usual.map_or(f64::MAX, |usual| SLOW * usual);
-        let slow = latency.is_some_and(|latency| latency > limit);
+        let slow =
+            latency.is_some_and(|latency| latency > limit) || verdict == Some(Verdict::Vague);
         latency.into_iter().for_each(|latency| pooled.add(latency));
         if attempt.trial_of == Some(id) && host.breaker.phase == Phase::Trial {
             let late = latency.is_some_and(|latency| latency > TRIAL_WITHIN.0 as f64);
-            let good = verdict.map(|verdict| verdict != Verdict::Bad && !late);
+            let good = verdict.map(|verdict| matches!(verdict, Verdict::Good(_)) && !late);
             host.breaker.end_trial(now, role, good);
         } else if let Some(verdict) = verdict.filter(|_| !before) {
             host.breaker.judge(now, role, verdict, slow);
