--- a/src/interface.rs
+++ b/src/interface.rs
@@ -187,6 +187,12 @@
 
 impl Ending {
     /// Whether this ending proves that the hand-off did not run.
+    ///
+    /// ```
+    /// use trailproxy::interface::Ending;
+    /// assert!(Ending::Full.never_ran() && Ending::Missed.never_ran());
+    /// assert!(!Ending::Lost.never_ran() && !Ending::Withdrawn.never_ran());
+    /// ```
     pub fn never_ran(self) -> bool {
         matches!(
             self,
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,4 +1,18 @@
 //! Points in time, spans of time and one type for each kind of id.
+//!
+//! ```
+//! use trailproxy::units::{Moment, Span};
+//! let later = Moment(5_000) + Span::from_millis(2);
+//! assert_eq!(later.since(Moment(5_000)), Span(2_000));
+//! assert_eq!(Moment(5_000).since(later), Span::ZERO);
+//! ```
+//!
+//! A point and a span can't be mixed up:
+//!
+//! ```compile_fail
+//! use trailproxy::units::{Moment, Span};
+//! let wrong: Span = Moment(1) + Span(1);
+//! ```
 
 use std::ops::{Add, AddAssign, Sub};
 
