Thin out a crowded origin by halves; budgets and load that hold at hundreds of dispatchers

A cold parent's budget, shared by 165 dispatchers, was under one fill, so nobody sent it any.

Changes: refusals and lateness halve a host's share in place of opening it, at the origin always; overdue fills whose cache and parent answer others count for the origin, and are withdrawn while it is crowded; a cold budget may be overdrawn once and the debt waited off; the load that others put on a cache is taken between the own and the zone's average.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,33 +18,24 @@
 use crate::units::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// The design's window, in slots of a second.
+/// The design's window, in slots of a second; one of fewer fills says nothing. A fill this many times
+/// slower than the usual 95th percentile fails (the design has 3; a bin adds up to 1.7).
 const WINDOW_SLOTS: u64 = 10;
-/// A window of fewer fills says nothing; above this share of failures a breaker opens; a fill this
-/// many times slower than the usual 95th percentile fails (the design has 3; a bin adds up to 1.7).
 const LEAST_FILLS: u32 = 10;
-const FAILING: f64 = 0.5;
 const SLOW: f64 = 2.0;
-/// How long caches, parents and the origin stay open at first, doubling with each failed trial up to
-/// the design's figure. Longer starves a healed host, shorter costs trials; the origin tries sooner,
-/// as there is nowhere else to go.
-const FIRST_OPEN: [Span; 3] = [OPEN_FOR, OPEN_FOR, Span::from_secs(3)];
+/// How long a host stays open at first. Longer starves a healed host, shorter costs trials.
 const OPEN_FOR: Span = Span::from_secs(10);
-/// A trial's first byte must come within this; the share it leads to, and how soon that doubles, by
-/// role (the design's figures; the origin's doubles faster for the same reason).
+/// A trial's first byte must come within this; the share it leads to, and how soon that doubles.
 const TRIAL_WITHIN: Span = Span::from_secs(1);
 const FIRST_SHARE: f64 = 0.05;
-const DOUBLE_AFTER: [Span; 3] = [DOUBLING, DOUBLING, Span::from_millis(500)];
 const DOUBLING: Span = Span::from_secs(2);
-/// Failures in a row open a breaker from this weight on: a hard one has 4, a slow one 1, or 2 at the
-/// origin, of which a router hears little. A lower sum opens on chance, a higher one late.
-const RUN_OPENS: u32 = 10;
-const SLOW_WEIGHS: [u32; 3] = [1, 1, 2];
+/// Failures in a row open a breaker from this weight on, or halve the share of a crowded host: a hard
+/// one has 4, one that is overdue or may be another's 2, a slow one 1. Lower acts on chance, higher late.
+const RUN_ACTS: u32 = 10;
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as waits for
 /// fills look like a crowd, spill, miss and fill the link further; higher loses time.
 const SPILL_AT: f64 = 3.0;
-/// What is added to the sending time of an access whose size is only guessed. Lower lets large ones
-/// crowd the caches, higher rejects small ones.
+/// Added to a sending time of guessed size. Lower lets large ones crowd caches, higher rejects small.
 const GUESS_MARGIN: f64 = 1.3;
 /// Part of a cold host's told limit that all use together. Higher risks it, lower warms it later.
 const COLD_USE: f64 = 0.4;
@@ -58,21 +49,19 @@
 /// How long an access waits before it goes to the origin again, and a client that was rejected.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
 const COME_BACK: Span = Span::from_millis(500);
-/// Objects seen lately are remembered in two halves of this many.
-const SEEN_HALF: usize = 20_000;
-/// How much faster than an answer a fill runs at least: a link fuller than that delays answers; and
-/// up to which part of that what finds its caches crowded passes them by. Higher fills the link.
+/// So many objects seen are remembered, before all are forgotten.
+const SEEN: usize = 50_000;
+/// How much faster than an answer a fill runs at least: a fuller link delays answers; up to which
+/// part of that what finds its caches crowded passes them by. Higher fills the link.
 const FILL_PACE: f64 = 2.0;
 const LINK_SPARE: f64 = 0.6;
-/// How many times quicker a later parent must be to be asked in place of a slow one.
-const CONTRAST: f64 = 3.0;
-/// Weight of the newest answer in the share that needed a fill, and in the slowness of a host, which
-/// is half forgotten after a while; one hit, whose size may be guessed wrong, counts up to a limit.
+/// Weight of the newest answer in the share that needed a fill and in the slowness of a host; how far
+/// one hit counts, as its size may be guessed wrong; how soon averages over time are half forgotten.
 const FIRST_MISSING: f64 = 0.4;
 const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
 const SLOW_HIT: f64 = 4.0;
-const SLOWNESS_HALVES: Span = Span::from_secs(2);
+const HALVES: Span = Span::from_secs(2);
 /// How much wider each bin of a histogram is. Wider blurs the 95th percentile upwards.
 const BIN: f64 = 1.7;
 
@@ -125,6 +114,8 @@
     Good(Option<f64>),
     /// It or another failed.
     Vague,
+    /// It has more to do than it can, but is not sick.
+    Crowded,
     Bad,
 }
 
@@ -135,8 +126,8 @@
     usual: Histogram,
     pending: Vec<f64>,
     phase: Phase,
-    open_for: Span,
     run: u32,
+    well: Moment,
 }
 
 impl Breaker {
@@ -145,7 +136,7 @@
         self.slots.iter().fold((0, 0), add)
     }
 
-    fn advance(&mut self, now: Moment, role: Role) {
+    fn advance(&mut self, now: Moment) {
         let slot = now.0 / 1_000_000;
         if self.slots.back().is_none_or(|last| last.0 != slot) {
             let (good, failed) = self.counts();
@@ -160,7 +151,7 @@
         if let Phase::Ramp(share, step, clean) = &mut self.phase {
             while now >= *step {
                 *share *= if *clean { 2.0 } else { 1.0 };
-                (*step, *clean) = (*step + DOUBLE_AFTER[role as usize], true);
+                (*step, *clean) = (*step + DOUBLING, true);
             }
             if *share >= 1.0 {
                 self.phase = Phase::Closed;
@@ -182,50 +173,37 @@
         matches!(self.phase, Phase::Open(until) if now >= until + leave)
     }
 
-    fn open(&mut self, now: Moment, role: Role) {
-        self.open_for = match self.phase {
-            Phase::Trial => self.open_for.times(2.0).min(OPEN_FOR),
-            _ => FIRST_OPEN[role as usize],
+    /// Counts an outcome: 0 is a good one, else how much it weighs in a run of failures.
+    fn judge(&mut self, now: Moment, weighs: u32, crowded: bool) {
+        self.advance(now);
+        let bad = weighs > 0;
+        (self.run, self.well) = if bad {
+            (self.run + weighs, self.well)
+        } else {
+            (0, now)
         };
-        self.phase = Phase::Open(now + self.open_for);
-        self.slots.clear();
-        self.run = 0;
-    }
-
-    fn judge(&mut self, now: Moment, role: Role, verdict: Verdict, slow: bool) {
-        self.advance(now, role);
-        if let Verdict::Good(Some(latency)) = verdict {
-            self.pending.push(latency);
-        }
-        let hard = verdict == Verdict::Bad;
-        let bad = slow || hard;
-        let counts = 4 * u32::from(hard) + u32::from(slow) * SLOW_WEIGHS[role as usize];
-        self.run = if bad { self.run + counts } else { 0 };
         if let Some(slot) = self.slots.back_mut() {
             slot.1 += u32::from(!bad);
             slot.2 += u32::from(bad);
         }
         let (good, failed) = self.counts();
-        let all = good + failed;
-        let failing = all >= LEAST_FILLS && f64::from(failed) > FAILING * f64::from(all);
-        if self.run >= RUN_OPENS || failing {
-            self.open(now, role);
-        } else if let Phase::Ramp(_, _, clean) = &mut self.phase {
-            *clean &= !bad;
-        }
-    }
-
-    fn end_trial(&mut self, now: Moment, role: Role, good: Option<bool>) {
-        match good {
-            // It told nothing of this host, which stays open for the next trial.
-            None => self.phase = Phase::Open(now),
-            Some(false) => self.open(now, role),
-            Some(true) => {
-                self.slots.clear();
-                self.phase = Phase::Ramp(FIRST_SHARE, now + DOUBLE_AFTER[role as usize], true);
+        let failing = good + failed >= LEAST_FILLS && failed > good;
+        let halved = (self.share() / 2.0).max(FIRST_SHARE);
+        if self.run >= RUN_ACTS || failing {
+            // A crowd is thinned out by halves: without any, the next host would be crowded.
+            match crowded {
+                true => self.turn(now, Phase::Ramp(halved, now + DOUBLING, true)),
+                false => self.turn(now, Phase::Open(now + OPEN_FOR)),
             }
+        } else if let Phase::Ramp(.., clean) = &mut self.phase {
+            *clean &= self.run * 2 < RUN_ACTS;
         }
     }
+
+    fn turn(&mut self, now: Moment, phase: Phase) {
+        (self.phase, self.run, self.well) = (phase, 0, now);
+        self.slots.clear();
+    }
 }
 
 struct Host {
@@ -237,9 +215,9 @@
     heard: Moment,
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
-    /// Hand-offs that are out, and work sent lately in seconds of sending.
     out: u32,
-    charged: VecDeque<(Moment, f64)>,
+    /// What is left of what it may be given while it is cold, and when that was reckoned.
+    allowance: (f64, Moment),
 }
 
 impl Host {
@@ -257,7 +235,7 @@
     }
 
     fn slowness(&self, now: Moment) -> f64 {
-        let halvings = now.since(self.slowness.1).as_secs_f64() / SLOWNESS_HALVES.as_secs_f64();
+        let halvings = now.since(self.slowness.1).as_secs_f64() / HALVES.as_secs_f64();
         1.0 + (self.slowness.0 - 1.0).max(0.0) * 0.5f64.powf(halvings)
     }
 
@@ -269,20 +247,22 @@
         self.cold.from + (1.0 - self.cold.from) * risen
     }
 
-    /// How much slower than alone an answer from here is predicted to be.
-    fn stretch(&self, now: Moment) -> f64 {
-        let in_hand = f64::from(self.out) * self.dispatchers + 1.0;
-        (in_hand / (self.entry.size * self.warmth(now)).max(0.5)).max(1.0)
+    /// Work as a part of what this dispatcher may give it within the span of rule 4 while it is cold.
+    fn cost(&self, now: Moment, work: f64) -> f64 {
+        let told = self.cold.fall_multiple * self.cold.fall_after.as_secs_f64();
+        work * self.dispatchers / (told * COLD_USE * self.warmth(now) * self.entry.size)
+    }
+
+    fn allowance(&self, now: Moment) -> f64 {
+        let span = self.cold.fall_after.as_secs_f64().max(0.001);
+        (self.allowance.0 + now.since(self.allowance.1).as_secs_f64() / span).min(1.0)
     }
 
-    /// Rule 4: whether it can take this work out of this dispatcher's share while it is cold.
+    /// Rule 4: whether it can take this work out of this dispatcher's part. The last may overdraw, or
+    /// one of hundreds could never send; the debt is waited off. No work may exceed the whole limit.
     fn within_budget(&self, now: Moment, work: f64) -> bool {
-        let warmth = self.warmth(now);
-        let within = |charge: &&(Moment, f64)| now.since(charge.0) <= self.cold.fall_after;
-        let lately = self.charged.iter().filter(within);
-        let charged: f64 = lately.map(|charge| charge.1).sum();
-        let limit = self.cold.fall_multiple * self.cold.fall_after.as_secs_f64() * COLD_USE;
-        warmth >= 1.0 || charged + work <= limit * warmth * self.entry.size / self.dispatchers
+        let affordable = self.cost(now, work) <= self.dispatchers && self.allowance(now) >= 0.0;
+        self.warmth(now) >= 1.0 || affordable
     }
 }
 
@@ -294,10 +274,8 @@
     limit: Moment,
     tries: Vec<Try>,
     wait_until: Moment,
-    /// Cache and parent lack it, and neither was to ask further.
+    /// Cache and parent lack it and were not to ask further.
     lacking: bool,
-    wake_at: Option<Moment>,
-    /// It has its final answer and is only kept until its hand-offs have ended.
     ended: bool,
 }
 
@@ -308,9 +286,10 @@
     }
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Try {
     plan: Plan,
+    held_only: bool,
     sent: Moment,
     overdue_at: Moment,
     out: bool,
@@ -322,23 +301,11 @@
     missing: f64,
 }
 
+/// Where an access goes, and what fills a miss there: nothing where both are the same.
 #[derive(Clone, Copy, Default)]
 struct Plan {
     host: HostId,
     source: HostId,
-    stale: bool,
-    held_only: bool,
-}
-
-impl Plan {
-    fn new(host: HostId, source: HostId) -> Plan {
-        let rest = Plan::default();
-        Plan {
-            host,
-            source,
-            ..rest
-        }
-    }
 }
 
 enum Step {
@@ -350,8 +317,12 @@
 
 pub struct Dispatcher {
     terms: Terms,
+    own_seats: f64,
     chance: fastrand::Rng,
     hosts: BTreeMap<HostId, Host>,
+    /// Those that are ready by the list; the caches of the own zone.
+    caches: Vec<HostId>,
+    parents: Vec<HostId>,
     origin: Option<HostId>,
     accesses: BTreeMap<AccessId, Access>,
     /// Accesses to look at when settling, those to look at later, and the wake-up asked for.
@@ -359,7 +330,7 @@
     timed: BTreeSet<(Moment, AccessId)>,
     armed: Option<Moment>,
     purges: BTreeMap<(GroupId, Option<ObjectId>), Moment>,
-    seen: [BTreeSet<(ObjectId, u32)>; 2],
+    seen: BTreeSet<(ObjectId, u32)>,
     /// Sending times by track: their sum in seconds and their number.
     sending: Vec<(f64, f64)>,
     pooled: [Histogram; 3],
@@ -367,6 +338,9 @@
     fills: f64,
     missing: f64,
     link_told: f64,
+    /// Hand-offs out at caches now, on average lately, and when that was reckoned.
+    out: (f64, f64, Moment),
+    zone_size: f64,
     actions: Vec<Action>,
 }
 
@@ -383,21 +357,27 @@
 impl Dispatcher {
     pub fn new(terms: Terms, seed: u64) -> Dispatcher {
         let first_guess = |track: &Track| (track.due.as_secs_f64() * 0.5, 1.0);
+        let seats = terms.seats.get(usize::from(terms.zone.0)).copied();
         Dispatcher {
+            own_seats: f64::from(seats.unwrap_or(terms.dispatchers).max(1)),
             chance: fastrand::Rng::with_seed(seed),
             hosts: BTreeMap::new(),
+            caches: Vec::new(),
+            parents: Vec::new(),
             origin: None,
             accesses: BTreeMap::new(),
             touched: BTreeSet::new(),
             timed: BTreeSet::new(),
             armed: None,
             purges: BTreeMap::new(),
-            seen: Default::default(),
+            seen: BTreeSet::new(),
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
             fills: 0.0,
             missing: FIRST_MISSING,
             link_told: 0.0,
+            out: (0.0, 0.0, Moment::default()),
+            zone_size: 1.0,
             actions: Vec::from_iter(terms.list_on_request.then_some(Action::FollowList)),
             terms,
         }
@@ -406,7 +386,7 @@
     /// Takes one event; nothing goes out before [`Dispatcher::settle`].
     pub fn take(&mut self, now: Moment, event: Event) {
         match event {
-            Event::Hosts { form, entries } => self.list(form, entries),
+            Event::Hosts { form, entries } => self.list(now, form, entries),
             Event::Arrived(arrival) => self.arrive(now, arrival),
             Event::Outcome(outcome) => self.outcome(now, &outcome),
             Event::Begun { id, hand_off } => {
@@ -427,7 +407,7 @@
         }
     }
 
-    fn list(&mut self, form: ListForm, entries: Vec<HostEntry>) {
+    fn list(&mut self, now: Moment, form: ListForm, entries: Vec<HostEntry>) {
         if form == ListForm::Failed && self.terms.list_on_request {
             self.actions.push(Action::FollowList);
         }
@@ -435,7 +415,9 @@
             let all = self.hosts.values_mut();
             all.for_each(|host| host.entry.state = HostState::Gone);
         }
-        let (all, own) = (f64::from(self.terms.dispatchers.max(1)), self.own_seats());
+        let means = self.sending.iter().map(|(sum, n)| sum / n);
+        let mean = means.sum::<f64>() / self.sending.len().max(1) as f64;
+        let (all, own) = (f64::from(self.terms.dispatchers.max(1)), self.own_seats);
         for entry in entries {
             let (parent, cache) = (self.terms.cold_parent, self.terms.cold_cache);
             let (role, cold, dispatchers) = match Some(entry.kind) {
@@ -443,6 +425,7 @@
                 kind if kind == self.terms.origin_kind => (Role::Origin, parent, all),
                 _ => (Role::Cache, cache, own),
             };
+            let before = self.hosts.get(&entry.host).map(|host| host.entry.started);
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 entry,
                 role,
@@ -452,17 +435,24 @@
                 heard: Moment::default(),
                 slowness: (1.0, Moment::default()),
                 out: 0,
-                charged: VecDeque::new(),
+                allowance: (0.0, now),
             });
-            if host.entry.started != entry.started {
-                // A fresh process: what its predecessor did is no fault of it.
+            host.entry = entry;
+            if before != Some(entry.started) {
+                // A fresh process: what its predecessor did is no fault of it. Each dispatcher begins
+                // at another point of its debt, or all would send at once.
                 host.breaker = Breaker::default();
+                host.allowance = (-self.chance.f64() * host.cost(now, mean), now);
             }
-            host.entry = entry;
         }
-        let is_origin = |host: &&Host| host.role == Role::Origin && host.ready();
-        let origin = self.hosts.values().find(is_origin);
-        self.origin = origin.map(|host| host.entry.host);
+        let ready = self.hosts.values().filter(|host| host.ready());
+        let of = |role| ready.clone().filter(move |host| host.role == role);
+        let zone = self.terms.zone;
+        let own = of(Role::Cache).filter(|host| host.entry.zone == zone);
+        self.zone_size = own.clone().map(|host| host.entry.size).sum();
+        self.caches = own.map(|host| host.entry.host).collect();
+        self.parents = of(Role::Parent).map(|host| host.entry.host).collect();
+        self.origin = of(Role::Origin).map(|host| host.entry.host).next();
     }
 
     fn arrive(&mut self, now: Moment, asked: Arrival) {
@@ -480,7 +470,6 @@
             tries: Vec::new(),
             wait_until: now,
             lacking: false,
-            wake_at: None,
             ended: false,
         };
         self.touched.insert(access.asked.id);
@@ -508,8 +497,6 @@
     fn close(&mut self, id: AccessId) {
         if let Some(access) = self.accesses.get_mut(&id) {
             access.ended = true;
-            let timed = access.wake_at.take().map(|at| (at, id));
-            timed.map(|entry| self.timed.remove(&entry));
             (0..access.tries.len()).for_each(|no| self.withdraw(id, no));
             self.touched.insert(id);
         }
@@ -536,7 +523,7 @@
         let attempt = *attempt;
         self.learn(now, outcome, &attempt);
         if let Some(access) = self.accesses.get_mut(&id) {
-            access.lacking |= ending == Ending::Missed && (attempt.plan.held_only || own);
+            access.lacking |= ending == Ending::Missed && (attempt.held_only || own);
             // The origin is asked again after a while: there is no other.
             let again = Some(attempt.plan.host) == self.origin;
             access.wait_until = if again { now + ORIGIN_WAIT } else { now };
@@ -560,32 +547,31 @@
         let filled = size_kb.is_none() || took > Span::from_secs_f64(send) + HOP;
         let per_byte = took.0 as f64 / size_kb.map_or(1.0, |kb| kb + 100.0);
         let latency = outcome.waited.map_or(per_byte, |waited| waited.0 as f64);
+        let stretch = self.stretch(now, &self.hosts[&host]);
+        let of_cache = self.hosts[&host].role == Role::Cache;
+        self.count_out(now, if of_cache { -1.0 } else { 0.0 });
         if let Some(host) = self.hosts.get_mut(&host) {
             host.out -= 1;
             host.heard = if answered { now } else { host.heard };
-            if hit && host.role == Role::Cache {
-                let alone = Span::from_secs_f64(send * host.stretch(now)) + HOP;
-                host.slowed(
-                    now,
-                    (took.as_secs_f64() / alone.as_secs_f64()).min(SLOW_HIT),
-                );
+            if hit && of_cache {
+                let alone = Span::from_secs_f64(send * stretch) + HOP;
+                let ratio = took.as_secs_f64() / alone.as_secs_f64();
+                host.slowed(now, ratio.min(SLOW_HIT));
             }
         }
         self.fills = (self.fills - attempt.missing).max(0.0);
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
             self.missing += (f64::from(u8::from(!hit)) - self.missing) * MISSING_GAIN;
         }
-        let of_cache = self.hosts[&host].role == Role::Cache;
-        if let Some(told) = outcome.link_full.filter(|_| of_cache) {
-            self.link_told = told;
-        }
-        // What goes straight to a parent is as late as the fills from there.
+        self.link_told = outcome
+            .link_full
+            .filter(|_| of_cache)
+            .unwrap_or(self.link_told);
         let straight = self.hosts[&host].role == Role::Parent;
         let filler = if straight { host } else { source };
         if let Some(source) = self.hosts.get_mut(&filler).filter(|_| straight || !own) {
             if hit && !straight {
-                let charged = (attempt.sent, send);
-                source.charged.retain(|charge| *charge != charged);
+                source.allowance.0 += source.cost(now, send);
             } else if matches!(ending, Done | TimedOut) {
                 // Of an object of unknown size only the wait says how slow the source is.
                 let waited = outcome.waited.filter(|_| size_kb.is_none());
@@ -596,13 +582,18 @@
         }
         let good = |latency| Some(Verdict::Good(latency));
         let (bad, vague) = (Some(Verdict::Bad), Some(Verdict::Vague));
+        let crowded = Some(Verdict::Crowded);
         let alive = good(None).filter(|_| answered);
         let unsure = !own && self.terms.notes != NoteLevel::All;
         let (of_host, of_source, of_origin) = match (ending, outcome.note) {
             (Done, Note::Filled) => (alive, good(Some(latency)), None),
+            (Done, Note::FilledByOrigin) if attempt.blamed => (alive, good(None), vague),
             (Done, Note::FilledByOrigin) => (alive, good(None), good(Some(latency))),
-            (_, Note::OriginFailed) => (alive, None, bad),
-            (_, Note::SourceRefused | Note::SourceLost) => (alive, bad, None),
+            (_, Note::OriginFailed) => (alive, None, crowded),
+            (_, Note::SourceRefused) => (alive, crowded, None),
+            (_, Note::SourceLost) => (alive, bad, None),
+            (Full, _) if own && !of_cache => (crowded, None, None),
+            (Done, _) if own && attempt.blamed => (vague, None, None),
             (Done, _) if own => (good(Some(per_byte)), None, None),
             // Without notes what took longer than a hit was filled; without sizes any may have been.
             (Done, Note::Untold) if filled => (alive, good(size_kb.map(|_| latency)), None),
@@ -611,35 +602,48 @@
             // a draining host does before the list tells: the one that answers others ends its run.
             (Error, Note::Untold) if unsure => (vague, vague, None),
             (Full, Note::Untold) if !own => (vague, vague, None),
-            (Error, Note::SourceLacks | Note::NoFillPlace) => (alive, None, None),
-            (NoConnection | Lost | Error, _) => (bad, None, None),
+            (NoConnection | Lost, _) | (Error, Note::Untold) => (bad, None, None),
             _ => (alive, None, None),
         };
-        self.judge(now, host, of_host, attempt);
-        if !own {
-            self.judge(now, source, of_source, attempt);
+        let origin = self.origin.filter(|_| of_origin.is_some());
+        let both = [(host, of_host), (source, of_source)];
+        for (id, verdict) in both.into_iter().take(if own { 1 } else { 2 }) {
+            if Some(id) != origin && (verdict.is_some() || attempt.trial_of == Some(id)) {
+                self.judge(now, id, verdict, attempt);
+            }
         }
-        if let Some(origin) = self.origin {
+        if let Some(origin) = origin {
             self.judge(now, origin, of_origin, attempt);
         }
     }
 
     /// An overdue hand-off is the fault of its host if nothing was heard from it since, else of its
-    /// source if nothing came from there either.
-    fn blame(&mut self, now: Moment, attempt: &Try) {
+    /// source if nothing came from there either, else of an origin that served none well since.
+    fn blame(&mut self, now: Moment, id: AccessId) {
+        let late = |t: &&mut Try| t.out && !t.blamed && now >= t.overdue_at;
+        let tries = self.accesses.get_mut(&id).map(|access| &mut access.tries);
+        let Some(attempt) = tries.and_then(|tries| tries.iter_mut().find(late)) else {
+            return;
+        };
+        attempt.blamed = true;
+        let attempt = *attempt;
         let Plan { host, source, .. } = attempt.plan;
-        let heard = |id: HostId| self.hosts[&id].heard > attempt.sent;
-        if !heard(host) {
-            self.judge(now, host, Some(Verdict::Bad), attempt);
-        } else if host != source && !heard(source) && !self.origin_hides(attempt) {
-            self.judge(now, source, Some(Verdict::Bad), attempt);
+        let silent = |id: HostId| self.hosts[&id].heard <= attempt.sent && Some(id) != self.origin;
+        let unwell = |id: &HostId| self.hosts[id].breaker.well <= attempt.sent;
+        if silent(host) {
+            self.judge(now, host, Some(Verdict::Bad), &attempt);
+        } else if silent(source) && !self.origin_hides(&attempt) {
+            self.judge(now, source, Some(Verdict::Bad), &attempt);
+        } else if let Some(origin) = self.origin.filter(unwell) {
+            let crowded = Some(Verdict::Crowded).filter(|_| !attempt.held_only);
+            self.judge(now, origin, crowded, &attempt);
         }
     }
 
     /// A fetch behind the source may hang on a sick origin: then the source is not to blame.
     fn origin_hides(&self, attempt: &Try) -> bool {
-        let sick = self.origin.is_some_and(|id| self.hosts[&id].sick());
-        sick && !attempt.plan.held_only
+        let phase = self.origin.map(|id| self.hosts[&id].breaker.phase);
+        phase.is_some_and(|phase| phase != Phase::Closed) && !attempt.held_only
     }
 
     fn judge(&mut self, now: Moment, id: HostId, verdict: Option<Verdict>, attempt: &Try) {
@@ -655,24 +659,31 @@
         }
         let usual = host.breaker.usual.p95().or(pooled.p95());
         let limit = usual.map_or(f64::MAX, |usual| SLOW * usual);
-        let slow =
-            latency.is_some_and(|latency| latency > limit) || verdict == Some(Verdict::Vague);
+        let weighs = match verdict {
+            Some(Verdict::Good(_)) => u32::from(latency.is_some_and(|latency| latency > limit)),
+            Some(Verdict::Vague) => 2,
+            _ => 4,
+        };
         latency.into_iter().for_each(|latency| pooled.add(latency));
+        host.breaker.pending.extend(latency.filter(|_| !before));
+        let late = latency.is_some_and(|latency| latency > TRIAL_WITHIN.0 as f64);
         if attempt.trial_of == Some(id) && host.breaker.phase == Phase::Trial {
-            let late = latency.is_some_and(|latency| latency > TRIAL_WITHIN.0 as f64);
-            let good = verdict.map(|verdict| matches!(verdict, Verdict::Good(_)) && !late);
-            host.breaker.end_trial(now, role, good);
-        } else if let Some(verdict) = verdict.filter(|_| !before) {
-            host.breaker.judge(now, role, verdict, slow);
+            let next = match verdict {
+                // It told nothing of this host, which stays open for the next trial.
+                None => Phase::Open(now),
+                Some(Verdict::Good(_)) if !late => Phase::Ramp(FIRST_SHARE, now + DOUBLING, true),
+                _ => Phase::Open(now + OPEN_FOR),
+            };
+            host.breaker.turn(now, next);
+        } else if verdict.is_some() && !before {
+            let crowded = verdict == Some(Verdict::Crowded) || weighs < 4 && role == Role::Origin;
+            host.breaker.judge(now, weighs, crowded);
         }
         if before != host.sick() {
             let what = if before { "back by trial" } else { "open" };
             let text = format!("{role:?} {:x} breaker {what}", id.0);
             self.actions.push(Action::Log { text });
-            let there = |t: &Try| t.out && (t.plan.host == id || t.plan.source == id);
-            let all = self.accesses.iter();
-            let waiting = all.filter(|(_, access)| access.tries.iter().any(there));
-            self.touched.extend(waiting.map(|(id, _)| *id));
+            self.touched.extend(self.accesses.keys());
         }
     }
 
@@ -683,14 +694,14 @@
             self.touched.insert(id);
         }
         while let Some(id) = self.touched.pop_first() {
-            self.look_after_overdue(now, id);
+            self.blame(now, id);
             while self.accesses.get(&id).is_some_and(|access| !access.ended) {
                 match self.next_step(now, id) {
                     Step::Send(plan) => self.send(now, id, plan),
                     Step::Withdraw(no) => self.withdraw(id, no),
                     Step::GiveUp => self.give_up(id),
                     Step::Wait(until) => {
-                        self.look_again(id, until);
+                        self.timed.insert((until, id));
                         break;
                     }
                 }
@@ -709,24 +720,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn look_again(&mut self, id: AccessId, at: Moment) {
-        if let Some(access) = self.accesses.get_mut(&id) {
-            let old = access.wake_at.replace(at).map(|old| (old, id));
-            old.map(|entry| self.timed.remove(&entry));
-            self.timed.insert((at, id));
-        }
-    }
-
-    fn look_after_overdue(&mut self, now: Moment, id: AccessId) {
-        let late = |t: &&mut Try| t.out && !t.blamed && now >= t.overdue_at;
-        let access = self.accesses.get_mut(&id);
-        if let Some(attempt) = access.and_then(|access| access.tries.iter_mut().find(late)) {
-            attempt.blamed = true;
-            let attempt = *attempt;
-            self.blame(now, &attempt);
-        }
-    }
-
     fn next_step(&mut self, now: Moment, id: AccessId) -> Step {
         let access = &self.accesses[&id];
         if now >= access.limit {
@@ -738,8 +731,9 @@
                 return Step::Wait(attempt.overdue_at.min(access.limit));
             }
             let lost = [attempt.plan.host, attempt.plan.source].map(|id| self.hosts[&id].sick());
+            let lost = lost.contains(&true) || self.origin_hides(&attempt);
             let free = !attempt.withdrawn && attempt.trial_of.is_none();
-            if lost.contains(&true) && free && self.terms.may_withdraw && self.retriable(access) {
+            if lost && free && self.terms.may_withdraw && self.retriable(access) {
                 return Step::Withdraw(no);
             }
             return Step::Wait(access.limit);
@@ -754,19 +748,17 @@
     }
 
     fn in_hash_order(&self, access: &Access, role: Role) -> Vec<HostId> {
-        let zone = Some(self.terms.zone).filter(|_| role == Role::Cache);
-        let wanted = |host: &&Host| {
-            host.role == role && host.ready() && zone.is_none_or(|zone| host.entry.zone == zone)
-        };
         // Parts spread over caches, or a long object crowds one; its fills still meet at one parent.
-        let part = zone.map_or(0, |_| access.asked.part);
-        let score = |host: &Host| {
-            let size = Some(host.entry.size).filter(|_| self.terms.sizes_tell);
-            let spread = point(access.asked.object, part, host.entry.host, 1);
-            -spread.max(1e-12).ln() / size.unwrap_or(1.0).max(0.01)
+        let (hosts, part) = match role {
+            Role::Cache => (&self.caches, access.asked.part),
+            _ => (&self.parents, 0),
+        };
+        let score = |id: &HostId| {
+            let size = Some(self.hosts[id].entry.size).filter(|_| self.terms.sizes_tell);
+            let spread = point(access.asked.object, part, *id, 1);
+            (-spread.max(1e-12).ln() / size.unwrap_or(1.0).max(0.01), *id)
         };
-        let hosts = self.hosts.values().filter(wanted);
-        let mut order: Vec<_> = hosts.map(|host| (score(host), host.entry.host)).collect();
+        let mut order: Vec<_> = hosts.iter().map(score).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         order.into_iter().map(|(_, id)| id).collect()
     }
@@ -774,6 +766,8 @@
     fn open_to(&self, now: Moment, access: &Access, id: HostId) -> bool {
         let host = &self.hosts[&id];
         let share = host.breaker.share().min(host.warmth(now));
+        let written = self.track(access).written;
+        let share = if written && share > 0.0 { 1.0 } else { share };
         let within = point(access.asked.object, access.asked.part, id, 2) < share;
         let trial = host.breaker.wants_trial(now, self.retriable(access));
         let failed = host.role != Role::Origin && access.failed_at(id);
@@ -781,38 +775,36 @@
     }
 
     fn plan(&mut self, now: Moment, id: AccessId) -> Option<Plan> {
-        for host in self.hosts.values_mut() {
-            host.breaker.advance(now, host.role);
+        for id in self.caches.iter().chain(&self.parents).chain(&self.origin) {
+            self.hosts
+                .entry(*id)
+                .and_modify(|host| host.breaker.advance(now));
         }
         let access = &self.accesses[&id];
         let written = self.track(access).written;
         let origin = self.origin;
-        let origin_open = origin.is_none_or(|id| self.open_to(now, access, id));
-        let closed = |id: HostId| self.hosts[&id].breaker.phase == Phase::Closed;
-        if access.lacking && origin.is_none_or(closed) {
+        let open = origin.filter(|&id| self.open_to(now, access, id));
+        if access.lacking && origin.is_none_or(|id| !self.hosts[&id].sick()) {
             return None;
         }
         if (access.lacking || written) && self.terms.straight {
-            return origin.filter(|_| origin_open).map(|id| Plan::new(id, id));
+            return open.map(|host| Plan { host, source: host });
         }
         let cache = self.pick_cache(now, access);
         if written {
-            return Some(Plan::new(cache?, origin.filter(|_| origin_open)?));
+            return cache.zip(open).map(|(host, source)| Plan { host, source });
         }
-        let source = self.pick_source(now, access, origin_open);
+        let source = self.pick_source(now, access, open.is_some() || origin.is_none());
         // With no cache to go to, an access passes them by, straight to where it would be filled.
+        let lost = || self.caches.iter().all(|id| self.hosts[id].sick());
         let Some(host) = cache else {
-            let behind = |id: HostId| origin.filter(|_| origin_open).unwrap_or(id);
-            let caches = self.in_hash_order(access, Role::Cache);
-            let lost = caches.iter().all(|id| self.hosts[id].sick());
-            let may = self.terms.straight && (lost || self.link_crowd() < LINK_SPARE);
-            return source.filter(|_| may).map(|id| Plan::new(id, behind(id)));
+            let may = self.terms.straight && (lost() || self.link_crowd() < LINK_SPARE);
+            let host = source.filter(|_| may)?;
+            let source = open.unwrap_or(host);
+            return Some(Plan { host, source });
         };
-        let mut plan = Plan::new(host, source.unwrap_or(host));
-        plan.stale = source.is_none();
-        // Behind a sick origin fetches would hang and fill the caches' places until they fall silent.
-        plan.held_only = !origin_open;
-        Some(plan)
+        let source = source.unwrap_or(host);
+        Some(Plan { host, source })
     }
 
     /// The first open parent, or the origin where none is, if a fill from there would be in time.
@@ -820,35 +812,45 @@
         let has_room = |id: &HostId| {
             self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
         };
-        let mut sources = self.in_hash_order(access, Role::Parent);
-        sources.retain(has_room);
-        if sources.is_empty() {
-            sources.extend(self.origin.filter(has_room));
-        }
-        // Past a late parent for a clearly quicker one only: were all slow, the origin would be why.
-        let slowness = |id: &HostId| self.hosts[id].slowness(now);
-        let first = *sources.first()?;
-        sources.retain(|id| *id == first || slowness(id) * CONTRAST <= slowness(&first));
+        let parents = self.in_hash_order(access, Role::Parent);
+        let first = parents.into_iter().find(has_room);
+        let first = first.or(self.origin.filter(has_room));
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
         let in_time = |id: &HostId| {
             // What a parent holds comes no later for a sick origin behind it.
-            let slowness = Some(slowness(id)).filter(|_| origin_open).unwrap_or(1.0);
+            let slowness = self.hosts[id].slowness(now);
+            let slowness = if origin_open { slowness } else { 1.0 };
             let takes = (Span::from_secs_f64(access.send) + FILL_WAIT).times(slowness);
             now + takes.max(crowd) <= access.due
         };
-        sources.into_iter().find(in_time)
+        first.filter(in_time)
     }
 
     /// Fills on the zone's link over those that fit at the pace of an answer.
     fn link_crowd(&self) -> f64 {
         let carries = self.terms.link_kb_per_s.filter(|_| !self.terms.link_told);
-        let under_way = (self.fills + 1.0) * self.own_seats() * self.terms.flow_kb_per_s;
+        let under_way = (self.fills + 1.0) * self.own_seats * self.terms.flow_kb_per_s;
         carries.map_or(self.link_told / FILL_PACE, |carries| under_way / carries)
     }
 
-    fn own_seats(&self) -> f64 {
-        let own = self.terms.seats.get(usize::from(self.terms.zone.0));
-        f64::from(own.copied().unwrap_or(self.terms.dispatchers).max(1))
+    fn count_out(&mut self, now: Moment, change: f64) {
+        let (out, usual, at) = self.out;
+        let kept = 0.5f64.powf(now.since(at).as_secs_f64() / HALVES.as_secs_f64());
+        self.out = (out + change, out + (usual - out) * kept, now);
+    }
+
+    /// How much slower than alone an answer from a cache is predicted to be. The other dispatchers
+    /// are taken to have there what lies between the own hand-offs and what the zone has on average.
+    fn stretch(&self, now: Moment, host: &Host) -> f64 {
+        if host.role != Role::Cache {
+            return 1.0;
+        }
+        let (own, size) = (f64::from(host.out), host.entry.size);
+        let usual = self.out.1 * size / self.zone_size.max(0.5);
+        // The more hand-offs are usual, the less of their number is chance.
+        let each = usual * (own + 1.0) / (usual + 1.0);
+        ((own + each * (host.dispatchers - 1.0) + 1.0) / (size * host.warmth(now)).max(0.5))
+            .max(1.0)
     }
 
     /// The object's first ready cache that has room, else the least crowded, if it is in time.
@@ -856,7 +858,7 @@
         let work = self.work(access);
         let mut caches = self.in_hash_order(access, Role::Cache);
         caches.retain(|id| self.hosts[id].within_budget(now, work));
-        let stretch = |id: &HostId| self.hosts[id].stretch(now);
+        let stretch = |id: &HostId| self.stretch(now, &self.hosts[id]);
         let slow = |id: &HostId| stretch(id) * self.hosts[id].slowness(now);
         let first = |id: &&HostId| self.open_to(now, access, **id) && slow(id) <= SPILL_AT;
         let usable = |id: &&HostId| !access.failed_at(**id) && !self.hosts[id].sick();
@@ -870,7 +872,7 @@
 
     /// Rule 2: whether what may have run allows a hand-off to this host.
     fn may_run_again(&self, now: Moment, access: &Access, host: HostId) -> bool {
-        let mut ran = access.tries.iter().filter(|t| t.may_have_run);
+        let mut ran = access.tries.iter().filter(|t| t.out || t.may_have_run);
         match self.track(access).effect {
             // It is withdrawn before it goes out again: never two at once.
             Effect::Retriable => access.tries.iter().all(|t| !t.out),
@@ -919,20 +921,28 @@
         }
         let key = (access.asked.object, access.asked.part);
         let written = self.track(access).written;
-        let seen = !written && self.seen_again(key);
+        if self.seen.len() >= SEEN {
+            self.seen.clear();
+        }
+        let seen = !written && !self.seen.insert(key);
         let access = &self.accesses[&id];
         let (track, host) = (self.track(access), &self.hosts[&plan.host]);
-        let own = plan.host == plan.source;
+        let (own, of_cache) = (plan.host == plan.source, host.role == Role::Cache);
+        // Where nothing fills it, a stale copy will do. Behind a sick origin fetches would hang and fill
+        // the caches' places until they fall silent.
+        let stale = own && of_cache;
+        let closed_to = |id: HostId| !self.open_to(now, access, id);
+        let held_only = !own && of_cache && self.origin.is_some_and(closed_to);
         let fill = Fill {
             source: plan.source,
             rank: u8::from(!written) + u8::from(seen),
-            oldest: self.oldest(now, access, plan.stale),
+            oldest: self.oldest(now, access, stale),
             join: self.terms.joins && !own,
-            held_only: plan.held_only && !own,
-            renew: track.fresh.is_some() && !plan.stale,
+            held_only,
+            renew: track.fresh.is_some() && !stale,
         };
         let fill = Some(fill).filter(|_| host.role != Role::Origin);
-        let sending = Span::from_secs_f64(access.send * host.stretch(now)) + HOP;
+        let sending = Span::from_secs_f64(access.send * self.stretch(now, host)) + HOP;
         let overdue_at = now + sending.times(PATIENCE) + track.due.times(WAIT_OF_DUE);
         let missing = match host.role {
             Role::Cache if own || written => 0.0,
@@ -944,9 +954,7 @@
         let mut trial_of = None;
         for (id, work, out) in charges.into_iter().take(if own { 1 } else { 2 }) {
             if let Some(host) = self.hosts.get_mut(&id) {
-                let window = host.cold.fall_after;
-                host.charged.retain(|charge| now.since(charge.0) <= window);
-                host.charged.push_back((now, work));
+                host.allowance = (host.allowance(now) - host.cost(now, work), now);
                 host.out += out;
                 if trial_of.is_none() && host.breaker.wants_trial(now, true) {
                     host.breaker.phase = Phase::Trial;
@@ -954,40 +962,29 @@
                 }
             }
         }
+        self.count_out(now, if of_cache { 1.0 } else { 0.0 });
         self.fills += missing;
         if let Some(access) = self.accesses.get_mut(&id) {
             access.tries.push(Try {
                 plan,
+                held_only,
                 sent: now,
                 overdue_at,
                 out: true,
-                may_have_run: true,
-                failed: false,
-                blamed: false,
-                withdrawn: false,
                 trial_of,
                 missing,
+                ..Try::default()
             });
         }
         let host = plan.host;
-        let hand_off = HandOff { id, host, fill };
-        self.actions.push(Action::HandOff(hand_off));
-    }
-
-    fn seen_again(&mut self, key: (ObjectId, u32)) -> bool {
-        let again = self.seen.iter().any(|half| half.contains(&key));
-        if self.seen[0].len() >= SEEN_HALF {
-            self.seen.swap(0, 1);
-            self.seen[0].clear();
-        }
-        self.seen[0].insert(key);
-        again
+        self.actions
+            .push(Action::HandOff(HandOff { id, host, fill }));
     }
 
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
     fn give_up(&mut self, id: AccessId) {
         let access = &self.accesses[&id];
-        let ran = access.tries.iter().any(|t| t.may_have_run);
+        let ran = access.tries.iter().any(|t| t.out || t.may_have_run);
         let harmless = match self.track(access).effect {
             Effect::Retriable => true,
             Effect::Binding => !ran,
