--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,9 +29,10 @@
 const TRIAL_WITHIN: Span = Span::from_secs(1);
 const FIRST_SHARE: f64 = 0.05;
 const DOUBLING: Span = Span::from_secs(2);
-/// Failures in a row open a breaker from this weight on, or halve the share of a crowded host: a hard
-/// one has 4, one that is overdue or may be another's 2, a slow one 1. Lower acts on chance, higher late.
+/// Failures in a row open a breaker from this weight on, or leave a crowded host this part of its share:
+/// a hard one has 4, an overdue one or maybe another's 2, a slow one 1. Lower acts on chance, higher late.
 const RUN_ACTS: u32 = 10;
+const CROWD_KEEPS: f64 = 0.25;
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as waits for
 /// fills look like a crowd, spill, miss and fill the link further; higher loses time.
 const SPILL_AT: f64 = 3.0;
@@ -188,11 +189,11 @@
         }
         let (good, failed) = self.counts();
         let failing = good + failed >= LEAST_FILLS && failed > good;
-        let halved = (self.share() / 2.0).max(FIRST_SHARE);
+        let cut = (self.share() * CROWD_KEEPS).max(FIRST_SHARE);
         if self.run >= RUN_ACTS || failing {
-            // A crowd is thinned out by halves: without any, the next host would be crowded.
+            // A crowd is thinned out: without any, the next host would be crowded.
             match crowded {
-                true => self.turn(now, Phase::Ramp(halved, now + DOUBLING, true)),
+                true => self.turn(now, Phase::Ramp(cut, now + DOUBLING, true)),
                 false => self.turn(now, Phase::Open(now + OPEN_FOR)),
             }
         } else if let Phase::Ramp(.., clean) = &mut self.phase {
@@ -415,11 +416,10 @@
             let all = self.hosts.values_mut();
             all.for_each(|host| host.entry.state = HostState::Gone);
         }
-        let means = self.sending.iter().map(|(sum, n)| sum / n);
-        let mean = means.sum::<f64>() / self.sending.len().max(1) as f64;
+        let mean = self.mean_send();
         let (all, own) = (f64::from(self.terms.dispatchers.max(1)), self.own_seats);
+        let (parent, cache) = (self.terms.cold_parent, self.terms.cold_cache);
         for entry in entries {
-            let (parent, cache) = (self.terms.cold_parent, self.terms.cold_cache);
             let (role, cold, dispatchers) = match Some(entry.kind) {
                 kind if kind == self.terms.parent_kind => (Role::Parent, parent, all),
                 kind if kind == self.terms.origin_kind => (Role::Origin, parent, all),
@@ -482,6 +482,11 @@
         access.send.max(sum / n)
     }
 
+    fn mean_send(&self) -> f64 {
+        let all = self.sending.iter().fold(0.0, |all, (sum, n)| all + sum / n);
+        all / self.sending.len().max(1) as f64
+    }
+
     fn track(&self, access: &Access) -> &Track {
         &self.terms.tracks[usize::from(access.asked.track.0)]
     }
@@ -536,7 +541,7 @@
 
     /// Tells cache, parent and origin faults apart, by the note or by who else was heard since.
     fn learn(&mut self, now: Moment, outcome: &Outcome, attempt: &Try) {
-        use Ending::*;
+        use {Ending::*, Verdict::*};
         let (ending, took) = (outcome.ending, outcome.took);
         let access = &self.accesses[&outcome.id];
         let (send, size_kb) = (access.send, access.asked.size_kb);
@@ -563,10 +568,8 @@
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
             self.missing += (f64::from(u8::from(!hit)) - self.missing) * MISSING_GAIN;
         }
-        self.link_told = outcome
-            .link_full
-            .filter(|_| of_cache)
-            .unwrap_or(self.link_told);
+        let told = outcome.link_full.filter(|_| of_cache);
+        self.link_told = told.unwrap_or(self.link_told);
         let straight = self.hosts[&host].role == Role::Parent;
         let filler = if straight { host } else { source };
         if let Some(source) = self.hosts.get_mut(&filler).filter(|_| straight || !own) {
@@ -580,11 +583,10 @@
                 source.slowed(now, sample);
             }
         }
-        let good = |latency| Some(Verdict::Good(latency));
-        let (bad, vague) = (Some(Verdict::Bad), Some(Verdict::Vague));
-        let crowded = Some(Verdict::Crowded);
+        let untold = self.terms.notes != NoteLevel::All;
+        let good = |latency| Some(Good(latency));
+        let (bad, vague, crowded) = (Some(Bad), Some(Vague), Some(Crowded));
         let alive = good(None).filter(|_| answered);
-        let unsure = !own && self.terms.notes != NoteLevel::All;
         let (of_host, of_source, of_origin) = match (ending, outcome.note) {
             (Done, Note::Filled) => (alive, good(Some(latency)), None),
             (Done, Note::FilledByOrigin) if attempt.blamed => (alive, good(None), vague),
@@ -600,7 +602,7 @@
             (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
             // Either may be at fault where failed fills are not noted, or one turns an access away, as
             // a draining host does before the list tells: the one that answers others ends its run.
-            (Error, Note::Untold) if unsure => (vague, vague, None),
+            (Error, Note::Untold) if !own && untold => (vague, vague, None),
             (Full, Note::Untold) if !own => (vague, vague, None),
             (NoConnection | Lost, _) | (Error, Note::Untold) => (bad, None, None),
             _ => (alive, None, None),
@@ -666,12 +668,12 @@
         };
         latency.into_iter().for_each(|latency| pooled.add(latency));
         host.breaker.pending.extend(latency.filter(|_| !before));
-        let late = latency.is_some_and(|latency| latency > TRIAL_WITHIN.0 as f64);
+        let soon = latency.is_none_or(|latency| latency <= TRIAL_WITHIN.0 as f64);
         if attempt.trial_of == Some(id) && host.breaker.phase == Phase::Trial {
             let next = match verdict {
                 // It told nothing of this host, which stays open for the next trial.
                 None => Phase::Open(now),
-                Some(Verdict::Good(_)) if !late => Phase::Ramp(FIRST_SHARE, now + DOUBLING, true),
+                Some(Verdict::Good(_)) if soon => Phase::Ramp(FIRST_SHARE, now + DOUBLING, true),
                 _ => Phase::Open(now + OPEN_FOR),
             };
             host.breaker.turn(now, next);
@@ -765,9 +767,12 @@
 
     fn open_to(&self, now: Moment, access: &Access, id: HostId) -> bool {
         let host = &self.hosts[&id];
-        let share = host.breaker.share().min(host.warmth(now));
-        let written = self.track(access).written;
-        let share = if written && share > 0.0 { 1.0 } else { share };
+        let share = match host.role {
+            Role::Origin if self.track(access).written => host.breaker.share().ceil(),
+            // There a share is one of bytes: what is large is left out first.
+            Role::Origin => host.breaker.share().powf(access.send / self.mean_send()),
+            _ => host.breaker.share().min(host.warmth(now)),
+        };
         let within = point(access.asked.object, access.asked.part, id, 2) < share;
         let trial = host.breaker.wants_trial(now, self.retriable(access));
         let failed = host.role != Role::Origin && access.failed_at(id);
@@ -776,9 +781,8 @@
 
     fn plan(&mut self, now: Moment, id: AccessId) -> Option<Plan> {
         for id in self.caches.iter().chain(&self.parents).chain(&self.origin) {
-            self.hosts
-                .entry(*id)
-                .and_modify(|host| host.breaker.advance(now));
+            let host = self.hosts.get_mut(id);
+            host.into_iter().for_each(|host| host.breaker.advance(now));
         }
         let access = &self.accesses[&id];
         let written = self.track(access).written;
@@ -848,9 +852,8 @@
         let (own, size) = (f64::from(host.out), host.entry.size);
         let usual = self.out.1 * size / self.zone_size.max(0.5);
         // The more hand-offs are usual, the less of their number is chance.
-        let each = usual * (own + 1.0) / (usual + 1.0);
-        ((own + each * (host.dispatchers - 1.0) + 1.0) / (size * host.warmth(now)).max(0.5))
-            .max(1.0)
+        let others = usual * (own + 1.0) / (usual + 1.0) * (host.dispatchers - 1.0);
+        ((own + others + 1.0) / (size * host.warmth(now)).max(0.5)).max(1.0)
     }
 
     /// The object's first ready cache that has room, else the least crowded, if it is in time.
@@ -919,17 +922,15 @@
         if !self.passes(now, access, &plan) {
             return self.give_up(id);
         }
-        let key = (access.asked.object, access.asked.part);
         let written = self.track(access).written;
         if self.seen.len() >= SEEN {
             self.seen.clear();
         }
+        let key = (access.asked.object, access.asked.part);
         let seen = !written && !self.seen.insert(key);
-        let access = &self.accesses[&id];
         let (track, host) = (self.track(access), &self.hosts[&plan.host]);
         let (own, of_cache) = (plan.host == plan.source, host.role == Role::Cache);
-        // Where nothing fills it, a stale copy will do. Behind a sick origin fetches would hang and fill
-        // the caches' places until they fall silent.
+        // Where nothing fills it, a stale copy will do. Fetches behind a sick origin would fill the places.
         let stale = own && of_cache;
         let closed_to = |id: HostId| !self.open_to(now, access, id);
         let held_only = !own && of_cache && self.origin.is_some_and(closed_to);
@@ -977,8 +978,8 @@
             });
         }
         let host = plan.host;
-        self.actions
-            .push(Action::HandOff(HandOff { id, host, fill }));
+        let hand_off = HandOff { id, host, fill };
+        self.actions.push(Action::HandOff(hand_off));
     }
 
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
