What one parent turned away is not asked of the next; links count as full sooner

Change: after a refusal that took the way to a parent, the object is only looked for in caches; a lost or silent parent is still passed by. Fills are taken to run 1.5 times as fast as answers. Covers any refusing source; may hurt where a single parent is full and the next is idle.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,7 +54,7 @@
 const SEEN: usize = 50_000;
 /// How much faster than an answer a fill runs at least: a fuller link delays answers; up to which
 /// part of that what finds its caches crowded passes them by. Higher fills the link.
-const FILL_PACE: f64 = 2.0;
+const FILL_PACE: f64 = 1.5;
 const LINK_SPARE: f64 = 0.6;
 /// Weight of the newest answer in the share that needed a fill and in the slowness of a host; how far
 /// one hit counts, as its size may be guessed wrong; how soon averages over time are half forgotten.
@@ -63,7 +63,6 @@
 const SLOWNESS_GAIN: f64 = 0.1;
 const SLOW_HIT: f64 = 4.0;
 const HALVES: Span = Span::from_secs(2);
-/// How much wider each bin of a histogram is. Wider blurs the 95th percentile upwards.
 const BIN: f64 = 1.7;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,7 +72,7 @@
     Origin,
 }
 
-/// A coarse histogram of microseconds: each bin is `BIN` times as wide as the one before.
+/// A coarse histogram of microseconds: each bin is `BIN` times as wide as the one before; wider blurs.
 #[derive(Default)]
 struct Histogram([u32; 32]);
 
@@ -296,6 +295,7 @@
     out: bool,
     may_have_run: bool,
     failed: bool,
+    refused: bool,
     blamed: bool,
     withdrawn: bool,
     trial_of: Option<HostId>,
@@ -525,6 +525,8 @@
         attempt.out = false;
         attempt.may_have_run = !ending.never_ran();
         attempt.failed = ending != Ending::Missed;
+        // A cache turns away at once; its source takes the way there and back.
+        attempt.refused = ending == Ending::Full && !own && !attempt.blamed && outcome.took > HOP;
         let attempt = *attempt;
         self.learn(now, outcome, &attempt);
         if let Some(access) = self.accesses.get_mut(&id) {
@@ -816,18 +818,17 @@
         let has_room = |id: &HostId| {
             self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
         };
+        // What one parent turned away no other is asked for, or a crowd at one becomes one at all.
+        let refused = access.tries.iter().any(|t| t.refused);
         let parents = self.in_hash_order(access, Role::Parent);
         let first = parents.into_iter().find(has_room);
-        let first = first.or(self.origin.filter(has_room));
+        let first = first.or(self.origin.filter(has_room))?;
+        // What a parent holds comes no later for a sick origin behind it.
+        let slowness = Some(self.hosts[&first].slowness(now)).filter(|_| origin_open);
+        let alone = Span::from_secs_f64(access.send) + FILL_WAIT;
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
-        let in_time = |id: &HostId| {
-            // What a parent holds comes no later for a sick origin behind it.
-            let slowness = self.hosts[id].slowness(now);
-            let slowness = if origin_open { slowness } else { 1.0 };
-            let takes = (Span::from_secs_f64(access.send) + FILL_WAIT).times(slowness);
-            now + takes.max(crowd) <= access.due
-        };
-        first.filter(in_time)
+        let takes = alone.times(slowness.unwrap_or(1.0)).max(crowd);
+        (!refused && now + takes <= access.due).then_some(first)
     }
 
     /// Fills on the zone's link over those that fit at the pace of an answer.
@@ -843,15 +844,14 @@
         self.out = (out + change, out + (usual - out) * kept, now);
     }
 
-    /// How much slower than alone an answer from a cache is predicted to be. The other dispatchers
-    /// are taken to have there what lies between the own hand-offs and what the zone has on average.
+    /// How much slower than alone an answer from a cache is predicted to be. What others have there is
+    /// the own average, corrected by the own number now the more, the more are usual: less is chance.
     fn stretch(&self, now: Moment, host: &Host) -> f64 {
         if host.role != Role::Cache {
             return 1.0;
         }
         let (own, size) = (f64::from(host.out), host.entry.size);
         let usual = self.out.1 * size / self.zone_size.max(0.5);
-        // The more hand-offs are usual, the less of their number is chance.
         let others = usual * (own + 1.0) / (usual + 1.0) * (host.dispatchers - 1.0);
         ((own + others + 1.0) / (size * host.warmth(now)).max(0.5)).max(1.0)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -235,6 +235,19 @@
     }
 }
 
+#[test]
+fn what_one_parent_turned_away_is_not_asked_of_the_next() {
+    let mut stage = Stage::new(terms());
+    let id = stage.arrive(READS, 3);
+    stage.answer(id, Ending::Full, Note::SourceRefused, ms(60));
+    let fill = stage.last(id).fill.expect("a plain look");
+    assert_eq!(fill.source, stage.last(id).host, "a look at another cache");
+    let lost = stage.arrive(READS, 4);
+    let first = stage.source(lost);
+    stage.answer(lost, Ending::Error, Note::SourceLost, ms(60));
+    assert!(PARENTS.contains(&stage.source(lost)) && stage.source(lost) != first);
+}
+
 /// How many of a hundred reads may make their parents ask the origin.
 fn may_reach_origin(stage: &mut Stage) -> usize {
     let reads = (2000..2100).filter(|&object| {
