--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -89,6 +89,15 @@
     }
 }
 
+/// One of 200 dispatchers, ten in its zone.
+pub fn one_of_many() -> Terms {
+    Terms {
+        dispatchers: 200,
+        seats: vec![0, 10],
+        ..terms()
+    }
+}
+
 pub struct Stage {
     pub dispatcher: Dispatcher,
     pub now: Moment,
@@ -103,8 +112,12 @@
 
 impl Stage {
     pub fn new(terms: Terms) -> Stage {
+        Stage::seeded(terms, 1)
+    }
+
+    pub fn seeded(terms: Terms, seed: u64) -> Stage {
         let mut stage = Stage {
-            dispatcher: Dispatcher::new(terms, 1),
+            dispatcher: Dispatcher::new(terms, seed),
             now: Moment(100_000_000),
             handed: vec![],
             finals: BTreeMap::new(),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -659,3 +659,70 @@
     assert_eq!(oldest(&mut stage, 5), Some(ms(1500)), "its group");
     assert_eq!(oldest(&mut stage, 12), None, "another of the first group");
 }
+
+#[test]
+fn two_hundred_dispatchers_share_a_cold_parent_without_pushing_it_over() {
+    let (mut seconds, mut senders) = (0.0, 0);
+    for seed in 0..200 {
+        let mut stage = Stage::seeded(one_of_many(), seed);
+        let (started, size) = (Some(stage.now), 60.0);
+        let cold = HostEntry {
+            started,
+            size,
+            ..entry(PARENTS[0])
+        };
+        stage.list(ListForm::Changes, vec![cold]);
+        let before = seconds;
+        for object in seed * 100..seed * 100 + 40 {
+            let id = stage.arrive_part(READS, object, 0, Some(200.0));
+            let there = stage.count(id) > 0 && stage.source(id) == PARENTS[0];
+            seconds += if there { 0.2 } else { 0.0 };
+            stage.answer(id, Ending::Done, Note::Filled, ms(25));
+            stage.pass(ms(25));
+        }
+        senders += u32::from(seconds > before);
+    }
+    // A link of 60, a quarter of it and rising, twice that for a second: 30 s of sending; one fill
+    // each would be 40. A part of it is 0.06 s, less than one fill.
+    assert!(seconds > 5.0 && seconds < 25.0, "{seconds}");
+    assert!(senders < 150, "{senders}");
+}
+
+#[test]
+fn a_few_own_accesses_at_one_cache_of_a_large_fleet_are_no_crowd() {
+    let (mut stage, mut fresh) = (Stage::new(one_of_many()), Stage::new(one_of_many()));
+    let others = (100..220).map(|host| HostEntry {
+        zone: ZoneId(2 + host as u16 % 20),
+        kind: KindId(0),
+        ..entry(HostId(host))
+    });
+    stage.list(ListForm::Changes, others.collect());
+    let mut out = vec![];
+    for object in 0..200 {
+        out.push(stage.arrive(READS, object));
+        let id = fresh.arrive(READS, object);
+        assert_eq!(stage.last(out[out.len() - 1]).host, fresh.last(id).host);
+        fresh.answer(id, Ending::Done, Note::Hit, ms(20));
+        if out.len() > 3 {
+            stage.answer(out.remove(0), Ending::Done, Note::Hit, ms(60));
+        }
+        stage.pass(ms(70));
+    }
+}
+
+#[test]
+fn a_mass_restart_leaves_each_access_its_one_answer() {
+    let mut stage = Stage::new(one_of_many());
+    let started = Some(stage.now);
+    let struck = [CACHES[0], CACHES[1], PARENTS[0]].map(|host| HostEntry {
+        started,
+        ..entry(host)
+    });
+    stage.list(ListForm::Changes, struck.to_vec());
+    let ids: Vec<_> = (0..300).map(|object| stage.arrive(READS, object)).collect();
+    let sent = |id: &&AccessId| stage.count(**id) > 0;
+    let (taken, left): (Vec<_>, Vec<_>) = ids.iter().partition(sent);
+    assert!(!taken.is_empty() && left.iter().all(|&&id| stage.rejected(id)));
+    stage.pass(Span::from_secs(3));
+    assert!(ids.iter().all(|id| stage.finals[id].len() == 1));
+}
