Fills under way on a zone's link are an expected value

Change: as the load at caches is, what the others' fills are is taken from the own average, corrected by the own number now the more, the more are usual. The binding access's second of grace before it may be a trial went, as reads are nearly always first.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -99,6 +99,18 @@
     }
 }
 
+/// What is out now, on average lately, and when that was reckoned.
+#[derive(Default)]
+struct Level(f64, f64, Moment);
+
+impl Level {
+    fn add(&mut self, now: Moment, change: f64) {
+        let kept = 0.5f64.powf(now.since(self.2).as_secs_f64() / HALVES.as_secs_f64());
+        let usual = self.0 + (self.1 - self.0) * kept;
+        *self = Level((self.0 + change).max(0.0), usual, now);
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Phase {
     #[default]
@@ -167,10 +179,8 @@
         }
     }
 
-    /// Whether the next access may be the trial; one that must not be lost leaves it to others first.
-    fn wants_trial(&self, now: Moment, retriable: bool) -> bool {
-        let leave = if retriable { Span::ZERO } else { TRIAL_WITHIN };
-        matches!(self.phase, Phase::Open(until) if now >= until + leave)
+    fn wants_trial(&self, now: Moment) -> bool {
+        matches!(self.phase, Phase::Open(until) if now >= until)
     }
 
     /// Counts an outcome: 0 is a good one, else how much it weighs in a run of failures.
@@ -336,11 +346,10 @@
     sending: Vec<(f64, f64)>,
     pooled: [Histogram; 3],
     /// Fills that are likely under way for this dispatcher, and the share that needed one lately.
-    fills: f64,
+    fills: Level,
     missing: f64,
     link_told: f64,
-    /// Hand-offs out at caches now, on average lately, and when that was reckoned.
-    out: (f64, f64, Moment),
+    at_caches: Level,
     zone_size: f64,
     actions: Vec<Action>,
 }
@@ -374,10 +383,10 @@
             seen: BTreeSet::new(),
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
-            fills: 0.0,
+            fills: Level::default(),
             missing: FIRST_MISSING,
             link_told: 0.0,
-            out: (0.0, 0.0, Moment::default()),
+            at_caches: Level::default(),
             zone_size: 1.0,
             actions: Vec::from_iter(terms.list_on_request.then_some(Action::FollowList)),
             terms,
@@ -491,10 +500,6 @@
         &self.terms.tracks[usize::from(access.asked.track.0)]
     }
 
-    fn retriable(&self, access: &Access) -> bool {
-        self.track(access).effect == Effect::Retriable
-    }
-
     fn try_mut(&mut self, id: AccessId, no: HandOffNo) -> Option<&mut Try> {
         self.accesses.get_mut(&id)?.tries.get_mut(usize::from(no.0))
     }
@@ -556,7 +561,7 @@
         let latency = outcome.waited.map_or(per_byte, |waited| waited.0 as f64);
         let stretch = self.stretch(now, &self.hosts[&host]);
         let of_cache = self.hosts[&host].role == Role::Cache;
-        self.count_out(now, if of_cache { -1.0 } else { 0.0 });
+        self.at_caches.add(now, if of_cache { -1.0 } else { 0.0 });
         if let Some(host) = self.hosts.get_mut(&host) {
             host.out -= 1;
             host.heard = if answered { now } else { host.heard };
@@ -566,7 +571,7 @@
                 host.slowed(now, ratio.min(SLOW_HIT));
             }
         }
-        self.fills = (self.fills - attempt.missing).max(0.0);
+        self.fills.add(now, -attempt.missing);
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
             self.missing += (f64::from(u8::from(!hit)) - self.missing) * MISSING_GAIN;
         }
@@ -736,8 +741,8 @@
             }
             let lost = [attempt.plan.host, attempt.plan.source].map(|id| self.hosts[&id].sick());
             let lost = lost.contains(&true) || self.origin_hides(&attempt);
-            let free = !attempt.withdrawn && attempt.trial_of.is_none();
-            if lost && free && self.terms.may_withdraw && self.retriable(access) {
+            let again = self.terms.may_withdraw && self.track(access).effect == Effect::Retriable;
+            if lost && again && !attempt.withdrawn && attempt.trial_of.is_none() {
                 return Step::Withdraw(no);
             }
             return Step::Wait(access.limit);
@@ -776,7 +781,7 @@
             _ => host.breaker.share().min(host.warmth(now)),
         };
         let within = point(access.asked.object, access.asked.part, id, 2) < share;
-        let trial = host.breaker.wants_trial(now, self.retriable(access));
+        let trial = host.breaker.wants_trial(now);
         let failed = host.role != Role::Origin && access.failed_at(id);
         !failed && (within || trial)
     }
@@ -834,16 +839,11 @@
     /// Fills on the zone's link over those that fit at the pace of an answer.
     fn link_crowd(&self) -> f64 {
         let carries = self.terms.link_kb_per_s.filter(|_| !self.terms.link_told);
-        let under_way = (self.fills + 1.0) * self.own_seats * self.terms.flow_kb_per_s;
+        let each = self.fills.1 * (self.fills.0 + 1.0) / (self.fills.1 + 1.0);
+        let under_way = (each + 1.0) * self.own_seats * self.terms.flow_kb_per_s;
         carries.map_or(self.link_told / FILL_PACE, |carries| under_way / carries)
     }
 
-    fn count_out(&mut self, now: Moment, change: f64) {
-        let (out, usual, at) = self.out;
-        let kept = 0.5f64.powf(now.since(at).as_secs_f64() / HALVES.as_secs_f64());
-        self.out = (out + change, out + (usual - out) * kept, now);
-    }
-
     /// How much slower than alone an answer from a cache is predicted to be. What others have there is
     /// the own average, corrected by the own number now the more, the more are usual: less is chance.
     fn stretch(&self, now: Moment, host: &Host) -> f64 {
@@ -851,7 +851,7 @@
             return 1.0;
         }
         let (own, size) = (f64::from(host.out), host.entry.size);
-        let usual = self.out.1 * size / self.zone_size.max(0.5);
+        let usual = self.at_caches.1 * size / self.zone_size.max(0.5);
         let others = usual * (own + 1.0) / (usual + 1.0) * (host.dispatchers - 1.0);
         ((own + others + 1.0) / (size * host.warmth(now)).max(0.5)).max(1.0)
     }
@@ -957,14 +957,14 @@
             if let Some(host) = self.hosts.get_mut(&id) {
                 host.allowance = (host.allowance(now) - host.cost(now, work), now);
                 host.out += out;
-                if trial_of.is_none() && host.breaker.wants_trial(now, true) {
+                if trial_of.is_none() && host.breaker.wants_trial(now) {
                     host.breaker.phase = Phase::Trial;
                     trial_of = Some(id);
                 }
             }
         }
-        self.count_out(now, if of_cache { 1.0 } else { 0.0 });
-        self.fills += missing;
+        self.at_caches.add(now, if of_cache { 1.0 } else { 0.0 });
+        self.fills.add(now, missing);
         if let Some(access) = self.accesses.get_mut(&id) {
             access.tries.push(Try {
                 plan,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -281,10 +281,8 @@
 fn fills_overdue_though_cache_and_parent_answer_thin_out_what_reaches_the_origin() {
     let mut stage = Stage::new(terms());
     let objects = stage.objects_of(PARENTS[0], 1000, 3);
-    let ids: Vec<_> = objects
-        .iter()
-        .map(|&object| stage.arrive(READS, object))
-        .collect();
+    let arrive = |&object: &u64| stage.arrive(READS, object);
+    let ids: Vec<_> = objects.iter().map(arrive).collect();
     for _ in 0..60 {
         stage.pass(ms(10));
         for hits in 3000..3012 {
@@ -327,10 +325,8 @@
 fn a_parent_is_not_blamed_for_fetches_that_hang_on_a_sick_origin() {
     let mut stage = Stage::new(terms());
     let objects = stage.objects_of(PARENTS[0], 1000, 6);
-    let ids: Vec<_> = objects
-        .iter()
-        .map(|&object| stage.arrive(READS, object))
-        .collect();
+    let arrive = |&object: &u64| stage.arrive(READS, object);
+    let ids: Vec<_> = objects.iter().map(arrive).collect();
     break_origin(&mut stage);
     for id in ids {
         stage.answer(id, Ending::Error, Note::Untold, ms(300));
@@ -726,3 +722,19 @@
     stage.pass(Span::from_secs(3));
     assert!(ids.iter().all(|id| stage.finals[id].len() == 1));
 }
+
+#[test]
+fn a_few_own_fills_at_once_are_no_full_link() {
+    let mut stage = Stage::new(Terms {
+        link_told: false,
+        link_kb_per_s: Some(10_000.0),
+        ..one_of_many()
+    });
+    for object in 0..100 {
+        stage.play(object, Ending::Done, Note::Filled, ms(50));
+        stage.pass(ms(50));
+    }
+    let burst = |object| stage.arrive_part(READS, object, 0, Some(1000.0));
+    let ids: Vec<_> = (200..203).map(burst).collect();
+    assert!(ids.iter().all(|&id| PARENTS.contains(&stage.source(id))));
+}
