--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,7 +54,9 @@
 const SEEN: usize = 50_000;
 /// How much faster than an answer a fill runs at least: a fuller link delays answers; up to which
 /// part of that what finds its caches crowded passes them by. Higher fills the link.
-const FILL_PACE: f64 = 1.5;
+const FILL_PACE: f64 = 1.75;
+/// How many times quicker a later parent must be to be asked in place of a slow one.
+const CONTRAST: f64 = 3.0;
 const LINK_SPARE: f64 = 0.6;
 /// Weight of the newest answer in the share that needed a fill and in the slowness of a host; how far
 /// one hit counts, as its size may be guessed wrong; how soon averages over time are half forgotten.
@@ -284,7 +286,6 @@
     limit: Moment,
     tries: Vec<Try>,
     wait_until: Moment,
-    /// Cache and parent lack it and were not to ask further.
     lacking: bool,
     ended: bool,
 }
@@ -331,7 +332,6 @@
     own_seats: f64,
     chance: fastrand::Rng,
     hosts: BTreeMap<HostId, Host>,
-    /// Those that are ready by the list; the caches of the own zone.
     caches: Vec<HostId>,
     parents: Vec<HostId>,
     origin: Option<HostId>,
@@ -400,7 +400,6 @@
             Event::Arrived(arrival) => self.arrive(now, arrival),
             Event::Outcome(outcome) => self.outcome(now, &outcome),
             Event::Begun { id, hand_off } => {
-                // The client has it: withdrawing this hand-off would cut the answer off.
                 if let Some(attempt) = self.try_mut(id, hand_off) {
                     attempt.withdrawn = true;
                 }
@@ -536,7 +535,6 @@
         self.learn(now, outcome, &attempt);
         if let Some(access) = self.accesses.get_mut(&id) {
             access.lacking |= ending == Ending::Missed && (attempt.held_only || own);
-            // The origin is asked again after a while: there is no other.
             let again = Some(attempt.plan.host) == self.origin;
             access.wait_until = if again { now + ORIGIN_WAIT } else { now };
         }
@@ -583,7 +581,6 @@
             if hit && !straight {
                 source.allowance.0 += source.cost(now, send);
             } else if matches!(ending, Done | TimedOut) {
-                // Of an object of unknown size only the wait says how slow the source is.
                 let waited = outcome.waited.filter(|_| size_kb.is_none());
                 let fill = waited.map_or(took, |waited| waited + Span::from_secs_f64(send));
                 let sample = fill.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
@@ -604,7 +601,6 @@
             (Full, _) if own && !of_cache => (crowded, None, None),
             (Done, _) if own && attempt.blamed => (vague, None, None),
             (Done, _) if own => (good(Some(per_byte)), None, None),
-            // Without notes what took longer than a hit was filled; without sizes any may have been.
             (Done, Note::Untold) if filled => (alive, good(size_kb.map(|_| latency)), None),
             (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
             // Either may be at fault where failed fills are not noted, or one turns an access away, as
@@ -823,17 +819,21 @@
         let has_room = |id: &HostId| {
             self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
         };
-        // What one parent turned away no other is asked for, or a crowd at one becomes one at all.
-        let refused = access.tries.iter().any(|t| t.refused);
-        let parents = self.in_hash_order(access, Role::Parent);
-        let first = parents.into_iter().find(has_room);
-        let first = first.or(self.origin.filter(has_room))?;
-        // What a parent holds comes no later for a sick origin behind it.
-        let slowness = Some(self.hosts[&first].slowness(now)).filter(|_| origin_open);
+        let mut sources = self.in_hash_order(access, Role::Parent);
+        sources.retain(has_room);
+        let first = sources.first().copied().or(self.origin.filter(has_room))?;
+        // Past a late parent for a clearly quicker one only: were all slow, the origin would be why.
+        let slowness = |id: &HostId| self.hosts[id].slowness(now);
+        sources.retain(|id| slowness(id) * CONTRAST <= slowness(&first));
+        sources.insert(0, first);
         let alone = Span::from_secs_f64(access.send) + FILL_WAIT;
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
-        let takes = alone.times(slowness.unwrap_or(1.0)).max(crowd);
-        (!refused && now + takes <= access.due).then_some(first)
+        // What a parent holds comes no later for a sick origin behind it.
+        let late = |id: &HostId| alone.times(if origin_open { slowness(id) } else { 1.0 });
+        let in_time = |id: &HostId| now + late(id).max(crowd) <= access.due;
+        // What one parent turned away no other is asked for, or a crowd at one becomes one at all.
+        let refused = access.tries.iter().any(|t| t.refused);
+        sources.into_iter().find(in_time).filter(|_| !refused)
     }
 
     /// Fills on the zone's link over those that fit at the pace of an answer.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -228,17 +228,13 @@
     }
 
     pub fn last(&self, id: AccessId) -> &HandOff {
-        self.handed
-            .iter()
-            .rfind(|hand_off| hand_off.id == id)
-            .expect("nothing was handed off")
+        let last = self.handed.iter().rfind(|hand_off| hand_off.id == id);
+        last.expect("nothing was handed off")
     }
 
     pub fn count(&self, id: AccessId) -> usize {
-        self.handed
-            .iter()
-            .filter(|hand_off| hand_off.id == id)
-            .count()
+        let all = self.handed.iter().filter(|hand_off| hand_off.id == id);
+        all.count()
     }
 
     pub fn source(&self, id: AccessId) -> HostId {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -39,9 +39,8 @@
 #[test]
 fn parts_spread_over_caches_and_fill_at_one_parent() {
     let mut stage = Stage::new(terms());
-    let ids: Vec<_> = (0..12)
-        .map(|part| stage.arrive_part(READS, 5, part, Some(50.0)))
-        .collect();
+    let arrive = |part| stage.arrive_part(READS, 5, part, Some(50.0));
+    let ids: Vec<_> = (0..12).map(arrive).collect();
     let caches: std::collections::BTreeSet<_> = ids.iter().map(|&id| stage.last(id).host).collect();
     let parents: std::collections::BTreeSet<_> = ids.iter().map(|&id| stage.source(id)).collect();
     assert!(caches.len() > 1);
@@ -196,10 +195,8 @@
 fn a_parent_silent_behind_a_cache_that_answers_is_the_one_blamed() {
     let mut stage = Stage::new(terms());
     let objects = stage.objects_of(PARENTS[0], 1000, 6);
-    let slow: Vec<_> = objects
-        .iter()
-        .map(|&object| stage.arrive(READS, object))
-        .collect();
+    let arrive = |&object: &u64| stage.arrive(READS, object);
+    let slow: Vec<_> = objects.iter().map(arrive).collect();
     for other in 50..110 {
         stage.pass(ms(10));
         stage.play(other, Ending::Done, Note::Hit, ms(1));
@@ -409,6 +406,23 @@
     assert!(stage.rejected(id), "the origin is no way out");
 }
 
+#[test]
+fn a_late_parent_is_passed_by_for_a_quick_one() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 31);
+    for &object in &objects[..30] {
+        let id = stage.arrive_part(READS, object, 0, Some(5.0));
+        let took = ms(if stage.source(id) == PARENTS[0] {
+            900
+        } else {
+            30
+        });
+        stage.answer(id, Ending::Done, Note::Filled, took);
+    }
+    let id = stage.arrive_part(READS, objects[30], 0, Some(300.0));
+    assert_eq!(stage.source(id), PARENTS[1]);
+}
+
 #[test]
 fn a_cache_whose_hits_are_slow_is_passed_by() {
     let (mut stage, mut fresh) = (Stage::new(terms()), Stage::new(terms()));
@@ -545,10 +559,8 @@
     let ids: Vec<_> = (0..5).map(|_| stage.arrive(ORDERS, 3)).collect();
     stage.pass(ms(2000));
     assert!(stage.withdrawn.is_empty());
-    assert!(
-        ids.iter()
-            .all(|&id| stage.count(id) == 1 && !stage.finals.contains_key(&id))
-    );
+    let held = |&id: &AccessId| stage.count(id) == 1 && !stage.finals.contains_key(&id);
+    assert!(ids.iter().all(held));
     assert!(may_reach_origin(&mut stage) < 70);
 }
 
@@ -614,16 +626,9 @@
         if stage.count(id) == 0 {
             continue;
         }
-        at_cache += if stage.last(id).host == CACHES[0] {
-            0.1
-        } else {
-            0.0
-        };
-        at_parent += if stage.source(id) == PARENTS[0] {
-            0.1
-        } else {
-            0.0
-        };
+        let work = |there: bool| if there { 0.1 } else { 0.0 };
+        at_cache += work(stage.last(id).host == CACHES[0]);
+        at_parent += work(stage.source(id) == PARENTS[0]);
         stage.pass(ms(2));
         stage.answer(id, Ending::Done, Note::Filled, ms(2));
     }
