--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -1,11 +1,11 @@
 //! Hosts the instances: each event goes to its own, and what they decide becomes one reply.
 
 use crate::frame::{Batch, Fields, Malformed, Read1, Reply};
-use crate::start::read_terms;
 use std::collections::BTreeMap;
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
+use trailproxy_terms::{Lines, Unreadable, read_terms};
 
 struct Seat {
     dispatcher: Dispatcher,
@@ -50,7 +50,8 @@
         let (code, who) = (f.u16()?, f.u16()?);
         if code == 1070 {
             let seed = f.u64()?;
-            let (terms, link_full_at) = read_terms(f.text()?)?;
+            let read = read_terms(&Lines::from_text(f.text()?));
+            let (terms, link_full_at) = read.map_err(|Unreadable(why)| Malformed(why))?;
             let tracks = terms.tracks.len();
             let dispatcher = Dispatcher::new(terms, seed);
             let seat = Seat {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -3,7 +3,6 @@
 
 mod frame;
 mod hosting;
-mod start;
 
 use frame::{Malformed, Read1};
 use std::io::{self, BufReader, Write};
--- a/crates/benchlink/src/start.rs
+++ b/crates/terms/src/lib.rs
@@ -1,22 +1,92 @@
-//! Reads the start settings, as `path=value` lines, into [`Terms`].
+//! Reads the start settings into [`Terms`], from `path=value` lines or from nested JSON.
 
-use crate::frame::{Malformed, Read1};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 use trailproxy::interface::*;
 use trailproxy::units::*;
 
-struct Lines<'a>(BTreeMap<&'a str, &'a str>);
+/// Why the settings can't be understood.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unreadable(pub String);
 
-impl<'a> Lines<'a> {
-    fn text(&self, path: &str) -> Option<&'a str> {
-        self.0.get(path).copied()
+impl<T: Into<String>> From<T> for Unreadable {
+    fn from(text: T) -> Unreadable {
+        Unreadable(text.into())
+    }
+}
+
+type Read1<T> = Result<T, Unreadable>;
+
+/// What a socket layer needs of the settings besides [`Terms`].
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    pub track_names: Vec<String>,
+    pub zone_names: Vec<String>,
+    pub kind_names: Vec<String>,
+    /// The longest outer limit of all tracks.
+    pub longest_limit: Span,
+    pub dial_within: Span,
+    pub idle_close: Span,
+    pub max_streams: usize,
+    pub max_open: usize,
+}
+
+/// Start settings by path, each a plain value or several joined with commas.
+pub struct Lines(BTreeMap<String, String>);
+
+impl Lines {
+    pub fn from_text(options: &str) -> Lines {
+        let pairs = options.lines().filter_map(|line| line.split_once('='));
+        Lines(
+            pairs
+                .map(|(path, text)| (path.into(), text.into()))
+                .collect(),
+        )
+    }
+
+    /// The same paths from nested JSON: a list of objects gives its length and its items by place.
+    pub fn from_json(settings: &Value) -> Lines {
+        let mut lines = Lines(BTreeMap::new());
+        lines.flatten(String::new(), settings);
+        lines
+    }
+
+    fn flatten(&mut self, path: String, value: &Value) {
+        let below = |name: &str| match path.as_str() {
+            "" => name.to_owned(),
+            path => format!("{path}.{name}"),
+        };
+        match value {
+            Value::Object(fields) => {
+                for (name, value) in fields {
+                    self.flatten(below(name), value);
+                }
+            }
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(below("count"), items.len().to_string());
+                for (i, item) in items.iter().enumerate() {
+                    self.flatten(below(&i.to_string()), item);
+                }
+            }
+            Value::Array(items) => {
+                let items: Vec<_> = items.iter().map(plain).collect();
+                self.0.insert(path, items.join(","));
+            }
+            value => {
+                self.0.insert(path, plain(value));
+            }
+        }
+    }
+
+    fn text(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(String::as_str)
     }
 
     fn maybe<T: FromStr>(&self, path: &str) -> Read1<Option<T>> {
         let parse = |text: &str| {
             text.parse()
-                .map_err(|_| Malformed(format!("setting {path} can't be read: {text:?}")))
+                .map_err(|_| Unreadable(format!("setting {path} can't be read: {text:?}")))
         };
         self.text(path)
             .filter(|text| !text.is_empty())
@@ -26,7 +96,7 @@
 
     fn must<T: FromStr>(&self, path: &str) -> Read1<T> {
         self.maybe(path)?
-            .ok_or_else(|| Malformed(format!("setting {path} is missing")))
+            .ok_or_else(|| Unreadable(format!("setting {path} is missing")))
     }
 
     fn or<T: FromStr>(&self, path: &str, absent: T) -> Read1<T> {
@@ -38,7 +108,7 @@
     }
 
     fn list<T: FromStr>(&self, path: &str) -> Read1<Vec<T>> {
-        let bad = || Malformed(format!("setting {path} has an unreadable entry"));
+        let bad = || Unreadable(format!("setting {path} has an unreadable entry"));
         let text = self.text(path).unwrap_or("");
         let entries = text.split(',').filter(|entry| !entry.is_empty());
         entries
@@ -95,16 +165,31 @@
                 .unwrap_or(false),
         })
     }
+
+    fn class_count(&self) -> Read1<usize> {
+        let n: usize = self.must("classes.count")?;
+        match n > usize::from(u16::MAX) {
+            true => Err(format!("{n} classes are too many").into()),
+            false => Ok(n),
+        }
+    }
+}
+
+/// A value as the `path=value` form has it: whole numbers bare, no space or comma inside.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.replace([' ', ','], "_"),
+        Value::Number(number) => match number.as_f64() {
+            Some(f) if f.fract() == 0.0 && f.abs() < 9e15 => format!("{f:.0}"),
+            _ => number.to_string(),
+        },
+        other => other.to_string(),
+    }
 }
 
 /// The terms, and the place in a load report of how full a link is.
-pub fn read_terms(options: &str) -> Read1<(Terms, Option<usize>)> {
-    let lines = Lines(
-        options
-            .lines()
-            .filter_map(|line| line.split_once('='))
-            .collect(),
-    );
+pub fn read_terms(lines: &Lines) -> Read1<(Terms, Option<usize>)> {
     let zone: u16 = lines.must("az")?;
     let cold_cache = lines.cold(
         "rules.start_capacity",
@@ -124,10 +209,7 @@
     };
     let links: Vec<f64> = lines.list("family_info.feed_kb_per_s")?;
     let retry_after = lines.or("ceilings.retry_after", false)?;
-    let class_count: usize = lines.must("classes.count")?;
-    if class_count > usize::from(u16::MAX) {
-        return Err(format!("{class_count} classes are too many").into());
-    }
+    let class_count = lines.class_count()?;
     let reported: Vec<String> = match lines.text("report.via") {
         Some("piggyback") => lines.list("report.fields")?,
         _ => Vec::new(),
@@ -166,3 +248,20 @@
     };
     Ok((terms, link_full_at))
 }
+
+pub fn read_bounds(lines: &Lines) -> Read1<Bounds> {
+    let classes = 0..lines.class_count()?;
+    let names = classes.clone().map(|i| format!("classes.{i}.name"));
+    let limits = classes.map(|i| lines.span(&format!("classes.{i}.hard_limit_us")));
+    let limits = limits.collect::<Read1<Vec<_>>>()?;
+    Ok(Bounds {
+        track_names: names.map(|path| lines.must(&path)).collect::<Read1<_>>()?,
+        zone_names: lines.list("failure_domains")?,
+        kind_names: lines.list("machine_types")?,
+        longest_limit: limits.into_iter().max().unwrap_or(Span::ZERO),
+        dial_within: lines.span("ceilings.dial_timeout_us")?,
+        idle_close: lines.span("ceilings.idle_close_us")?,
+        max_streams: lines.must("ceilings.max_streams")?,
+        max_open: lines.must("ceilings.max_open")?,
+    })
+}
--- /dev/null
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -0,0 +1,566 @@
+//! The one task that owns the decisions: it takes all queued events, settles once and carries out the
+//! actions. It keeps the open accesses and the timers.
+
+use crate::checks::{Counts, count, must};
+use crate::clients::{Call, CallId, ClientId, FromClient, Reply, ToClient};
+use crate::list::{Change, Entry};
+use crate::servers::{Answer, Errand, ErrandId, FromServer, LineId, Pools};
+use local_channel::mpsc;
+use slog::{Logger, debug, info};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{Instant, sleep_until};
+use trailproxy::interface::*;
+use trailproxy::logic::Dispatcher;
+use trailproxy::units::*;
+
+pub type Queue = mpsc::Sender<Inbound>;
+
+/// All that can happen to the dispatcher.
+pub enum Inbound {
+    Client(FromClient),
+    Server(FromServer),
+    Journal(Entry),
+    /// Asked to end: whatever is open is finished first.
+    Terminate,
+}
+
+/// Requests still come for so long after the signal to end.
+const STILL_COMING: Duration = Duration::from_millis(700);
+const REPORT_EVERY: Duration = Duration::from_secs(10);
+
+/// Unix time, anchored once to the monotonic clock.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix_us: u64,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        Clock {
+            start: Instant::now(),
+            unix_us: unix.map_or(0, |since| since.as_micros() as u64),
+        }
+    }
+
+    pub fn moment(&self, at: Instant) -> Moment {
+        let since = at.saturating_duration_since(self.start);
+        Moment(self.unix_us + since.as_micros() as u64)
+    }
+
+    pub fn instant(&self, at: Moment) -> Instant {
+        self.start + Duration::from_micros(at.since(Moment(self.unix_us)).0)
+    }
+}
+
+struct HandedOff {
+    host: HostId,
+    source: Option<HostId>,
+    sent: Moment,
+    line: Option<LineId>,
+    over: bool,
+}
+
+struct Access {
+    call: Call,
+    limit: Moment,
+    /// It has its final answer, or needs none.
+    closed: bool,
+    hand_offs: Vec<HandedOff>,
+}
+
+pub struct Dispatch {
+    pub decisions: Dispatcher,
+    pub pools: Pools,
+    pub clock: Clock,
+    pub link_full_at: Option<usize>,
+    pub counts: Rc<Counts>,
+    pub log: Logger,
+    state: State,
+}
+
+#[derive(Default)]
+struct State {
+    accesses: BTreeMap<AccessId, Access>,
+    calls: BTreeMap<CallId, AccessId>,
+    clients: BTreeMap<ClientId, mpsc::Sender<ToClient>>,
+    limits: BTreeSet<(Moment, AccessId)>,
+    wakes: BTreeSet<(Moment, WakeId)>,
+    next: u64,
+    /// Whether the decisions took an event since they last settled.
+    told: bool,
+    ending: Option<Instant>,
+    finished: bool,
+}
+
+impl Dispatch {
+    pub fn new(
+        decisions: Dispatcher,
+        pools: Pools,
+        link_full_at: Option<usize>,
+        counts: Rc<Counts>,
+        log: Logger,
+    ) -> Dispatch {
+        Dispatch {
+            decisions,
+            pools,
+            clock: Clock::new(),
+            link_full_at,
+            counts,
+            log,
+            state: State::default(),
+        }
+    }
+
+    /// Runs until it is asked to end and all is answered and read.
+    pub async fn run(
+        mut self,
+        known: Vec<Entry>,
+        mut queue: mpsc::Receiver<Inbound>,
+        stop: impl FnOnce(),
+    ) {
+        let mut stop = Some(stop);
+        let mut report_at = Instant::now();
+        let now = self.clock.moment(report_at);
+        known.into_iter().for_each(|entry| self.journal(now, entry));
+        self.settle(now);
+        loop {
+            let now = Instant::now();
+            if now >= report_at {
+                report_at = now + REPORT_EVERY;
+                self.report();
+            }
+            if let Some(asked) = self.state.ending {
+                let quiet = self.state.accesses.is_empty() && now >= asked + STILL_COMING;
+                if quiet && !self.state.finished {
+                    self.state.finished = true;
+                    stop.take().into_iter().for_each(|stop| stop());
+                    for client in self.state.clients.values() {
+                        let _ = client.send(ToClient::Finish);
+                    }
+                }
+                let lingered = now >= asked + STILL_COMING + self.longest_limit();
+                if self.state.finished && (self.state.clients.is_empty() || lingered) {
+                    return self.report();
+                }
+            }
+            let until = self.next_timer().min(report_at);
+            let first = tokio::select! {
+                biased;
+                first = queue.recv() => first,
+                _ = sleep_until(until) => None,
+            };
+            let now = self.clock.moment(Instant::now());
+            let mut next = first;
+            while let Some(inbound) = next {
+                self.take(now, inbound);
+                next = take_next(&mut queue);
+            }
+            self.pass_time(now);
+            self.settle(now);
+        }
+    }
+
+    fn longest_limit(&self) -> Duration {
+        Duration::from_micros(self.pools.bounds.longest_limit.0)
+    }
+
+    fn next_timer(&self) -> Instant {
+        let state = &self.state;
+        let limit = state.limits.first().map(|&(at, _)| at);
+        let wake = state.wakes.first().map(|&(at, _)| at);
+        let timed = [limit, wake]
+            .into_iter()
+            .flatten()
+            .map(|at| self.clock.instant(at));
+        let ending = state.ending.map(|asked| match state.finished {
+            true => asked + STILL_COMING + self.longest_limit(),
+            false => (asked + STILL_COMING).max(Instant::now() + Duration::from_millis(10)),
+        });
+        let all = timed.chain(self.pools.next_expiry()).chain(ending);
+        all.min().unwrap_or_else(|| Instant::now() + REPORT_EVERY)
+    }
+
+    fn tell(&mut self, now: Moment, event: Event) {
+        self.state.told = true;
+        self.decisions.take(now, event);
+    }
+
+    fn take(&mut self, now: Moment, inbound: Inbound) {
+        match inbound {
+            Inbound::Client(from) => self.client(now, from),
+            Inbound::Server(told) => {
+                if let Some((id, line, answer)) = self.pools.told(told) {
+                    self.ended(now, id, line, answer);
+                }
+            }
+            Inbound::Journal(entry) => self.journal(now, entry),
+            Inbound::Terminate => {
+                info!(self.log, "asked to end"; "open" => self.state.accesses.len());
+                self.state.ending.get_or_insert_with(Instant::now);
+            }
+        }
+    }
+
+    fn client(&mut self, now: Moment, from: FromClient) {
+        match from {
+            FromClient::Opened(client, replies) => {
+                if self.state.finished {
+                    let _ = replies.send(ToClient::Finish);
+                }
+                self.state.clients.insert(client, replies);
+            }
+            FromClient::Called(call) => self.arrived(now, call),
+            FromClient::Revoked(call) => self.left(now, call),
+            FromClient::Closed(client) => {
+                self.state.clients.remove(&client);
+                let all = CallId { client, number: 0 }..=CallId {
+                    client,
+                    number: u32::MAX,
+                };
+                let calls: Vec<CallId> =
+                    self.state.calls.range(all).map(|(&call, _)| call).collect();
+                calls.into_iter().for_each(|call| self.left(now, call));
+            }
+        }
+    }
+
+    fn arrived(&mut self, now: Moment, call: Call) {
+        count(&self.counts.accesses);
+        if self.state.accesses.len() >= self.pools.bounds.max_open {
+            count(&self.counts.rejected);
+            return self.reply(call.id, Reply::Rejected { come_back: None });
+        }
+        self.state.next += 1;
+        let id = AccessId(self.state.next);
+        let limit = self.clock.moment(call.come) + call.left;
+        let arrival = Arrival {
+            id,
+            left: limit.since(now),
+            track: call.track,
+            object: call.object,
+            group: call.group,
+            part: call.part,
+            size_kb: call.size_kb,
+        };
+        self.state.limits.insert((limit, id));
+        self.state.calls.insert(call.id, id);
+        let (closed, hand_offs) = (false, Vec::new());
+        self.state.accesses.insert(
+            id,
+            Access {
+                call,
+                limit,
+                closed,
+                hand_offs,
+            },
+        );
+        self.tell(now, Event::Arrived(arrival));
+    }
+
+    fn left(&mut self, now: Moment, call: CallId) {
+        if let Some(id) = self.state.calls.remove(&call) {
+            count(&self.counts.left);
+            self.close(id);
+            self.tell(now, Event::Left { id });
+            self.forget(id);
+        }
+    }
+
+    /// No answer is owed any more; what is out may still end.
+    fn close(&mut self, id: AccessId) {
+        if let Some(access) = self.state.accesses.get_mut(&id) {
+            must(!access.closed, &self.counts.broken_two_finals);
+            access.closed = true;
+            self.state.calls.remove(&access.call.id);
+            self.state.limits.remove(&(access.limit, id));
+        }
+    }
+
+    fn forget(&mut self, id: AccessId) {
+        let over = |access: &Access| access.closed && access.hand_offs.iter().all(|h| h.over);
+        if self.state.accesses.get(&id).is_some_and(over) {
+            self.state.accesses.remove(&id);
+        }
+    }
+
+    fn reply(&self, call: CallId, reply: Reply) {
+        if let Some(client) = self.state.clients.get(&call.client) {
+            let _ = client.send(ToClient::Reply(call.number, reply));
+        }
+    }
+
+    /// The one final answer of an access.
+    fn answer(&mut self, now: Moment, id: AccessId, reply: Reply) {
+        let Some(access) = self.state.accesses.get(&id).filter(|access| !access.closed) else {
+            return;
+        };
+        if now.since(access.limit) > Span::from_millis(50) {
+            count(&self.counts.late_finals);
+        }
+        let call = access.call.id;
+        count(match &reply {
+            Reply::Done(_) | Reply::Same => &self.counts.done,
+            Reply::Rejected { .. } => &self.counts.rejected,
+            Reply::Aborted => &self.counts.aborted,
+        });
+        self.close(id);
+        self.reply(call, reply);
+    }
+
+    fn ended(&mut self, now: Moment, id: ErrandId, line: Option<LineId>, answer: Answer) {
+        let ending = answer.ending;
+        let access = self.state.accesses.get_mut(&id.access);
+        let hand_off = access.and_then(|access| access.hand_offs.get_mut(usize::from(id.no.0)));
+        let Some(hand_off) = hand_off.filter(|hand_off| !hand_off.over) else {
+            return;
+        };
+        hand_off.over = true;
+        hand_off.line = line;
+        let took = now.since(hand_off.sent);
+        match ending {
+            Ending::Lost => count(&self.counts.lost),
+            Ending::NotSent => count(&self.counts.not_sent),
+            Ending::NoConnection => count(&self.counts.no_connection),
+            Ending::Withdrawn => count(&self.counts.withdrawn),
+            Ending::TimedOut => count(&self.counts.timed_out),
+            _ => {}
+        }
+        debug!(self.log, "ended"; "access" => id.access.0, "host" => format!("{:x}", hand_off.host.0),
+            "ending" => ?ending, "note" => ?answer.note, "took" => took.0);
+        if ending == Ending::Done {
+            self.answer(now, id.access, answer.body.map_or(Reply::Same, Reply::Done));
+        }
+        let closed = self
+            .state
+            .accesses
+            .get(&id.access)
+            .is_none_or(|access| access.closed);
+        let link_full = self
+            .link_full_at
+            .and_then(|at| answer.report.get(at).copied());
+        self.tell(
+            now,
+            Event::Outcome(Outcome {
+                id: id.access,
+                hand_off: id.no,
+                ending,
+                took,
+                closed,
+                note: answer.note,
+                waited: answer.waited,
+                link_full,
+            }),
+        );
+        self.forget(id.access);
+    }
+
+    fn journal(&mut self, now: Moment, entry: Entry) {
+        let concerns: Box<dyn Fn(&Access, &HandedOff) -> bool> = match entry.change {
+            Change::Hosts { form, members } => {
+                self.pools.list(form, &members);
+                let entries: Vec<HostEntry> = members.iter().map(|member| member.entry).collect();
+                let ends = |entry: &&HostEntry| entry.state != HostState::Ready;
+                let ending: BTreeSet<HostId> =
+                    entries.iter().filter(ends).map(|e| e.host).collect();
+                self.tell(now, Event::Hosts { form, entries });
+                Box::new(move |_, hand_off| {
+                    ending.contains(&hand_off.host)
+                        || hand_off
+                            .source
+                            .is_some_and(|source| ending.contains(&source))
+                })
+            }
+            Change::Purged { object, group, at } => {
+                self.tell(
+                    now,
+                    Event::Purged {
+                        object,
+                        group,
+                        ago: now.since(at),
+                    },
+                );
+                Box::new(move |access, _| match object {
+                    Some(object) => access.call.object == object,
+                    None => access.call.group == group,
+                })
+            }
+        };
+        // What waits for a dial or for room is dropped; what has begun to go out runs on.
+        for (&access, open) in &self.state.accesses {
+            for (no, hand_off) in (0..).map(HandOffNo).zip(&open.hand_offs) {
+                if !hand_off.over && concerns(open, hand_off) {
+                    self.pools.recall(ErrandId { access, no });
+                }
+            }
+        }
+    }
+
+    /// What is due by now: waits for connections, outer limits, wake-ups.
+    fn pass_time(&mut self, now: Moment) {
+        self.pools.expire(self.clock.instant(now));
+        let due: Vec<AccessId> = {
+            let due = self.state.limits.iter().take_while(|(at, _)| *at <= now);
+            due.map(|&(_, id)| id).collect()
+        };
+        for id in due {
+            let Some(access) = self.state.accesses.get(&id) else {
+                continue;
+            };
+            let out = access.hand_offs.iter().zip((0..).map(HandOffNo));
+            let out: Vec<HandOffNo> = out.filter(|(h, _)| !h.over).map(|(_, no)| no).collect();
+            self.state.limits.remove(&(access.limit, id));
+            for no in out {
+                let errand = ErrandId { access: id, no };
+                self.pools.kill(errand);
+                self.ended(now, errand, None, Answer::bare(Ending::TimedOut));
+            }
+            // The decisions give the final answer, woken by their own timer or by this.
+            self.tell(now, Event::Woken { wake: WakeId(0) });
+        }
+        while let Some(&(at, wake)) = self.state.wakes.first().filter(|(at, _)| *at <= now) {
+            self.state.wakes.remove(&(at, wake));
+            self.tell(now, Event::Woken { wake });
+        }
+    }
+
+    fn settle(&mut self, now: Moment) {
+        if !std::mem::take(&mut self.state.told) {
+            return;
+        }
+        for action in self.decisions.settle(now) {
+            match action {
+                Action::HandOff(hand_off) => self.hand_off(now, hand_off),
+                Action::Reject { id, come_back } => {
+                    self.answer(now, id, Reply::Rejected { come_back });
+                    self.forget(id);
+                }
+                Action::Abort { id } => {
+                    self.answer(now, id, Reply::Aborted);
+                    self.forget(id);
+                }
+                Action::Withdraw { id, hand_off } => {
+                    let (access, no) = (id, hand_off);
+                    self.pools.kill(ErrandId { access, no });
+                }
+                Action::Wake { at, wake } => {
+                    self.state.wakes.insert((at, wake));
+                }
+                // The list comes by itself.
+                Action::FollowList => {}
+                Action::Log { text } => info!(self.log, "decided"; "what" => text),
+            }
+        }
+    }
+
+    fn hand_off(&mut self, now: Moment, hand_off: HandOff) {
+        let HandOff { id, host, fill } = hand_off;
+        let access = self.state.accesses.get_mut(&id);
+        let access = access.filter(|access| !access.closed);
+        must(access.is_some(), &self.counts.broken_sent_after_end);
+        let Some(access) = access else {
+            return;
+        };
+        let call = &access.call;
+        let track = &self.pools.bounds.track_names[usize::from(call.track.0)];
+        let mut fields = format!("lane={track},name={},piece={}", call.object_text, call.part);
+        let mut add = |name: &str, value: &str| {
+            let _ = write!(fields, ",{name}={value}");
+        };
+        if let Some(mark) = &call.mark {
+            add("dedupe", mark);
+        }
+        if let Some(tag) = &call.held_tag {
+            add("known", tag);
+        }
+        let source = fill
+            .map(|fill| fill.source)
+            .filter(|&source| source != host);
+        if let Some(source) = source {
+            let name = self.pools.name(source);
+            must(name.is_some(), &self.counts.broken_unknown_host);
+            add("via", name.as_deref().unwrap_or("-"));
+        }
+        if let Some(fill) = fill {
+            add("tier", &fill.rank.to_string());
+            if let Some(oldest) = fill.oldest {
+                // Rounded down, to the strict side, but never to none, which would mean any age.
+                add("fresh", &(oldest.0 / 1000).max(1).to_string());
+            }
+            let words = [
+                ("merge", fill.join),
+                ("local", fill.held_only),
+                ("revalidate", fill.renew),
+            ];
+            let words: Vec<&str> = words
+                .iter()
+                .filter(|(_, on)| *on)
+                .map(|(word, _)| *word)
+                .collect();
+            if !words.is_empty() {
+                add("opts", &words.join("+"));
+            }
+        }
+        let no = HandOffNo(access.hand_offs.len() as u8);
+        let errand = Errand {
+            id: ErrandId { access: id, no },
+            host,
+            reference: call.reference.clone(),
+            fields,
+            limit: self.clock.instant(access.limit),
+            body: call.body.clone(),
+            may_be_same: call.held_tag.is_some(),
+            avoid: access
+                .hand_offs
+                .iter()
+                .filter_map(|earlier| earlier.line)
+                .collect(),
+        };
+        access.hand_offs.push(HandedOff {
+            host,
+            source,
+            sent: now,
+            line: None,
+            over: false,
+        });
+        self.pools.submit(errand);
+    }
+
+    fn report(&self) {
+        let (out, lines, pools) = self.pools.sizes();
+        let state = &self.state;
+        info!(self.log, "figures"; "counts" => self.counts.words(), "open" => state.accesses.len(),
+            "calls" => state.calls.len(), "clients" => state.clients.len(), "out" => out,
+            "lines" => lines, "pools" => pools, "timers" => state.limits.len() + state.wakes.len(),
+            "held" => self.pools.held.bytes(), "process" => process_figures());
+    }
+}
+
+fn take_next(queue: &mut mpsc::Receiver<Inbound>) -> Option<Inbound> {
+    crate::servers::next_now(queue)
+}
+
+/// Resident memory with its peak, descriptors and processor time, as the system tells them.
+fn process_figures() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let field = |name: &str| {
+        let line = status.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.split_whitespace().nth(1))
+            .unwrap_or("?")
+            .to_owned()
+    };
+    let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, |dir| dir.count());
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let ticks = stat.rsplit(')').next().unwrap_or("").split_whitespace();
+    let ticks: u64 = ticks
+        .skip(11)
+        .take(2)
+        .filter_map(|n| n.parse::<u64>().ok())
+        .sum();
+    let (now, peak) = (field("VmRSS:"), field("VmHWM:"));
+    format!("rss_kb={now} peak_kb={peak} descriptors={descriptors} cpu_ticks={ticks}")
+}
--- /dev/null
+++ b/crates/trailproxyd/src/list.rs
@@ -0,0 +1,257 @@
+//! The journal service: the changes of the host list and the purges, each told once and in order.
+
+use crate::checks::{Counts, count, must};
+use crate::dispatch::{Inbound, Queue};
+use crate::http::Response;
+use crate::sse::Events;
+use serde_json::Value;
+use slog::{Logger, info, warn};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use trailproxy::interface::{HostEntry, HostState, ListForm};
+use trailproxy::units::*;
+use trailproxy_terms::Bounds;
+
+/// A comment comes every second: three missed, and the connection is taken for dead.
+const SILENCE: Duration = Duration::from_secs(3);
+const CALL_AGAIN: Duration = Duration::from_millis(200);
+const READ_SIZE: usize = 16 * 1024;
+
+/// Zones and kinds by the names that the settings give them.
+pub struct Names {
+    zones: HashMap<String, ZoneId>,
+    kinds: HashMap<String, KindId>,
+}
+
+impl Names {
+    pub fn of(bounds: &Bounds) -> Names {
+        let zones = bounds.zone_names.iter().cloned().zip((0..).map(ZoneId));
+        let kinds = bounds.kind_names.iter().cloned().zip((0..).map(KindId));
+        Names {
+            zones: zones.collect(),
+            kinds: kinds.collect(),
+        }
+    }
+}
+
+/// A host as the list names it, with where it is reached.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub entry: HostEntry,
+    pub name: Rc<str>,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Hosts {
+        form: ListForm,
+        members: Vec<Member>,
+    },
+    Purged {
+        object: Option<ObjectId>,
+        group: GroupId,
+        at: Moment,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub pos: u64,
+    pub change: Change,
+}
+
+/// The same number for a host in every dispatcher and after every restart, whatever its address.
+pub fn host_id(name: &str) -> HostId {
+    let mut hash = 0xcbf2_9ce4_8422_2325u64;
+    for byte in name.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    HostId(hash)
+}
+
+/// An object by its 16 hex digits.
+pub fn object_id(text: &str) -> Option<ObjectId> {
+    let hex = text.len() <= 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    hex.then(|| u64::from_str_radix(text, 16).ok().map(ObjectId))
+        .flatten()
+}
+
+/// The last microsecond that a told millisecond may mean: for starts and purges the strict side.
+fn latest_of_ms(ms: u64) -> Moment {
+    Moment(ms.saturating_mul(1000).saturating_add(999))
+}
+
+impl Entry {
+    pub fn read(json: &Value, names: &Names) -> Option<Entry> {
+        let pos = json.get("pos")?.as_u64()?;
+        if let Some(purge) = json.get("expire") {
+            let object = match purge.get("name") {
+                Some(name) => Some(object_id(name.as_str()?)?),
+                None => None,
+            };
+            let group = purge.get("set").and_then(Value::as_u64);
+            if object.is_none() && group.is_none() {
+                return None;
+            }
+            let group = GroupId(u32::try_from(group.unwrap_or(0)).ok()?);
+            let at = latest_of_ms(purge.get("stamp")?.as_u64()?);
+            return Some(Entry {
+                pos,
+                change: Change::Purged { object, group, at },
+            });
+        }
+        let hosts = json.get("hosts")?;
+        let form = match hosts.get("complete").and_then(Value::as_bool) {
+            Some(true) => ListForm::Whole,
+            _ => ListForm::Changes,
+        };
+        let members = hosts.get("members")?.as_array()?;
+        let members = members.iter().map(|member| read_member(member, names));
+        let members = members.collect::<Option<Vec<_>>>()?;
+        Some(Entry {
+            pos,
+            change: Change::Hosts { form, members },
+        })
+    }
+}
+
+/// Zones and kinds that the settings don't name are given places that no setting has.
+fn read_member(json: &Value, names: &Names) -> Option<Member> {
+    let text = |key: &str| json.get(key).and_then(Value::as_str);
+    let name = text("id")?;
+    let started = json.get("up_since_ms").and_then(Value::as_u64).unwrap_or(0);
+    let zone = names.zones.get(text("locality").unwrap_or(""));
+    let kind = names.kinds.get(text("flavor").unwrap_or(""));
+    let cell = json.get("cell").and_then(Value::as_u64).unwrap_or(0);
+    let size = json.get("size").and_then(Value::as_f64).unwrap_or(1.0);
+    let entry = HostEntry {
+        host: host_id(name),
+        cell: CellId(u16::try_from(cell).unwrap_or(u16::MAX)),
+        zone: zone.copied().unwrap_or(ZoneId(u16::MAX)),
+        kind: kind.copied().unwrap_or(KindId(u8::MAX)),
+        started: (started > 0).then(|| latest_of_ms(started)),
+        size: if size.is_finite() && size > 0.0 {
+            size
+        } else {
+            1.0
+        },
+        state: match text("phase")? {
+            "ready" => HostState::Ready,
+            "draining" => HostState::Draining,
+            "gone" => HostState::Gone,
+            _ => return None,
+        },
+    };
+    Some(Member {
+        entry,
+        name: name.into(),
+        address: text("host_port")?.parse().ok()?,
+    })
+}
+
+pub struct Journal {
+    pub address: SocketAddr,
+    pub names: Names,
+    /// The last place that was told.
+    pub last: u64,
+    pub queue: Queue,
+    pub counts: Rc<Counts>,
+    pub log: Logger,
+}
+
+/// Follows the journal service for as long as the process runs.
+pub async fn follow(mut journal: Journal) {
+    loop {
+        count(&journal.counts.journal_calls);
+        let why = journal.call().await.unwrap_err();
+        info!(journal.log, "journal call ended"; "why" => why, "last" => journal.last);
+        sleep(CALL_AGAIN).await;
+    }
+}
+
+impl Journal {
+    async fn call(&mut self) -> Result<std::convert::Infallible, String> {
+        let silent = |_| "silent".to_owned();
+        let broken = |e: std::io::Error| e.to_string();
+        let dial = timeout(SILENCE, TcpStream::connect(self.address));
+        let stream = dial.await.map_err(silent)?.map_err(broken)?;
+        let (address, last) = (self.address, self.last);
+        let request = format!(
+            "GET /journal HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\n\
+             Last-Event-ID: {last}\r\n\r\n"
+        );
+        let mut unsent = request.as_bytes();
+        while !unsent.is_empty() {
+            timeout(SILENCE, stream.writable())
+                .await
+                .map_err(silent)?
+                .map_err(broken)?;
+            match stream.try_write(unsent) {
+                Ok(n) => unsent = &unsent[n..],
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(broken(e)),
+            }
+        }
+        let (mut response, mut events) = (Response::new(), Events::default());
+        let mut piece = [0; READ_SIZE];
+        let (mut body, mut told) = (Vec::new(), Vec::new());
+        loop {
+            timeout(SILENCE, stream.readable())
+                .await
+                .map_err(silent)?
+                .map_err(broken)?;
+            let n = match stream.try_read(&mut piece) {
+                Ok(0) => return Err("closed".into()),
+                Ok(n) => n,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
+                Err(e) => return Err(broken(e)),
+            };
+            response
+                .feed(&piece[..n], &mut body)
+                .map_err(|damaged| damaged.0.to_owned())?;
+            events
+                .feed(&body, &mut told)
+                .map_err(|_| "an event is too long")?;
+            body.clear();
+            for one in told.drain(..) {
+                self.take(&one.id, &one.data)?;
+            }
+            if response.is_over() {
+                return Err("closed".into());
+            }
+        }
+    }
+
+    /// Each event once and in order: what was told is passed over, past a gap the call is made again.
+    fn take(&mut self, id: &str, data: &str) -> Result<(), String> {
+        let json: Value = serde_json::from_str(data).unwrap_or_default();
+        let pos = id.parse().ok().or_else(|| json.get("pos")?.as_u64());
+        let pos = pos.ok_or("an event has no place")?;
+        if pos <= self.last {
+            count(&self.counts.journal_repeats);
+            return Ok(());
+        }
+        if pos > self.last + 1 && self.last > 0 {
+            return Err(format!("events before {pos} are missing"));
+        }
+        let entry = Entry::read(&json, &self.names);
+        must(pos > self.last, &self.counts.broken_journal_order);
+        self.last = pos;
+        match entry {
+            Some(entry) => {
+                count(&self.counts.journal_events);
+                let _ = self.queue.send(Inbound::Journal(entry));
+            }
+            None => {
+                count(&self.counts.bad_entries);
+                warn!(self.log, "journal event can't be read"; "pos" => pos);
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/trailproxyd/src/main.rs
@@ -0,0 +1,143 @@
+//! A trailproxy dispatcher on sockets: clients in, cache hosts out, the journal service beside.
+
+mod checks;
+mod clients;
+mod dispatch;
+mod http;
+mod list;
+mod msgpack;
+mod resp;
+mod ring;
+mod servers;
+mod sse;
+mod startup;
+
+use checks::{Counts, Held};
+use dispatch::{Dispatch, Inbound};
+use local_channel::mpsc;
+use servers::Pools;
+use slog::{Drain, Logger, info, o};
+use startup::Start;
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use trailproxy::logic::Dispatcher;
+
+/// Lines that wait for the log's own thread; more are dropped and their number is logged.
+const LOG_LINES: usize = 4096;
+const BACKLOG: u32 = 1024;
+/// Descriptors kept for the listener, the journal, the log and the runtime.
+const RESERVE: usize = 32;
+
+fn main() -> ExitCode {
+    let start = match startup::read() {
+        Ok(start) => start,
+        Err(why) => return fail(&why),
+    };
+    let plain = slog_term::PlainDecorator::new(std::io::stdout());
+    let drain = slog_term::FullFormat::new(plain)
+        .use_utc_timestamp()
+        .build()
+        .fuse();
+    let (drain, guard) = slog_async::Async::new(drain)
+        .chan_size(LOG_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let log = Logger::root(drain.fuse(), o!("name" => start.name.clone()));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(&format!("the runtime can't be started: {e}")),
+    };
+    let ended = LocalSet::new().block_on(&runtime, serve(start, log));
+    drop(guard);
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => fail(&why),
+    }
+}
+
+fn fail(why: &str) -> ExitCode {
+    eprintln!("trailproxyd: {why}");
+    ExitCode::FAILURE
+}
+
+async fn serve(start: Start, log: Logger) -> Result<(), String> {
+    let listen = start.listen;
+    let listener = bind(start.listen).map_err(|e| format!("can't listen on {listen}: {e}"))?;
+    let (queue, inbound) = mpsc::channel();
+    let (counts, held) = (Rc::new(Counts::default()), Held::default());
+    let most_clients = start.descriptors / 3;
+    let tracks = start.bounds.track_names.iter().cloned();
+    let shared = Rc::new(clients::Shared {
+        queue: queue.clone(),
+        tracks: tracks.zip((0..).map(trailproxy::units::TrackId)).collect(),
+        most_clients,
+        longest_limit: Duration::from_micros(start.bounds.longest_limit.0),
+        open: Cell::new(0),
+        ending: Cell::new(false),
+        held: held.clone(),
+        counts: counts.clone(),
+        log: log.clone(),
+    });
+    info!(log, "started"; "listen" => %listen, "known" => start.known_until,
+        "descriptors" => start.descriptors, "memory" => start.memory_bytes);
+    let accepting = tokio::task::spawn_local(clients::accept(listener, shared.clone()));
+    if let Some(address) = start.journal {
+        tokio::task::spawn_local(list::follow(list::Journal {
+            address,
+            names: start.names,
+            last: start.known_until,
+            queue: queue.clone(),
+            counts: counts.clone(),
+            log: log.clone(),
+        }));
+    }
+    let asked = queue.clone();
+    let signals = [SignalKind::terminate(), SignalKind::interrupt()].map(signal);
+    for stream in signals {
+        let mut stream = stream.map_err(|e| format!("signals can't be heard: {e}"))?;
+        let (asked, shared) = (asked.clone(), shared.clone());
+        tokio::task::spawn_local(async move {
+            while stream.recv().await.is_some() {
+                shared.ending.set(true);
+                let _ = asked.send(Inbound::Terminate);
+            }
+        });
+    }
+    let decisions = Dispatcher::new(start.terms, start.seed);
+    let most_lines = start
+        .descriptors
+        .saturating_sub(most_clients + RESERVE)
+        .max(1);
+    let pools = Pools::new(
+        queue,
+        start.bounds,
+        most_lines,
+        held,
+        start.memory_bytes / 2,
+        counts.clone(),
+        log.clone(),
+    );
+    let dispatch = Dispatch::new(decisions, pools, start.link_full_at, counts, log);
+    dispatch
+        .run(start.known, inbound, move || accepting.abort())
+        .await;
+    Ok(())
+}
+
+fn bind(listen: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match listen {
+        std::net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        std::net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(listen)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/trailproxyd/src/resp.rs
@@ -0,0 +1,131 @@
+//! RESP arrays of bulk strings. Pure: bytes in, words out; an array that is not whole yet says how
+//! many bytes it wants at least.
+
+use crate::msgpack::Fault;
+
+/// Longer lines of a header are damage.
+const LONGEST_LINE: usize = 16;
+
+/// The words of the first array in the bytes and its length, each word at most `longest` bytes.
+pub fn read(bytes: &[u8], words: usize, longest: usize) -> Result<(Vec<&[u8]>, usize), Fault> {
+    let mut at = 0;
+    let n = header(bytes, &mut at, b'*')?;
+    if n == 0 || n > words {
+        return Err(Fault::Malformed("an array has too many words or none"));
+    }
+    let mut array = Vec::with_capacity(n);
+    for _ in 0..n {
+        let len = header(bytes, &mut at, b'$')?;
+        if len > longest {
+            return Err(Fault::Malformed("a word is too long"));
+        }
+        let word = bytes
+            .get(at..at + len + 2)
+            .ok_or(Fault::Short(at + len + 2))?;
+        let (word, end) = word.split_at(len);
+        if end != b"\r\n" {
+            return Err(Fault::Malformed("a word has no end"));
+        }
+        array.push(word);
+        at += len + 2;
+    }
+    Ok((array, at))
+}
+
+fn header(bytes: &[u8], at: &mut usize, mark: u8) -> Result<usize, Fault> {
+    let rest = bytes.get(*at..).unwrap_or_default();
+    if rest.first().is_some_and(|&first| first != mark) {
+        return Err(Fault::Malformed("not an array of bulk strings"));
+    }
+    let line = &rest[..rest.len().min(LONGEST_LINE)];
+    let Some(end) = line.windows(2).position(|pair| pair == b"\r\n") else {
+        return Err(match line.len() < LONGEST_LINE {
+            true => Fault::Short(bytes.len() + 1),
+            false => Fault::Malformed("a length has no end"),
+        });
+    };
+    let digits = &line[1..end];
+    let number = std::str::from_utf8(digits)
+        .ok()
+        .filter(|text| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit()));
+    *at += end + 2;
+    number
+        .and_then(|text| text.parse().ok())
+        .ok_or(Fault::Malformed("a length can't be read"))
+}
+
+pub fn put_array(out: &mut Vec<u8>, words: usize) {
+    out.extend(format!("*{words}\r\n").as_bytes());
+}
+
+pub fn put_word(out: &mut Vec<u8>, word: &[u8]) {
+    out.extend(format!("${}\r\n", word.len()).as_bytes());
+    out.extend(word);
+    out.extend(b"\r\n");
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sample() -> Vec<u8> {
+        let mut out = Vec::new();
+        put_array(&mut out, 4);
+        for word in [&b"9b1f03aa"[..], b"data", b"tag=1,minted=2", &[b'\r'; 300]] {
+            put_word(&mut out, word);
+        }
+        out
+    }
+
+    #[test]
+    fn every_split_asks_for_more_and_never_past_the_end() {
+        let whole = sample();
+        for cut in 0..whole.len() {
+            match read(&whole[..cut], 4, 300) {
+                Err(Fault::Short(wants)) => assert!(cut < wants && wants <= whole.len()),
+                other => panic!("{other:?} at {cut}"),
+            }
+        }
+        let (words, n) = read(&whole, 4, 300).expect("whole");
+        assert_eq!(
+            (n, words[1], words[3].len()),
+            (whole.len(), &b"data"[..], 300)
+        );
+    }
+
+    #[test]
+    fn what_is_not_an_array_of_words_is_damage() {
+        for bytes in [
+            &b"+OK\r\n"[..],
+            b"*0\r\n",
+            b"*5\r\n",
+            b"*1\r\n$-1\r\n",
+            b"*1\r\n$301\r\n",
+        ] {
+            assert!(matches!(read(bytes, 4, 300), Err(Fault::Malformed(_))));
+        }
+        assert!(matches!(
+            read(b"*1\r\n$1\r\nabc", 4, 300),
+            Err(Fault::Malformed(_))
+        ));
+        assert!(matches!(
+            read(&[b'*'; 20], 4, 300),
+            Err(Fault::Malformed(_))
+        ));
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic() {
+        let mut chance = fastrand::Rng::with_seed(12);
+        for _ in 0..20_000 {
+            let mut bytes = sample();
+            for _ in 0..chance.usize(1..6) {
+                let at = chance.usize(0..60);
+                bytes[at] = chance.u8(..);
+            }
+            if let Ok((_, n)) = read(&bytes, 4, 300) {
+                assert!(n <= bytes.len());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trailproxyd/src/ring.rs
@@ -0,0 +1,151 @@
+//! The one buffer a direction of a connection: a ring that grows for a large message and gives its
+//! memory back when it is empty.
+
+use crate::checks::Held;
+
+/// What an empty ring keeps, and the least it grows by.
+const RESTING: usize = 16 * 1024;
+
+pub struct Ring {
+    bytes: Box<[u8]>,
+    head: usize,
+    len: usize,
+    held: Held,
+}
+
+impl Ring {
+    /// An empty ring; what it takes is counted as held.
+    pub fn new(held: Held) -> Ring {
+        Ring {
+            bytes: Box::default(),
+            head: 0,
+            len: 0,
+            held,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    fn resize(&mut self, size: usize) {
+        let mut bytes = vec![0; size].into_boxed_slice();
+        let (first, second) = self.parts();
+        bytes[..first.len()].copy_from_slice(first);
+        bytes[first.len()..first.len() + second.len()].copy_from_slice(second);
+        self.held.change(self.bytes.len(), size);
+        (self.bytes, self.head) = (bytes, 0);
+    }
+
+    /// Makes room for so many bytes in all.
+    pub fn reserve(&mut self, total: usize) {
+        if total > self.bytes.len() {
+            self.resize(total.next_multiple_of(RESTING));
+        }
+    }
+
+    /// Free room in one piece, never empty.
+    pub fn room(&mut self) -> &mut [u8] {
+        self.reserve(self.len + 1);
+        let size = self.bytes.len();
+        let start = (self.head + self.len) % size;
+        let end = if start < self.head { self.head } else { size };
+        &mut self.bytes[start..end]
+    }
+
+    /// So many bytes were written into the room.
+    pub fn filled(&mut self, n: usize) {
+        self.len += n;
+        debug_assert!(self.len <= self.bytes.len());
+    }
+
+    pub fn push(&mut self, mut bytes: &[u8]) {
+        self.reserve(self.len + bytes.len());
+        while !bytes.is_empty() {
+            let room = self.room();
+            let n = room.len().min(bytes.len());
+            room[..n].copy_from_slice(&bytes[..n]);
+            self.filled(n);
+            bytes = &bytes[n..];
+        }
+    }
+
+    /// What is in it, in order, in one or two pieces.
+    pub fn parts(&self) -> (&[u8], &[u8]) {
+        let until = self.bytes.len() - self.head;
+        match self.len <= until {
+            true => (&self.bytes[self.head..self.head + self.len], &[]),
+            false => (&self.bytes[self.head..], &self.bytes[..self.len - until]),
+        }
+    }
+
+    /// What is in it, in one piece.
+    pub fn whole(&mut self) -> &[u8] {
+        if self.head + self.len > self.bytes.len() {
+            self.bytes.rotate_left(self.head);
+            self.head = 0;
+        }
+        &self.bytes[self.head..self.head + self.len]
+    }
+
+    pub fn consume(&mut self, n: usize) {
+        debug_assert!(n <= self.len);
+        self.len -= n.min(self.len);
+        self.head = match self.len {
+            0 => 0,
+            _ => (self.head + n) % self.bytes.len(),
+        };
+    }
+
+    /// Gives memory back where it is empty: all of it when idle, else what a large message took.
+    pub fn rest(&mut self, idle: bool) {
+        let keep = if idle { 0 } else { RESTING };
+        if self.len == 0 && self.bytes.len() > keep {
+            self.resize(keep);
+        }
+    }
+}
+
+impl Drop for Ring {
+    fn drop(&mut self) {
+        self.held.change(self.bytes.len(), 0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bytes_come_out_in_order_and_memory_is_given_back() {
+        let held = Held::default();
+        let (mut ring, mut chance) = (Ring::new(held.clone()), fastrand::Rng::with_seed(5));
+        let (mut put, mut got) = (0u64, 0u64);
+        for _ in 0..2000 {
+            let piece: Vec<u8> = (0..chance.usize(0..9000))
+                .map(|i| (put + i as u64) as u8)
+                .collect();
+            ring.push(&piece);
+            put += piece.len() as u64;
+            let n = chance.usize(0..=ring.len());
+            let (first, second) = ring.parts();
+            let both: Vec<u8> = first.iter().chain(second).copied().collect();
+            assert_eq!(both, ring.whole(), "in one piece or two, the same");
+            for &byte in &both[..n] {
+                assert_eq!(byte, got as u8);
+                got += 1;
+            }
+            ring.consume(n);
+        }
+        ring.push(&[0; 300_000]);
+        ring.consume(ring.len());
+        ring.rest(false);
+        assert!(held.bytes() <= RESTING);
+        ring.rest(true);
+        assert_eq!(held.bytes(), 0);
+    }
+}
--- /dev/null
+++ b/crates/trailproxyd/src/sse.rs
@@ -0,0 +1,98 @@
+//! Server-sent events, read piece by piece. Pure and bounded.
+
+/// Longer events are damage: the whole list of many hundred hosts fits.
+const LONGEST_EVENT: usize = 4 * 1024 * 1024;
+
+#[derive(Debug, PartialEq)]
+pub struct Told {
+    pub id: String,
+    pub data: String,
+}
+
+#[derive(Default)]
+pub struct Events {
+    line: Vec<u8>,
+    after_cr: bool,
+    id: String,
+    data: String,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct TooLong;
+
+impl Events {
+    /// Takes what came and adds the events that are whole now.
+    pub fn feed(&mut self, bytes: &[u8], told: &mut Vec<Told>) -> Result<(), TooLong> {
+        for &byte in bytes {
+            let after_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+            match byte {
+                b'\n' if after_cr => {}
+                b'\n' | b'\r' => {
+                    let line = std::mem::take(&mut self.line);
+                    self.end_line(&String::from_utf8_lossy(&line), told);
+                }
+                _ => self.line.push(byte),
+            }
+            if self.line.len() + self.data.len() > LONGEST_EVENT {
+                return Err(TooLong);
+            }
+        }
+        Ok(())
+    }
+
+    fn end_line(&mut self, line: &str, told: &mut Vec<Told>) {
+        if line.is_empty() {
+            let data = std::mem::take(&mut self.data);
+            if !data.is_empty() {
+                let id = self.id.clone();
+                told.push(Told { id, data });
+            }
+            return;
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => self.id = value.to_owned(),
+            "data" => {
+                let between = if self.data.is_empty() { "" } else { "\n" };
+                self.data.push_str(between);
+                self.data.push_str(value);
+            }
+            // A comment has an empty name; others say nothing here.
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(pieces: &[&[u8]]) -> Vec<(String, String)> {
+        let (mut events, mut told) = (Events::default(), Vec::new());
+        for piece in pieces {
+            events.feed(piece, &mut told).expect("bounded");
+        }
+        told.into_iter().map(|one| (one.id, one.data)).collect()
+    }
+
+    #[test]
+    fn every_split_gives_the_same_events() {
+        let whole = b": hello\r\n\r\nid: 41\r\ndata: {\"a\":1,\r\ndata: 2}\r\n\r\n:\n\nid:42\ndata:x\n\nid: 43\ndata: cut";
+        let wanted = read(&[whole]);
+        let pair = |id: &str, data: &str| (id.to_owned(), data.to_owned());
+        assert_eq!(wanted, [pair("41", "{\"a\":1,\n2}"), pair("42", "x")]);
+        for cut in 0..whole.len() {
+            let (a, b) = whole.split_at(cut);
+            assert_eq!(read(&[a, b]), wanted);
+        }
+    }
+
+    #[test]
+    fn an_event_without_an_end_is_damage() {
+        let (mut events, mut told) = (Events::default(), Vec::new());
+        let piece = vec![b'x'; LONGEST_EVENT / 2 + 1];
+        assert_eq!(events.feed(&piece, &mut told), Ok(()));
+        assert_eq!(events.feed(&piece, &mut told), Err(TooLong));
+    }
+}
--- /dev/null
+++ b/crates/trailproxyd/src/startup.rs
@@ -0,0 +1,92 @@
+//! What a dispatcher is told when it starts: the RELAY_ variables and the JSON file they name.
+
+use crate::list::{Entry, Names};
+use serde_json::Value;
+use std::net::SocketAddr;
+use trailproxy::interface::Terms;
+use trailproxy_terms::{Bounds, Lines, Unreadable, read_bounds, read_terms};
+
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub descriptors: usize,
+    pub memory_bytes: usize,
+    pub journal: Option<SocketAddr>,
+    /// What the journal service has told so far, and its last place.
+    pub known: Vec<Entry>,
+    pub known_until: u64,
+    pub terms: Terms,
+    pub link_full_at: Option<usize>,
+    pub bounds: Bounds,
+    pub names: Names,
+}
+
+/// Reads all of it; the message says in plain words what is wrong.
+pub fn read() -> Result<Start, String> {
+    let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path} can't be read: {e}"))?;
+    let json: Value =
+        serde_json::from_str(&text).map_err(|e| format!("{path} is not JSON: {e}"))?;
+    from_json(&json, variable("RELAY_NAME"), variable("RELAY_LISTEN"))
+        .map_err(|why| format!("{path}: {why}"))
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|text| !text.is_empty())
+}
+
+fn from_json(json: &Value, name: Option<String>, listen: Option<String>) -> Result<Start, String> {
+    let text = |key: &str| json.get(key).and_then(Value::as_str).map(str::to_owned);
+    let limit = |key: &str, absent: u64| match json.pointer(&format!("/limits/{key}")) {
+        None => Ok(absent as usize),
+        Some(told) => told
+            .as_f64()
+            .filter(|n| *n >= 1.0)
+            .map(|n| n as usize)
+            .ok_or(format!("limits.{key} can't be read")),
+    };
+    let address = |what: &str, text: String| -> Result<SocketAddr, String> {
+        text.parse()
+            .map_err(|_| format!("{what} {text:?} is not an address and a port"))
+    };
+    let listen = listen
+        .or(text("listen"))
+        .ok_or("neither RELAY_LISTEN nor listen is given")?;
+    let seed = text("seed").unwrap_or_default();
+    let lines = Lines::from_json(json.get("settings").ok_or("settings are missing")?);
+    let unreadable = |Unreadable(why)| why;
+    let (terms, link_full_at) = read_terms(&lines).map_err(unreadable)?;
+    let bounds = read_bounds(&lines).map_err(unreadable)?;
+    let names = Names::of(&bounds);
+    let entries = json.pointer("/known/entries").and_then(Value::as_array);
+    let known: Vec<Entry> = entries
+        .into_iter()
+        .flatten()
+        .map(|entry| {
+            Entry::read(entry, &names).ok_or(format!("known has an unreadable entry {entry}"))
+        })
+        .collect::<Result<_, _>>()?;
+    let told_until = json.pointer("/known/pos").and_then(Value::as_u64);
+    let last = known.iter().map(|entry| entry.pos).max();
+    Ok(Start {
+        name: name
+            .or(text("name"))
+            .unwrap_or_else(|| "trailproxyd".into()),
+        listen: address("the address to listen on", listen)?,
+        seed: u64::from_str_radix(&seed, 16)
+            .map_err(|_| format!("seed {seed:?} is not in hex digits"))?,
+        descriptors: limit("sockets", 1024)?,
+        memory_bytes: limit("memory_mb", 192)? << 20,
+        journal: text("journal")
+            .map(|text| address("journal", text))
+            .transpose()?,
+        known,
+        known_until: told_until.or(last).unwrap_or(0),
+        terms,
+        link_full_at,
+        bounds,
+        names,
+    })
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -410,6 +410,8 @@
             Event::Purged { object, group, ago } => {
                 let forget = self.terms.purge_done.times(3.0);
                 self.purges.retain(|_, &mut at| now.since(at) < forget);
+                // The purge of an object may come without its group.
+                let group = object.map_or(group, |_| GroupId::default());
                 let at = self.purges.entry((group, object)).or_default();
                 *at = (*at).max(now - ago);
             }
@@ -895,7 +897,10 @@
     /// Rule 5: the oldest copy that will do, given the latest purge of the object or its group.
     fn oldest(&self, now: Moment, access: &Access, stale: bool) -> Option<Span> {
         let track = self.track(access);
-        let keys = [Some(access.asked.object), None].map(|key| (access.asked.group, key));
+        let keys = [
+            (GroupId::default(), Some(access.asked.object)),
+            (access.asked.group, None),
+        ];
         let purged = keys.iter().filter_map(|key| self.purges.get(key)).max();
         let since = purged.map(|&at| now.since(at));
         let grace = track.grace.times(f64::from(u8::from(stale)));
@@ -950,8 +955,10 @@
             Role::Cache => self.missing,
             Role::Parent | Role::Origin => f64::from(u8::from(!written)),
         };
-        let (work, send) = (self.work(access), access.send);
-        let charges = [(plan.host, work, 1), (plan.source, send, 0)];
+        let charges = [
+            (plan.host, self.work(access), 1),
+            (plan.source, access.send, 0),
+        ];
         let mut trial_of = None;
         for (id, work, out) in charges.into_iter().take(if own { 1 } else { 2 }) {
             if let Some(host) = self.hosts.get_mut(&id) {
@@ -978,8 +985,8 @@
             });
         }
         let host = plan.host;
-        let hand_off = HandOff { id, host, fill };
-        self.actions.push(Action::HandOff(hand_off));
+        self.actions
+            .push(Action::HandOff(HandOff { id, host, fill }));
     }
 
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
