--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -57,6 +57,9 @@
     }
 }
 
+/// Whether a change in the journal concerns a hand-off.
+type Concerns = dyn Fn(&Access, &HandedOff) -> bool;
+
 struct HandedOff {
     host: HostId,
     source: Option<HostId>,
@@ -360,7 +363,7 @@
     }
 
     fn journal(&mut self, now: Moment, entry: Entry) {
-        let concerns: Box<dyn Fn(&Access, &HandedOff) -> bool> = match entry.change {
+        let concerns: Box<Concerns> = match entry.change {
             Change::Hosts { form, members } => {
                 self.pools.list(form, &members);
                 let entries: Vec<HostEntry> = members.iter().map(|member| member.entry).collect();
--- a/crates/trailproxyd/src/msgpack.rs
+++ b/crates/trailproxyd/src/msgpack.rs
@@ -68,7 +68,7 @@
             .ok_or(Fault::Malformed("a message is nested too deep"))?;
         let code = self.number(1)? as u8;
         let n = match code {
-            0x80..=0x8f | 0x90..=0x9f => usize::from(code & 0x0f),
+            0x80..=0x9f => usize::from(code & 0x0f),
             0xa0..=0xbf => usize::from(code & 0x1f),
             0xc4 | 0xd9 => self.length(1)?,
             0xc5 | 0xda | 0xdc | 0xde => self.length(2)?,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -410,8 +410,7 @@
             Event::Purged { object, group, ago } => {
                 let forget = self.terms.purge_done.times(3.0);
                 self.purges.retain(|_, &mut at| now.since(at) < forget);
-                // The purge of an object may come without its group.
-                let group = object.map_or(group, |_| GroupId::default());
+                let group = object.map_or(group, |_| GroupId::default()); // an object's may be untold
                 let at = self.purges.entry((group, object)).or_default();
                 *at = (*at).max(now - ago);
             }
@@ -897,16 +896,13 @@
     /// Rule 5: the oldest copy that will do, given the latest purge of the object or its group.
     fn oldest(&self, now: Moment, access: &Access, stale: bool) -> Option<Span> {
         let track = self.track(access);
-        let keys = [
-            (GroupId::default(), Some(access.asked.object)),
-            (access.asked.group, None),
-        ];
-        let purged = keys.iter().filter_map(|key| self.purges.get(key)).max();
-        let since = purged.map(|&at| now.since(at));
+        let (object, group) = (access.asked.object, access.asked.group);
+        let keys = [(GroupId::default(), Some(object)), (group, None)];
+        let since = keys.map(|key| Some(now.since(*self.purges.get(&key)?)));
         let grace = track.grace.times(f64::from(u8::from(stale)));
-        let aged = track.fresh.filter(|_| stale || purged.is_some());
+        let aged = track.fresh.filter(|_| stale || since != [None; 2]);
         let aged = aged.map(|fresh| fresh + grace);
-        since.into_iter().chain(aged).min()
+        since.into_iter().flatten().chain(aged).min()
     }
 
     /// The one gate that every hand-off passes, with each rule at its own place.
@@ -931,8 +927,7 @@
         if self.seen.len() >= SEEN {
             self.seen.clear();
         }
-        let key = (access.asked.object, access.asked.part);
-        let seen = !written && !self.seen.insert(key);
+        let seen = !written && !self.seen.insert((access.asked.object, access.asked.part));
         let (track, host) = (self.track(access), &self.hosts[&plan.host]);
         let (own, of_cache) = (plan.host == plan.source, host.role == Role::Cache);
         // Where nothing fills it, a stale copy will do. Fetches behind a sick origin would fill the places.
@@ -955,10 +950,8 @@
             Role::Cache => self.missing,
             Role::Parent | Role::Origin => f64::from(u8::from(!written)),
         };
-        let charges = [
-            (plan.host, self.work(access), 1),
-            (plan.source, access.send, 0),
-        ];
+        let (work, send) = (self.work(access), access.send);
+        let charges = [(plan.host, work, 1), (plan.source, send, 0)];
         let mut trial_of = None;
         for (id, work, out) in charges.into_iter().take(if own { 1 } else { 2 }) {
             if let Some(host) = self.hosts.get_mut(&id) {
@@ -985,8 +978,8 @@
             });
         }
         let host = plan.host;
-        self.actions
-            .push(Action::HandOff(HandOff { id, host, fill }));
+        let hand_off = HandOff { id, host, fill };
+        self.actions.push(Action::HandOff(hand_off));
     }
 
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
