--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -18,6 +18,32 @@
     }
 }
 
+/// The bytes of an object on their way from a host to a client, counted as held.
+pub struct Parcel {
+    bytes: Vec<u8>,
+    held: Held,
+}
+
+impl Parcel {
+    pub fn new(bytes: &[u8], held: &Held) -> Parcel {
+        held.change(0, bytes.len());
+        Parcel {
+            bytes: bytes.to_vec(),
+            held: held.clone(),
+        }
+    }
+
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Parcel {
+    fn drop(&mut self) {
+        self.held.change(self.bytes.len(), 0);
+    }
+}
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// What is counted since the start.
@@ -64,6 +90,7 @@
     broken_sent_to_drained,
     broken_two_endings,
     broken_unknown_host,
+    broken_same_host_id,
     broken_journal_order,
 }
 
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: MessagePack-RPC over TCP, requests pipelined and answered in any order.
 
-use crate::checks::{Counts, Held, count};
+use crate::checks::{Counts, Held, Parcel, count};
 use crate::dispatch::{Inbound, Queue};
 use crate::list::object_id;
 use crate::msgpack::{self, Fault, Value};
@@ -60,7 +60,7 @@
 }
 
 pub enum Reply {
-    Done(Vec<u8>),
+    Done(Parcel),
     /// The copy that the client holds is the one that would be served.
     Same,
     Rejected {
@@ -125,7 +125,6 @@
     /// Owed an answer.
     owed: BTreeSet<u32>,
     replies: VecDeque<(u32, Reply)>,
-    queued_bytes: usize,
     /// Where in the bytes written in all each answer ends that is not wholly written.
     ends: VecDeque<u64>,
     written: u64,
@@ -156,7 +155,6 @@
             outgoing: Ring::new(shared.held.clone()),
             owed: BTreeSet::new(),
             replies: VecDeque::new(),
-            queued_bytes: 0,
             ends: VecDeque::new(),
             written: 0,
             encoded: 0,
@@ -177,7 +175,6 @@
         if let Over::Broken(why) = over {
             debug!(self.shared.log, "client connection broken"; "client" => self.id.0, "why" => why);
         }
-        self.shared.held.change(self.queued_bytes, 0);
         self.shared.open.set(self.shared.open.get() - 1);
         let closed = Inbound::Client(FromClient::Closed(self.id));
         let _ = self.shared.queue.send(closed);
@@ -194,8 +191,7 @@
         let idle = self.outgoing.is_empty();
         if idle && self.open() == 0 {
             if self.finishing && !self.half_closed {
-                let socket = std::mem::replace(&mut self.half_closed, true);
-                debug_assert!(!socket);
+                self.half_closed = true;
                 shut(&self.stream).map_err(|_| Over::Broken("half-close failed"))?;
             }
             if self.eof {
@@ -243,9 +239,6 @@
     fn reply(&mut self, number: u32, reply: Reply) {
         // What was revoked is owed nothing.
         if self.owed.remove(&number) {
-            let bytes = size_of_reply(&reply);
-            self.queued_bytes += bytes;
-            self.shared.held.change(0, bytes);
             self.replies.push_back((number, reply));
         }
     }
@@ -256,9 +249,6 @@
                 let Some((number, reply)) = self.replies.pop_front() else {
                     break;
                 };
-                let bytes = size_of_reply(&reply);
-                self.queued_bytes -= bytes;
-                self.shared.held.change(bytes, 0);
                 if self.outgoing.is_empty() {
                     self.progress = Instant::now();
                 }
@@ -356,13 +346,6 @@
     socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
 }
 
-fn size_of_reply(reply: &Reply) -> usize {
-    match reply {
-        Reply::Done(body) => body.len(),
-        _ => 0,
-    }
-}
-
 fn encode(number: u32, reply: Reply, out: &mut Ring) {
     let mut head = Vec::with_capacity(64);
     msgpack::put_array(&mut head, 4);
@@ -386,7 +369,7 @@
         msgpack::put_nil(head);
     };
     match reply {
-        Reply::Done(body) => return done(&body, &[]),
+        Reply::Done(body) => return done(body.bytes(), &[]),
         Reply::Same => return done(&[], &[("same", "1")]),
         Reply::Rejected { come_back: None } => failed(&mut head, "Throttled", &[]),
         Reply::Rejected {
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -57,9 +57,6 @@
     }
 }
 
-/// Whether a change in the journal concerns a hand-off.
-type Concerns = dyn Fn(&Access, &HandedOff) -> bool;
-
 struct HandedOff {
     host: HostId,
     source: Option<HostId>,
@@ -90,6 +87,8 @@
 struct State {
     accesses: BTreeMap<AccessId, Access>,
     calls: BTreeMap<CallId, AccessId>,
+    /// The ids of open accesses, which hosts tell their answers by.
+    references: BTreeSet<Rc<str>>,
     clients: BTreeMap<ClientId, mpsc::Sender<ToClient>>,
     limits: BTreeSet<(Moment, AccessId)>,
     wakes: BTreeSet<(Moment, WakeId)>,
@@ -238,6 +237,10 @@
             count(&self.counts.rejected);
             return self.reply(call.id, Reply::Rejected { come_back: None });
         }
+        if !self.state.references.insert(call.reference.clone()) {
+            count(&self.counts.bad_clients);
+            return self.reply(call.id, Reply::Aborted);
+        }
         self.state.next += 1;
         let id = AccessId(self.state.next);
         let limit = self.clock.moment(call.come) + call.left;
@@ -286,8 +289,10 @@
 
     fn forget(&mut self, id: AccessId) {
         let over = |access: &Access| access.closed && access.hand_offs.iter().all(|h| h.over);
-        if self.state.accesses.get(&id).is_some_and(over) {
-            self.state.accesses.remove(&id);
+        if self.state.accesses.get(&id).is_some_and(over)
+            && let Some(access) = self.state.accesses.remove(&id)
+        {
+            self.state.references.remove(&access.call.reference);
         }
     }
 
@@ -363,44 +368,41 @@
     }
 
     fn journal(&mut self, now: Moment, entry: Entry) {
-        let concerns: Box<Concerns> = match entry.change {
+        let (mut purged, mut listed, mut recalls) = (None, false, Vec::new());
+        match entry.change {
             Change::Hosts { form, members } => {
+                listed = true;
                 self.pools.list(form, &members);
-                let entries: Vec<HostEntry> = members.iter().map(|member| member.entry).collect();
-                let ends = |entry: &&HostEntry| entry.state != HostState::Ready;
-                let ending: BTreeSet<HostId> =
-                    entries.iter().filter(ends).map(|e| e.host).collect();
+                let entries = members.iter().map(|member| member.entry).collect();
                 self.tell(now, Event::Hosts { form, entries });
-                Box::new(move |_, hand_off| {
-                    ending.contains(&hand_off.host)
-                        || hand_off
-                            .source
-                            .is_some_and(|source| ending.contains(&source))
-                })
             }
             Change::Purged { object, group, at } => {
-                self.tell(
-                    now,
-                    Event::Purged {
-                        object,
-                        group,
-                        ago: now.since(at),
-                    },
-                );
-                Box::new(move |access, _| match object {
-                    Some(object) => access.call.object == object,
-                    None => access.call.group == group,
-                })
+                purged = Some((object, group));
+                let ago = now.since(at);
+                self.tell(now, Event::Purged { object, group, ago });
             }
-        };
+        }
         // What waits for a dial or for room is dropped; what has begun to go out runs on.
         for (&access, open) in &self.state.accesses {
+            let purged = match purged {
+                Some((Some(object), _)) => open.call.object == object,
+                Some((None, group)) => open.call.group == group,
+                None => false,
+            };
             for (no, hand_off) in (0..).map(HandOffNo).zip(&open.hand_offs) {
-                if !hand_off.over && concerns(open, hand_off) {
-                    self.pools.recall(ErrandId { access, no });
+                let hosts = [Some(hand_off.host), hand_off.source];
+                let unready = || {
+                    hosts
+                        .iter()
+                        .flatten()
+                        .any(|&host| !self.pools.is_ready(host))
+                };
+                if !hand_off.over && (purged || listed && unready()) {
+                    recalls.push(ErrandId { access, no });
                 }
             }
         }
+        recalls.into_iter().for_each(|id| self.pools.recall(id));
     }
 
     /// What is due by now: waits for connections, outer limits, wake-ups.
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -1,6 +1,6 @@
 //! Cache hosts, parents and the origin: RESP over pools of connections, a pool a host.
 
-use crate::checks::{Counts, Held, count, must};
+use crate::checks::{Counts, Held, Parcel, count, must};
 use crate::dispatch::{Inbound, Queue};
 use crate::list::Member;
 use crate::msgpack::Fault;
@@ -55,8 +55,8 @@
     pub note: Note,
     pub waited: Option<Span>,
     pub report: Vec<f64>,
-    /// The bytes; `None`: the client's copy is the one.
-    pub body: Option<Vec<u8>>,
+    /// The bytes where it is done; `None`: the client's copy is the one.
+    pub body: Option<Parcel>,
 }
 
 impl Answer {
@@ -66,7 +66,7 @@
             note: Note::Untold,
             waited: None,
             report: vec![],
-            body: Some(vec![]),
+            body: None,
         }
     }
 }
@@ -191,6 +191,8 @@
                     let _ = line.orders.send(ToServer::Break);
                 }
             }
+            let same = pool.member.name == member.name;
+            must(same, &self.counts.broken_same_host_id);
             pool.member = member.clone();
         }
         for (&host, pool) in &mut self.pools {
@@ -214,6 +216,11 @@
         });
     }
 
+    pub fn is_ready(&self, host: HostId) -> bool {
+        let pool = self.pools.get(&host);
+        pool.is_some_and(|pool| pool.member.entry.state == HostState::Ready)
+    }
+
     /// The name by which a host is known to others.
     pub fn name(&self, host: HostId) -> Option<Rc<str>> {
         self.pools.get(&host).map(|pool| pool.member.name.clone())
@@ -403,7 +410,8 @@
             log: self.log.clone(),
             held: self.held.clone(),
             held_limit: self.held_limit,
-            idle_close: Duration::from_micros(self.bounds.idle_close.0),
+            // A little before the host closes it, or a request may cross its close.
+            idle_close: Duration::from_micros((self.bounds.idle_close - self.bounds.dial_within).0),
             silence: Duration::from_micros(self.bounds.dial_within.0),
             incoming: Ring::new(self.held.clone()),
             wants: 1,
@@ -718,9 +726,10 @@
             let errand = std::str::from_utf8(reference)
                 .ok()
                 .and_then(|r| self.open.remove(r));
+            let words = [*word, *fields, *body];
             let answer = errand
                 .as_ref()
-                .map(|errand| read_answer(word, fields, body, errand));
+                .map(|errand| read_answer(words, errand, &self.held));
             self.incoming.consume(n);
             self.wants = 1;
             match (errand, answer) {
@@ -761,7 +770,8 @@
     }
 }
 
-fn read_answer(word: &[u8], fields: &[u8], body: &[u8], errand: &OpenErrand) -> Option<Answer> {
+fn read_answer(words: [&[u8]; 3], errand: &OpenErrand, held: &Held) -> Option<Answer> {
+    let [word, fields, body] = words;
     let fields = std::str::from_utf8(fields).ok()?;
     let named = |name: &str| {
         let pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
@@ -802,12 +812,6 @@
             .filter(|ms| *ms > 0.0)
             .map(|ms: f64| Span::from_secs_f64(ms / 1000.0)),
         report: report.filter_map(|value| value.parse().ok()).collect(),
-        body: (word != b"unchanged").then(|| {
-            if ending == Ending::Done {
-                body.to_vec()
-            } else {
-                vec![]
-            }
-        }),
+        body: (word == b"data").then(|| Parcel::new(body, held)),
     })
 }
--- /dev/null
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -0,0 +1,684 @@
+//! Short stories played to the built program over sockets, one for each thing that goes wrong there.
+
+mod stage;
+
+use serde_json::json;
+use stage::*;
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+#[test]
+fn an_access_is_done_through_a_cache_as_it_was_decided() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let number = client.ask("image", 7, 2000);
+    let pull = stage.pull();
+    assert!(pull.host.starts_with('c'));
+    assert_eq!(pull.id, format!("{:016x}", 0xabc0_0007u64));
+    let told = ["lane", "name", "piece", "via", "tier"].map(|name| pull.field(name).unwrap_or(""));
+    assert_eq!(told, ["image", "0000000000000007", "0", "p1", "1"]);
+    let ttl: u64 = pull
+        .field("ttl")
+        .and_then(|ms| ms.parse().ok())
+        .expect("a time");
+    assert!((1..=2000).contains(&ttl), "{ttl}");
+    pull.hit(b"\r\n\0bytes");
+    assert_eq!(client.answer(), (number, Final::done(b"\r\n\0bytes")));
+    client.ask_with("heartbeat", vec![], &[]);
+    assert_eq!(client.answer().1, Final::done(&[1]));
+}
+
+#[test]
+fn an_object_of_full_size_comes_through_unchanged_and_memory_is_given_back() {
+    let mut stage = Stage::new();
+    let mut client = stage.client();
+    let bytes: Vec<u8> = (0..240_000u32).map(|i| ((i * 7) >> 3) as u8).collect();
+    for object in 0..40 {
+        client.ask("image", object, 3000);
+        stage
+            .pull()
+            .answer("data", "why=TCP_MISS,tag=aa,minted=1", &bytes);
+        assert_eq!(client.answer().1, Final::done(&bytes));
+    }
+    client
+        .stream
+        .shutdown(Shutdown::Write)
+        .expect("a half-close");
+    assert!(client.is_closed());
+    stage.program.signal("-TERM");
+    assert!(stage.program.ended().success());
+    let figures = stage.program.figures();
+    assert!(
+        figures.contains(" held: 0,") && figures.contains("done=40"),
+        "{figures}"
+    );
+}
+
+#[test]
+fn the_copy_that_a_client_holds_is_said_to_be_the_one() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let held = [fields(7, 2000), vec![("have".into(), "4be0c192".into())]].concat();
+    client.ask_with("image", held, &[]);
+    let pull = stage.pull();
+    assert_eq!(pull.field("known"), Some("4be0c192"));
+    pull.answer("unchanged", "why=TCP_HIT,tag=4be0c192,minted=1", b"");
+    let same = [("same".to_owned(), "1".to_owned())].into();
+    assert_eq!(client.answer().1, Final::Done(vec![], same));
+}
+
+#[test]
+fn without_hosts_an_access_is_rejected_with_a_time_to_come_back() {
+    let stage = Stage::with(|config, _| config["known"] = json!({"pos": 0, "entries": []}));
+    let mut client = stage.client();
+    client.ask("image", 7, 2000);
+    let Final::Error(word, fields) = client.answer().1 else {
+        panic!("done by nobody")
+    };
+    assert_eq!(word, "Throttled");
+    let ms: u64 = fields["cooldown"].parse().expect("milliseconds");
+    assert!((1..=2000).contains(&ms));
+}
+
+#[test]
+fn a_binding_access_that_hangs_is_given_up_and_aborted_at_its_limit() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let asked = Instant::now();
+    client.ask_with("order", fields(7, 300), b"change");
+    let pull = stage.pull();
+    assert_eq!(
+        (pull.body.as_slice(), pull.field("lane")),
+        (&b"change"[..], Some("order"))
+    );
+    assert!(client.answer().1.is_error("Broken"));
+    let took = asked.elapsed();
+    assert!(took >= Duration::from_millis(300), "{took:?}");
+    let kill = stage.hear();
+    assert_eq!((kill.word.as_str(), kill.id), ("KILL", pull.id));
+}
+
+#[test]
+fn a_binding_access_whose_connection_breaks_is_never_sent_twice() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    client.ask("order", 7, 1000);
+    stage.pull().hang_up();
+    assert!(client.answer().1.is_error("Broken"));
+    client.ask("image", 8, 1000);
+    assert_eq!(
+        stage.pull().field("lane"),
+        Some("image"),
+        "nothing in between"
+    );
+}
+
+#[test]
+fn a_retriable_access_whose_connection_breaks_goes_to_the_next_cache() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    client.ask("image", 7, 2000);
+    let first = stage.pull();
+    first.hang_up();
+    let second = stage.pull();
+    assert_ne!(first.host, second.host);
+    second.hit(b"x");
+    assert_eq!(client.answer().1, Final::done(b"x"));
+}
+
+#[test]
+fn a_late_answer_matches_nothing_and_the_same_id_goes_by_another_connection() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    // The origin turns a change away, and it is asked again.
+    client.ask("change", 7, 2000);
+    let first = stage.pull();
+    first.answer("full", "-", b"");
+    let again = stage.pull();
+    assert_eq!((first.host, &first.id), (again.host, &again.id));
+    assert_ne!(first.line(), again.line());
+    first.hit(b"late");
+    again.hit(b"right");
+    assert_eq!(client.answer().1, Final::done(b"right"));
+}
+
+#[test]
+fn what_was_revoked_is_given_up_and_owed_nothing() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let first = client.ask("image", 7, 2000);
+    let pull = stage.pull();
+    client.revoke(first);
+    let kill = stage.hear();
+    assert_eq!((kill.word.as_str(), &kill.id), ("KILL", &pull.id));
+    pull.hit(b"late");
+    let second = client.ask("image", 8, 2000);
+    stage.pull().hit(b"x");
+    assert_eq!(client.answer(), (second, Final::done(b"x")));
+}
+
+#[test]
+fn a_reset_gives_up_and_a_half_close_is_still_answered() {
+    let stage = Stage::new();
+    let (mut leaving, mut closing) = (stage.client(), stage.client());
+    leaving.ask("image", 7, 2000);
+    let left = stage.pull();
+    let socket = socket2::SockRef::from(&leaving.stream);
+    socket
+        .set_linger(Some(Duration::ZERO))
+        .expect("a reset at the close");
+    drop(leaving);
+    let kill = stage.hear();
+    assert_eq!((kill.word.as_str(), kill.id), ("KILL", left.id));
+    closing.ask("image", 8, 2000);
+    closing
+        .stream
+        .shutdown(Shutdown::Write)
+        .expect("a half-close");
+    stage.pull().hit(b"x");
+    assert_eq!(closing.answer().1, Final::done(b"x"));
+    assert!(closing.is_closed());
+}
+
+#[test]
+fn a_hundred_requests_in_odd_splits_are_answered_once_each() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let mut chance = fastrand::Rng::with_seed(3);
+    let bytes: Vec<u8> = (0..100)
+        .flat_map(|n| client.encode("image", fields(n, 3000), &[]))
+        .collect();
+    let mut writer = client.stream.try_clone().expect("a clone");
+    let writing = std::thread::spawn(move || {
+        let mut rest = bytes.as_slice();
+        while !rest.is_empty() {
+            let (piece, later) = rest.split_at(chance.usize(1..200).min(rest.len()));
+            writer.write_all(piece).expect("written");
+            rest = later;
+        }
+    });
+    let mut held = Vec::new();
+    let mut answered = BTreeSet::new();
+    for n in 0..100 {
+        held.push(stage.pull());
+        if held.len() == 10 || n == 99 {
+            // In any order.
+            for pull in held.drain(..).rev() {
+                pull.hit(pull.id.as_bytes());
+            }
+        }
+    }
+    for _ in 0..100 {
+        let (number, last) = client.answer();
+        let wanted = format!("{:016x}", 0xabc0_0000 + number - 1);
+        assert_eq!(last, Final::done(wanted.as_bytes()));
+        assert!(answered.insert(number), "{number} twice");
+    }
+    writing.join().expect("written");
+}
+
+/// A listener whose backlog is full: connections to it never come up.
+fn never_up() -> (socket2::Socket, Vec<TcpStream>, std::net::SocketAddr) {
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a port");
+    socket.listen(0).expect("a listener");
+    let address = socket
+        .local_addr()
+        .ok()
+        .and_then(|a| a.as_socket())
+        .expect("an address");
+    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+    let fillers = std::iter::from_fn(fill).take(8).collect();
+    (socket, fillers, address)
+}
+
+/// A stage on which connections to the cache c1 never come up within the dial time.
+fn without_c1(dial_ms: u64) -> (Stage, impl Sized) {
+    let (socket, fillers, address) = never_up();
+    let stage = Stage::with(|config, _| {
+        config["settings"]["ceilings"]["dial_timeout_us"] = json!(dial_ms * 1000);
+        let members = config["known"]["entries"][0]["hosts"]["members"].as_array_mut();
+        let members = members.expect("members").iter_mut();
+        let c1 = members.filter(|member| member["id"] == "c1");
+        c1.for_each(|member| member["host_port"] = json!(address.to_string()));
+    });
+    (stage, (socket, fillers))
+}
+
+#[test]
+fn a_vanished_cache_costs_the_dial_time_and_no_more() {
+    let (stage, _silent) = without_c1(400);
+    let mut client = stage.client();
+    let mut slow = 0;
+    for object in 0..12 {
+        let asked = Instant::now();
+        client.ask("image", object, 3000);
+        let pull = stage.pull();
+        assert_eq!(pull.host, "c2");
+        slow += u32::from(asked.elapsed() >= Duration::from_millis(390));
+        pull.hit(b"x");
+        assert_eq!(client.answer().1, Final::done(b"x"));
+    }
+    assert!(
+        (1..12).contains(&slow),
+        "those of c1 wait for the dial: {slow}"
+    );
+}
+
+/// Asks for some objects, of which those of c1 wait for a dial, tells an event, and gives the requests
+/// that c2 hears; all of them come long before the dial time is over.
+fn told_while_waiting(event: impl FnOnce(&Stage) -> serde_json::Value) -> Vec<Heard> {
+    let (mut stage, _silent) = without_c1(60_000);
+    let mut client = stage.client();
+    let mut journal = stage.journal();
+    for object in 0..12 {
+        client.ask("image", object, 3000);
+    }
+    let first = stage.pull();
+    let event = event(&stage);
+    // The events of a client come in order: once this is heard, all twelve were taken.
+    client.ask_with("heartbeat", vec![], &[]);
+    assert_eq!(client.answer().1, Final::done(&[1]));
+    journal.tell(&event);
+    let mut pulls = vec![first];
+    pulls.extend((1..12).map(|_| stage.pull()));
+    pulls.iter().for_each(|pull| pull.hit(b"x"));
+    for _ in 0..12 {
+        assert_eq!(client.answer().1, Final::done(b"x"));
+    }
+    stage.program.signal("-TERM");
+    drop(client);
+    assert!(stage.program.ended().success());
+    let figures = stage.program.figures();
+    assert!(figures.contains(" not_sent="), "some waited: {figures}");
+    pulls
+}
+
+#[test]
+fn a_drain_drops_what_waits_for_a_dial() {
+    let event = |stage: &Stage| {
+        hosts(
+            2,
+            false,
+            &[member("c1", stage.addresses["c1"], "draining", 0)],
+        )
+    };
+    let pulls = told_while_waiting(event);
+    assert!(pulls.iter().all(|pull| pull.host == "c2"));
+}
+
+#[test]
+fn a_drained_source_drops_what_waits_for_a_dial() {
+    let event = |stage: &Stage| {
+        hosts(
+            2,
+            false,
+            &[member("p1", stage.addresses["p1"], "draining", 0)],
+        )
+    };
+    let pulls = told_while_waiting(event);
+    let from_parent = pulls
+        .iter()
+        .filter(|pull| pull.field("via") == Some("p1"))
+        .count();
+    assert!((1..12).contains(&from_parent), "{from_parent}");
+}
+
+#[test]
+fn a_purge_drops_what_waits_for_a_dial_and_bounds_the_age() {
+    let pulls =
+        told_while_waiting(|_| json!({"pos": 2, "expire": {"set": 17, "stamp": unix_ms()}}));
+    let fresh = |pull: &Heard| pull.field("fresh").and_then(|ms| ms.parse::<u64>().ok());
+    let bound: Vec<u64> = pulls.iter().filter_map(fresh).collect();
+    assert!(
+        !bound.is_empty() && bound.iter().all(|ms| (1..3000).contains(ms)),
+        "{bound:?}"
+    );
+}
+
+#[test]
+fn the_purge_of_one_object_needs_no_group() {
+    let stage = Stage::new();
+    let (mut client, mut journal) = (stage.client(), stage.journal());
+    journal.tell(&json!({"pos": 2, "expire": {"name": format!("{:016x}", 7), "stamp": unix_ms()}}));
+    // Until it has come, the access is asked again.
+    wait_for("the purge is heeded", || {
+        client.ask("image", 7, 2000);
+        let pull = stage.pull();
+        pull.hit(b"x");
+        client.answer();
+        pull.field("fresh").is_some_and(|ms| ms != "0")
+    });
+    client.ask("image", 8, 2000);
+    assert_eq!(
+        stage.pull().field("fresh"),
+        None,
+        "another object of the group"
+    );
+}
+
+#[test]
+fn a_torn_journal_is_called_again_and_tells_each_event_once() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let gone = |pos, id| hosts(pos, false, &[member(id, stage.addresses[id], "gone", 0)]);
+    let back = |pos, id| hosts(pos, false, &[member(id, stage.addresses[id], "ready", 0)]);
+    let mut journal = stage.journal();
+    assert_eq!(journal.last, 1);
+    journal.tell(&gone(2, "c1"));
+    journal.tell(&back(3, "c1"));
+    journal.tell(&gone(4, "c2"));
+    journal.hang_up();
+    let mut journal = stage.journal();
+    assert_eq!(journal.last, 4);
+    // A repeat of the second would take c1 away, too.
+    journal.tell(&gone(2, "c1"));
+    journal.tell(&gone(5, "p1"));
+    wait_for("the last event is heeded", || {
+        client.ask("image", 7, 2000);
+        let pull = stage.pull();
+        assert_eq!(pull.host, "c1");
+        pull.hit(b"x");
+        client.answer();
+        pull.field("via") == Some("o1")
+    });
+    // A gap is not passed over: the events before it are asked for.
+    journal.tell(&back(9, "c2"));
+    assert_eq!(stage.journal().last, 5);
+}
+
+#[test]
+fn a_silent_journal_is_called_again() {
+    let stage = Stage::new();
+    let silent = stage.journal();
+    let called = Instant::now();
+    assert_eq!(stage.journal().last, 1);
+    assert!(called.elapsed() >= Duration::from_secs(2));
+    drop(silent);
+}
+
+#[test]
+fn what_a_silent_process_held_ends_when_it_is_listed_anew() {
+    let stage = Stage::new();
+    let (mut client, mut journal) = (stage.client(), stage.journal());
+    client.ask("order", 7, 3000);
+    let pull = stage.pull();
+    // Long ago, so that it is warm.
+    let anew = member(
+        pull.host,
+        stage.addresses[pull.host],
+        "ready",
+        unix_ms() - 600_000,
+    );
+    let told = Instant::now();
+    journal.tell(&hosts(2, false, &[anew]));
+    assert!(client.answer().1.is_error("Broken"));
+    assert!(
+        told.elapsed() < Duration::from_secs(2),
+        "long before its limit"
+    );
+    client.ask("order", 8, 3000);
+    let fresh = stage.pull();
+    assert_ne!(fresh.line(), pull.line());
+}
+
+#[test]
+fn hash_order_agrees_among_dispatchers_with_other_addresses_and_after_a_restart() {
+    let (a, b) = (Stage::new(), Stage::new());
+    assert_ne!(a.addresses, b.addresses);
+    let homes = |stage: &Stage| -> Vec<&'static str> {
+        let mut client = stage.client();
+        let home = |object| {
+            client.ask("image", object, 2000);
+            let pull = stage.pull();
+            pull.hit(b"x");
+            client.answer();
+            pull.host
+        };
+        (0..30).map(home).collect()
+    };
+    let wanted = homes(&a);
+    assert!(wanted.contains(&"c1") && wanted.contains(&"c2"));
+    assert_eq!(homes(&b), wanted);
+    // Killed outright while clients are connected, and started again at once on the same address.
+    let Stage {
+        mut program,
+        config,
+        addresses,
+        heard_in,
+        ..
+    } = b;
+    let connected = Client::new(program.address);
+    program.signal("-KILL");
+    program.ended();
+    let again = Program::start(&config, program.address);
+    drop((connected, again, addresses, heard_in));
+    assert_eq!(homes(&a), wanted);
+}
+
+#[test]
+fn asked_to_end_under_traffic_it_answers_all_and_exits_with_zero() {
+    let mut stage = Stage::new();
+    let mut clients: Vec<Client> = (0..8).map(|_| stage.client()).collect();
+    let ask = |clients: &mut [Client], from: u64| {
+        for (n, client) in (from..).zip(clients) {
+            client.ask("image", n, 3000);
+        }
+    };
+    ask(&mut clients, 0);
+    let open: Vec<Heard> = (0..8).map(|_| stage.pull()).collect();
+    stage.program.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(300));
+    open.iter().for_each(|pull| pull.hit(b"x"));
+    // On open connections and on new ones, until shortly before no more may come.
+    ask(&mut clients, 10);
+    clients.push(stage.client());
+    std::thread::sleep(Duration::from_millis(250));
+    ask(&mut clients[8..], 20);
+    (0..9).for_each(|_| stage.pull().hit(b"x"));
+    for (n, client) in clients.iter_mut().enumerate() {
+        for _ in 0..if n < 8 { 2 } else { 1 } {
+            assert_eq!(client.answer().1, Final::done(b"x"));
+        }
+        assert!(client.is_closed(), "half-closed");
+    }
+    drop(clients);
+    assert!(stage.program.ended().success());
+}
+
+#[test]
+fn a_bad_start_is_a_plain_message_and_another_exit_code() {
+    let stage = Stage::new();
+    let path = std::env::temp_dir().join(format!("trailproxyd-bad-{}.json", std::process::id()));
+    let fails = |config: Option<&str>, listen: &str, why: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_trailproxyd"));
+        command
+            .env_remove("RELAY_CONFIG")
+            .env("RELAY_LISTEN", listen);
+        if let Some(config) = config {
+            std::fs::write(&path, config).expect("a file");
+            command.env("RELAY_CONFIG", &path);
+        }
+        let output = command.output().expect("it runs");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(1), "{said}");
+        assert!(said.contains(why) && !said.contains("panicked"), "{said}");
+    };
+    let (free, sound) = (free_address().to_string(), stage.config.to_string());
+    fails(None, &free, "RELAY_CONFIG is not set");
+    fails(Some("{"), &free, "is not JSON");
+    fails(Some("{\"seed\":\"1\"}"), &free, "settings are missing");
+    fails(
+        Some(&sound.replace("\"az\":1", "\"az\":\"x\"")),
+        &free,
+        "setting az can't be read",
+    );
+    fails(Some(&sound), "nowhere", "is not an address");
+    fails(
+        Some(&sound),
+        &stage.program.address.to_string(),
+        "can't listen on",
+    );
+    let _ = std::fs::remove_file(path);
+}
+
+#[test]
+fn a_clients_garbage_ends_its_connection_alone() {
+    let stage = Stage::new();
+    let (mut sound, mut chance) = (stage.client(), fastrand::Rng::with_seed(9));
+    for n in 0..30u64 {
+        let mut bad = stage.client();
+        let mut bytes = bad.encode("image", fields(100, 1000), &[]);
+        match n {
+            0 => bytes = vec![0xc1],
+            1 => bytes = vec![0xc6, 0xff, 0xff, 0xff, 0xff],
+            2 => bytes = vec![0x91; 100],
+            _ => (0..4).for_each(|_| bytes[chance.usize(0..20)] = chance.u8(..)),
+        }
+        let _ = bad.stream.write_all(&bytes);
+        if n < 3 {
+            assert!(bad.is_closed());
+        }
+        let number = sound.ask("image", n, 2000);
+        let wanted = format!("{:016x}", 0xabc0_0000 + n);
+        let pull = std::iter::repeat_with(|| stage.pull()).find(|pull| pull.id == wanted);
+        pull.expect("the sound one").hit(b"x");
+        assert_eq!(sound.answer(), (number, Final::done(b"x")));
+    }
+}
+
+#[test]
+fn what_cant_be_acted_on_is_an_error_and_the_connection_goes_on() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let without = |name: &str| {
+        fields(7, 900)
+            .into_iter()
+            .filter(|(n, _)| n != name)
+            .collect::<Vec<_>>()
+    };
+    let with =
+        |name: &str, value: &str| [without(name), vec![(name.into(), value.into())]].concat();
+    let bad = [
+        without("ref"),
+        without("lookup"),
+        without("allow"),
+        with("allow", "-5"),
+        with("allow", "soon"),
+        with("lookup", "xyz"),
+        with("part", "-1"),
+        with("room", "big"),
+        with("ref", "a,via=o1"),
+    ];
+    for fields in bad {
+        let number = client.ask_with("image", fields, &[]);
+        assert_eq!(
+            client.answer(),
+            (number, Final::Error("Broken".into(), Default::default()))
+        );
+    }
+    client.ask("no-such-track", 7, 900);
+    assert!(client.answer().1.is_error("Broken"));
+    client.ask_with("change", fields(7, 900), &[0; 48_001]);
+    assert!(client.answer().1.is_error("Broken"));
+    client.ask_with("change", fields(7, 900), &[5; 48_000]);
+    let pull = stage.pull();
+    assert_eq!(pull.body, [5; 48_000]);
+    pull.answer("data", "tag=a,minted=1", b"");
+    assert_eq!(client.answer().1, Final::done(b""));
+}
+
+#[test]
+fn a_hosts_garbage_ends_its_connection_and_the_access_goes_on() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    for (object, garbage) in [&b"*9\r\n"[..], b"nonsense", b"*4\r\n$-1\r\n"]
+        .into_iter()
+        .enumerate()
+    {
+        client.ask("image", object as u64, 2000);
+        let first = stage.pull();
+        let _ = (&first.stream).write_all(garbage);
+        let second = stage.pull();
+        assert_ne!(first.host, second.host);
+        second.hit(b"x");
+        assert_eq!(client.answer().1, Final::done(b"x"));
+    }
+    // A copy that was never offered can't be the one.
+    client.ask("image", 9, 2000);
+    stage.pull().answer("unchanged", "-", b"");
+    stage.pull().hit(b"x");
+    assert_eq!(client.answer().1, Final::done(b"x"));
+}
+
+#[test]
+fn another_host_at_a_gone_ones_address_has_connections_of_its_own() {
+    let stage = Stage::new();
+    let (mut client, mut journal) = (stage.client(), stage.journal());
+    client.ask("image", 7, 3000);
+    let first = stage.pull();
+    let address = stage.addresses[first.host];
+    journal.tell(&hosts(
+        2,
+        false,
+        &[
+            member(first.host, address, "gone", 0),
+            member("c9", address, "ready", 0),
+        ],
+    ));
+    let other = if first.host == "c1" { "c2" } else { "c1" };
+    journal.tell(&hosts(
+        3,
+        false,
+        &[member(other, stage.addresses[other], "gone", 0)],
+    ));
+    let mut lines = BTreeSet::new();
+    wait_for("the new one is used", || {
+        client.ask("image", 8, 3000);
+        let pull = stage.pull();
+        pull.hit(b"x");
+        client.answer();
+        lines.insert(pull.line());
+        pull.host == first.host && pull.line() != first.line()
+    });
+    // What the gone one had is still its to answer.
+    first.hit(b"last");
+    assert_eq!(client.answer().1, Final::done(b"last"));
+}
+
+#[test]
+fn answers_to_a_client_that_takes_nothing_stay_within_memory() {
+    let mut stage = Stage::with(|config, _| config["limits"]["memory_mb"] = json!(16));
+    let mut slow: Vec<Client> = (0..6).map(|_| stage.client()).collect();
+    let bytes = vec![7; 240_000];
+    for object in 0..32 {
+        for (n, client) in (0..).zip(&mut slow) {
+            client.ask("image", object * 6 + n, 3000);
+        }
+    }
+    let answering = bytes.clone();
+    let pulls: Vec<Heard> = (0..100).map(|_| stage.pull()).collect();
+    let writing = std::thread::spawn(move || pulls.iter().for_each(|pull| pull.hit(&answering)));
+    std::thread::sleep(Duration::from_millis(500));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", stage.program.child.id()));
+    let status = status.expect("a process");
+    let peak = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .expect("a peak");
+    let peak_kb: u64 = peak
+        .trim()
+        .trim_end_matches(" kB")
+        .parse()
+        .expect("a number");
+    assert!(peak_kb < 20 * 1024, "{peak_kb} kB for 24 MB of answers");
+    slow.clear();
+    writing.join().expect("written");
+    stage.program.signal("-TERM");
+    assert!(stage.program.ended().success());
+}
--- /dev/null
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -0,0 +1,464 @@
+//! A stage for the built program: stand-ins of cache hosts and of the journal service, and a client.
+
+use rmpv::Value;
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// No condition takes longer, also on a busy machine.
+pub const SOON: Duration = Duration::from_secs(10);
+
+/// What a stand-in of a host hears.
+pub struct Heard {
+    pub host: &'static str,
+    pub word: String,
+    pub id: String,
+    pub fields: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    pub stream: TcpStream,
+}
+
+impl Heard {
+    pub fn answer(&self, word: &str, fields: &str, body: &[u8]) {
+        let mut out = b"*4\r\n".to_vec();
+        for part in [self.id.as_bytes(), word.as_bytes(), fields.as_bytes(), body] {
+            out.extend(format!("${}\r\n", part.len()).as_bytes());
+            out.extend(part);
+            out.extend(b"\r\n");
+        }
+        let _ = (&self.stream).write_all(&out);
+    }
+
+    pub fn hit(&self, body: &[u8]) {
+        self.answer("data", "why=TCP_HIT,tag=aa,minted=1", body);
+    }
+
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).map(String::as_str)
+    }
+
+    pub fn line(&self) -> SocketAddr {
+        self.stream.peer_addr().expect("a peer")
+    }
+
+    pub fn hang_up(&self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+fn word(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|&n| n > 0)?;
+    let mut word = vec![0; line[1..].trim().parse::<usize>().ok()? + 2];
+    reader.read_exact(&mut word).ok()?;
+    word.truncate(word.len() - 2);
+    Some(word)
+}
+
+fn listen_to(host: &'static str, stream: TcpStream, heard: Sender<Heard>) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+    let mut line = String::new();
+    while reader.read_line(&mut line).is_ok_and(|n| n > 0) {
+        let n: usize = line[1..].trim().parse().expect("an array");
+        line.clear();
+        let words: Vec<_> = (0..n).map_while(|_| word(&mut reader)).collect();
+        let text = |i: usize| {
+            words
+                .get(i)
+                .map_or(String::new(), |w| String::from_utf8_lossy(w).into())
+        };
+        let fields = text(2);
+        let pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
+        let one = Heard {
+            host,
+            word: text(0),
+            id: text(1),
+            fields: pairs
+                .map(|(name, value)| (name.into(), value.into()))
+                .collect(),
+            body: words.get(3).cloned().unwrap_or_default(),
+            stream: stream.try_clone().expect("a clone"),
+        };
+        if heard.send(one).is_err() {
+            return;
+        }
+    }
+}
+
+fn stand_in(host: &'static str, heard: Sender<Heard>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let heard = heard.clone();
+            std::thread::spawn(move || listen_to(host, stream, heard));
+        }
+    });
+    address
+}
+
+/// A call of the program to the journal service.
+pub struct JournalLine {
+    pub last: u64,
+    stream: TcpStream,
+}
+
+impl JournalLine {
+    pub fn tell(&mut self, event: &Json) {
+        let pos = &event["pos"];
+        let text = format!(": well\n\nid: {pos}\ndata: {event}\n\n");
+        self.stream
+            .write_all(text.as_bytes())
+            .expect("a journal line");
+    }
+
+    pub fn hang_up(self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+fn journal(lines: Sender<JournalLine>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+            let head: Vec<String> = reader
+                .by_ref()
+                .lines()
+                .map_while(Result::ok)
+                .take_while(|line| !line.is_empty())
+                .collect();
+            let told = head
+                .iter()
+                .find_map(|line| line.strip_prefix("Last-Event-ID: "));
+            let last = told.and_then(|n| n.parse().ok()).expect("a place");
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+                .expect("a head");
+            if lines.send(JournalLine { last, stream }).is_err() {
+                return;
+            }
+        }
+    });
+    address
+}
+
+pub fn member(id: &str, address: SocketAddr, phase: &str, up_since_ms: u64) -> Json {
+    let (zone, kind) = match &id[..1] {
+        "c" => ("edge", "small"),
+        "p" => ("hub", "parent"),
+        _ => ("hub", "origin"),
+    };
+    json!({"id": id, "host_port": address.to_string(), "locality": zone, "flavor": kind,
+        "cell": 0, "phase": phase, "size": 8, "up_since_ms": up_since_ms})
+}
+
+pub fn hosts(pos: u64, complete: bool, members: &[Json]) -> Json {
+    json!({"pos": pos, "hosts": {"revision": pos, "complete": complete, "members": members}})
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("a clock")
+        .as_millis() as u64
+}
+
+fn settings() -> Json {
+    let track = |name: &str, semantics: &str| {
+        json!({"name": name, "on_time_us": 800000, "hard_limit_us": 3000000, "importance": 1.0,
+            "semantics": semantics, "group": "all", "repeat_window_us": 2000000, "aim_stretch": 2.0})
+    };
+    json!({
+        "az": 1, "balancers": 1, "failure_domains": ["hub", "edge"],
+        "machine_types": ["small", "parent", "origin"], "membership_mode": "pushed",
+        "classes": [track("image", "repeatable"), track("change", "by_key"), track("order", "once")],
+        "ceilings": {"max_attempts": 6, "max_open": 1000, "max_streams": 32, "cancel": true,
+            "retry_after": true, "max_retry_after_us": 2000000, "dial_timeout_us": 400000,
+            "idle_close_us": 30000000},
+        "rules": {"start_capacity": 0.25, "cold_us": 14000000, "overload_factor": 4.0, "tip_after_us": 1000000},
+        "family_info": {"second_tier_kind": 1, "master_kind": 2, "parent_starts_at": 0.1,
+            "parent_ramp_us": 20000000, "upper_fall_multiple": 2.0, "stream_kb_per_s": 3600.0,
+            "feed_kb_per_s": [0.0, 36000.0], "seats_by_zone": [0, 1], "note_level": "hit",
+            "straight": true, "joins": false, "max_age_us": [8000000, 0, 0],
+            "usable_after_us": [20000000, 0, 0], "never_kept": [false, true, true],
+            "cleared_within_us": 6000000},
+        "report": {"via": "silent", "fields": []}
+    })
+}
+
+/// A started program, ended with the stage.
+pub struct Program {
+    pub child: Child,
+    pub address: SocketAddr,
+    log: PathBuf,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Program {
+    pub fn start(config: &Json, address: SocketAddr) -> Program {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let stem = std::env::temp_dir().join(format!("trailproxyd-{}-{n}", std::process::id()));
+        let (path, log) = (stem.with_extension("json"), stem.with_extension("log"));
+        std::fs::write(&path, config.to_string()).expect("a configuration");
+        let child = Command::new(env!("CARGO_BIN_EXE_trailproxyd"))
+            .env("RELAY_NAME", "n1")
+            .env("RELAY_LISTEN", address.to_string())
+            .env("RELAY_CONFIG", &path)
+            .stdout(File::create(&log).expect("a log"))
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let program = Program {
+            child,
+            address,
+            log,
+        };
+        wait_for("it listens", || TcpStream::connect(address).is_ok());
+        let _ = std::fs::remove_file(path);
+        program
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([name, &id])
+            .status()
+            .expect("kill runs");
+        assert!(sent.success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait_for("it ends", || {
+            status = self.child.try_wait().expect("a child");
+            status.is_some()
+        });
+        status.expect("ended")
+    }
+
+    /// The last figures that it logged; they come at its end, too.
+    pub fn figures(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines()
+            .rfind(|line| line.contains("figures"))
+            .unwrap_or("")
+            .into()
+    }
+}
+
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + SOON;
+    while !holds() {
+        assert!(Instant::now() < until, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A port that nothing listens on.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+/// Two caches, a parent, the origin, the journal service and a program that knows them.
+pub struct Stage {
+    pub program: Program,
+    pub config: Json,
+    pub addresses: BTreeMap<&'static str, SocketAddr>,
+    heard: Receiver<Heard>,
+    pub heard_in: Sender<Heard>,
+    journal: Receiver<JournalLine>,
+}
+
+impl Stage {
+    pub fn new() -> Stage {
+        Stage::with(|_, _| {})
+    }
+
+    /// Changes the configuration before the start; the addresses of the hosts are told.
+    pub fn with(change: impl FnOnce(&mut Json, &BTreeMap<&'static str, SocketAddr>)) -> Stage {
+        let (heard_in, heard) = channel();
+        let (lines_in, lines) = channel();
+        let names = ["c1", "c2", "p1", "o1"];
+        let addresses: BTreeMap<_, _> = names
+            .iter()
+            .map(|&name| (name, stand_in(name, heard_in.clone())))
+            .collect();
+        let members: Vec<_> = addresses
+            .iter()
+            .map(|(id, at)| member(id, *at, "ready", 0))
+            .collect();
+        let mut config = json!({
+            "name": "n1", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "journal": journal(lines_in).to_string(),
+            "known": {"pos": 1, "entries": [hosts(1, true, &members)]},
+            "settings": settings()
+        });
+        change(&mut config, &addresses);
+        let program = Program::start(&config, free_address());
+        Stage {
+            program,
+            config,
+            addresses,
+            heard,
+            heard_in,
+            journal: lines,
+        }
+    }
+
+    pub fn hear(&self) -> Heard {
+        self.heard
+            .recv_timeout(SOON)
+            .expect("a host hears something")
+    }
+
+    /// The next request at a host; what is given up in between is passed over.
+    pub fn pull(&self) -> Heard {
+        loop {
+            let heard = self.hear();
+            if heard.word == "PULL" {
+                return heard;
+            }
+        }
+    }
+
+    pub fn journal(&self) -> JournalLine {
+        self.journal
+            .recv_timeout(SOON)
+            .expect("a call to the journal service")
+    }
+
+    pub fn client(&self) -> Client {
+        Client::new(self.program.address)
+    }
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Final {
+    Done(Vec<u8>, BTreeMap<String, String>),
+    Error(String, BTreeMap<String, String>),
+}
+
+impl Final {
+    pub fn done(body: &[u8]) -> Final {
+        Final::Done(body.to_vec(), BTreeMap::new())
+    }
+
+    pub fn is_error(&self, word: &str) -> bool {
+        matches!(self, Final::Error(said, _) if said == word)
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    next: u64,
+}
+
+/// A request's fields, with a reference and an object of that number.
+pub fn fields(object: u64, allow_ms: u64) -> Vec<(String, String)> {
+    let reference = format!("{:016x}", object + 0xabc0_0000);
+    let object = format!("{object:016x}");
+    let all = [
+        ("ref", reference),
+        ("allow", allow_ms.to_string()),
+        ("lookup", object),
+        ("part", "0".into()),
+        ("group", "17".into()),
+        ("room", "40.5".into()),
+    ];
+    all.map(|(name, value)| (name.to_owned(), value)).into()
+}
+
+impl Client {
+    pub fn new(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(SOON)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        Client { stream, next: 0 }
+    }
+
+    pub fn encode(&mut self, method: &str, fields: Vec<(String, String)>, body: &[u8]) -> Vec<u8> {
+        self.next += 1;
+        let fields = fields
+            .into_iter()
+            .map(|(name, value)| (name.into(), value.into()))
+            .collect();
+        let mut params = vec![Value::Map(fields)];
+        if method != "heartbeat" {
+            params.push(Value::Binary(body.to_vec()));
+        }
+        let message = vec![
+            0.into(),
+            self.next.into(),
+            method.into(),
+            Value::Array(params),
+        ];
+        let mut out = Vec::new();
+        rmpv::encode::write_value(&mut out, &Value::Array(message)).expect("bytes");
+        out
+    }
+
+    /// Asks for an object and gives the request's number.
+    pub fn ask(&mut self, track: &str, object: u64, allow_ms: u64) -> u64 {
+        self.ask_with(track, fields(object, allow_ms), &[])
+    }
+
+    pub fn ask_with(&mut self, track: &str, fields: Vec<(String, String)>, body: &[u8]) -> u64 {
+        let bytes = self.encode(track, fields, body);
+        self.stream.write_all(&bytes).expect("a request is written");
+        self.next
+    }
+
+    pub fn revoke(&mut self, number: u64) {
+        let message = vec![2.into(), "revoke".into(), Value::Array(vec![number.into()])];
+        rmpv::encode::write_value(&mut self.stream, &Value::Array(message)).expect("written");
+    }
+
+    /// The next answer, with its number.
+    pub fn answer(&mut self) -> (u64, Final) {
+        let message = rmpv::decode::read_value(&mut self.stream).expect("an answer");
+        let items = message.as_array().expect("an array");
+        assert_eq!((items.len(), items[0].as_u64()), (4, Some(1)));
+        let map = |value: &Value| -> BTreeMap<String, String> {
+            let entries = value.as_map().expect("fields").iter();
+            let text = |value: &Value| value.as_str().unwrap_or("?").to_owned();
+            entries
+                .map(|(name, value)| (text(name), text(value)))
+                .collect()
+        };
+        let last = match items[2].as_array() {
+            Some(error) => Final::Error(error[0].as_str().expect("a word").into(), map(&error[1])),
+            None => {
+                let result = items[3].as_array().expect("a result");
+                let body = match &result[0] {
+                    Value::Boolean(well) => vec![u8::from(*well)],
+                    body => body.as_slice().expect("bytes").to_vec(),
+                };
+                Final::Done(body, map(&result[1]))
+            }
+        };
+        (items[1].as_u64().expect("a number"), last)
+    }
+
+    /// Whether the program has ended the connection.
+    pub fn is_closed(&mut self) -> bool {
+        !matches!(self.stream.read(&mut [0; 1]), Ok(n) if n > 0)
+    }
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -743,3 +743,13 @@
     let ids: Vec<_> = (200..203).map(burst).collect();
     assert!(ids.iter().all(|&id| PARENTS.contains(&stage.source(id))));
 }
+
+#[test]
+fn the_purge_of_an_object_told_without_its_group_bounds_its_copies() {
+    let mut stage = Stage::new(terms());
+    let (object, group, ago) = (Some(ObjectId(5)), GroupId::default(), ms(100));
+    stage.event(Event::Purged { object, group, ago });
+    let (purged, other) = (stage.arrive(READS, 5), stage.arrive(READS, 9));
+    let oldest = |id| stage.last(id).fill.expect("a fill").oldest;
+    assert_eq!((oldest(purged), oldest(other)), (Some(ms(100)), None));
+}
