--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -83,6 +83,7 @@
     journal_repeats,
     late_finals,
     clients_stalled,
+    accepts_failed,
     reading_paused,
     /// From here on: what must stay zero.
     broken_two_finals,
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -6,7 +6,7 @@
 use crate::msgpack::{self, Fault, Value};
 use crate::ring::Ring;
 use local_channel::mpsc;
-use slog::{Logger, debug, info};
+use slog::{Logger, debug};
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -23,6 +23,8 @@
 const LONGEST_MESSAGE: usize = LONGEST_BODY + 16 * 1024;
 /// Small answers go out together up to this size.
 const TOGETHER: usize = 16 * 1024;
+/// Longer waits are no waits of a client.
+const LONGEST_WAIT_MS: f64 = 3_600_000.0;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,13 +45,13 @@
     pub left: Span,
     pub track: TrackId,
     pub object: ObjectId,
-    pub object_text: Rc<str>,
+    pub object_text: String,
     pub group: GroupId,
     pub part: u32,
     pub size_kb: Option<f64>,
-    pub mark: Option<Rc<str>>,
-    pub held_tag: Option<Rc<str>>,
-    pub body: Rc<[u8]>,
+    pub mark: Option<String>,
+    pub held_tag: Option<String>,
+    pub body: Vec<u8>,
 }
 
 pub enum FromClient {
@@ -106,7 +108,8 @@
                 tokio::task::spawn_local(connection.serve());
             }
             Err(e) => {
-                info!(shared.log, "accept failed"; "why" => %e);
+                count(&shared.counts.accepts_failed);
+                debug!(shared.log, "accept failed"; "why" => %e);
                 sleep(ACCEPT_AGAIN).await;
             }
         }
@@ -130,6 +133,8 @@
     written: u64,
     encoded: u64,
     progress: Instant,
+    /// The latest outer limit of all that was asked for.
+    last_limit: Instant,
     eof: bool,
     finishing: bool,
     half_closed: bool,
@@ -159,6 +164,7 @@
             written: 0,
             encoded: 0,
             progress: Instant::now(),
+            last_limit: Instant::now(),
             eof: false,
             finishing: false,
             half_closed: false,
@@ -199,7 +205,8 @@
             }
         }
         let may_read = !self.eof && (self.half_closed || self.open() < MOST_OPEN);
-        let stalled = self.progress + self.shared.longest_limit;
+        // By then nothing that it waits for can come in time.
+        let stalled = (self.progress + self.shared.longest_limit).max(self.last_limit);
         tokio::select! {
             biased;
             order = self.orders.recv() => match order {
@@ -305,6 +312,8 @@
                 if !self.owed.insert(call.id.number) {
                     return damage("a number is used twice");
                 }
+                let limit = call.come + Duration::from_micros(call.left.0);
+                self.last_limit = self.last_limit.max(limit);
                 let _ = self
                     .shared
                     .queue
@@ -471,7 +480,7 @@
                 .bytes()
                 .all(|b| b.is_ascii_graphic() && b != b',' && b != b'=')
     };
-    let passed = |name: &str| named(name).filter(sound).map(Rc::from);
+    let passed = |name: &str| named(name).filter(sound).map(str::to_owned);
     let all_sound = ["ref", "lookup", "replay", "have"]
         .iter()
         .all(|name| named(name).as_ref().is_none_or(sound));
@@ -480,7 +489,7 @@
     let call = Call {
         id,
         come: Instant::now(),
-        reference: passed("ref")?,
+        reference: passed("ref")?.into(),
         left: Span::from_secs_f64(allow / 1000.0),
         track,
         object: object_id(named("lookup")?)?,
@@ -492,6 +501,6 @@
         held_tag: passed("have"),
         body: body.into(),
     };
-    let sized = body.len() <= LONGEST_BODY && allow.is_finite() && allow > 0.0;
+    let sized = body.len() <= LONGEST_BODY && (0.0..=LONGEST_WAIT_MS).contains(&allow);
     (all_sound && sized).then_some(call)
 }
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -4,11 +4,10 @@
 use crate::checks::{Counts, count, must};
 use crate::clients::{Call, CallId, ClientId, FromClient, Reply, ToClient};
 use crate::list::{Change, Entry};
-use crate::servers::{Answer, Errand, ErrandId, FromServer, LineId, Pools};
+use crate::servers::{Answer, FromServer, HandOffId, LineId, Pools, Sending};
 use local_channel::mpsc;
 use slog::{Logger, debug, info};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt::Write;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, sleep_until};
@@ -63,10 +62,12 @@
     sent: Moment,
     line: Option<LineId>,
     over: bool,
+    /// Whether it may have run.
+    ran: bool,
 }
 
 struct Access {
-    call: Call,
+    call: Rc<Call>,
     limit: Moment,
     /// It has its final answer, or needs none.
     closed: bool,
@@ -78,6 +79,8 @@
     pub pools: Pools,
     pub clock: Clock,
     pub link_full_at: Option<usize>,
+    /// By track.
+    pub effects: Vec<Effect>,
     pub counts: Rc<Counts>,
     pub log: Logger,
     state: State,
@@ -104,16 +107,16 @@
         decisions: Dispatcher,
         pools: Pools,
         link_full_at: Option<usize>,
-        counts: Rc<Counts>,
-        log: Logger,
+        effects: Vec<Effect>,
     ) -> Dispatch {
         Dispatch {
             decisions,
-            pools,
             clock: Clock::new(),
             link_full_at,
-            counts,
-            log,
+            effects,
+            counts: pools.shared.counts.clone(),
+            log: pools.shared.log.clone(),
+            pools,
             state: State::default(),
         }
     }
@@ -160,7 +163,7 @@
             let mut next = first;
             while let Some(inbound) = next {
                 self.take(now, inbound);
-                next = take_next(&mut queue);
+                next = next_now(&mut queue);
             }
             self.pass_time(now);
             self.settle(now);
@@ -168,7 +171,7 @@
     }
 
     fn longest_limit(&self) -> Duration {
-        Duration::from_micros(self.pools.bounds.longest_limit.0)
+        Duration::from_micros(self.pools.shared.bounds.longest_limit.0)
     }
 
     fn next_timer(&self) -> Instant {
@@ -233,7 +236,7 @@
 
     fn arrived(&mut self, now: Moment, call: Call) {
         count(&self.counts.accesses);
-        if self.state.accesses.len() >= self.pools.bounds.max_open {
+        if self.state.accesses.len() >= self.pools.shared.bounds.max_open {
             count(&self.counts.rejected);
             return self.reply(call.id, Reply::Rejected { come_back: None });
         }
@@ -259,7 +262,7 @@
         self.state.accesses.insert(
             id,
             Access {
-                call,
+                call: Rc::new(call),
                 limit,
                 closed,
                 hand_offs,
@@ -320,7 +323,7 @@
         self.reply(call, reply);
     }
 
-    fn ended(&mut self, now: Moment, id: ErrandId, line: Option<LineId>, answer: Answer) {
+    fn ended(&mut self, now: Moment, id: HandOffId, line: Option<LineId>, answer: Answer) {
         let ending = answer.ending;
         let access = self.state.accesses.get_mut(&id.access);
         let hand_off = access.and_then(|access| access.hand_offs.get_mut(usize::from(id.no.0)));
@@ -328,6 +331,7 @@
             return;
         };
         hand_off.over = true;
+        hand_off.ran = !ending.never_ran();
         hand_off.line = line;
         let took = now.since(hand_off.sent);
         match ending {
@@ -370,9 +374,16 @@
     fn journal(&mut self, now: Moment, entry: Entry) {
         let (mut purged, mut listed, mut recalls) = (None, false, Vec::new());
         match entry.change {
-            Change::Hosts { form, members } => {
+            Change::Hosts {
+                form,
+                members,
+                unread,
+            } => {
                 listed = true;
                 self.pools.list(form, &members);
+                for _ in 0..unread {
+                    count(&self.counts.bad_entries);
+                }
                 let entries = members.iter().map(|member| member.entry).collect();
                 self.tell(now, Event::Hosts { form, entries });
             }
@@ -398,7 +409,7 @@
                         .any(|&host| !self.pools.is_ready(host))
                 };
                 if !hand_off.over && (purged || listed && unready()) {
-                    recalls.push(ErrandId { access, no });
+                    recalls.push(HandOffId { access, no });
                 }
             }
         }
@@ -420,9 +431,9 @@
             let out: Vec<HandOffNo> = out.filter(|(h, _)| !h.over).map(|(_, no)| no).collect();
             self.state.limits.remove(&(access.limit, id));
             for no in out {
-                let errand = ErrandId { access: id, no };
-                self.pools.kill(errand);
-                self.ended(now, errand, None, Answer::bare(Ending::TimedOut));
+                let hand_off = HandOffId { access: id, no };
+                self.pools.kill(hand_off);
+                self.ended(now, hand_off, None, Answer::bare(Ending::TimedOut));
             }
             // The decisions give the final answer, woken by their own timer or by this.
             self.tell(now, Event::Woken { wake: WakeId(0) });
@@ -450,7 +461,7 @@
                 }
                 Action::Withdraw { id, hand_off } => {
                     let (access, no) = (id, hand_off);
-                    self.pools.kill(ErrandId { access, no });
+                    self.pools.kill(HandOffId { access, no });
                 }
                 Action::Wake { at, wake } => {
                     self.state.wakes.insert((at, wake));
@@ -470,60 +481,37 @@
         let Some(access) = access else {
             return;
         };
-        let call = &access.call;
-        let track = &self.pools.bounds.track_names[usize::from(call.track.0)];
-        let mut fields = format!("lane={track},name={},piece={}", call.object_text, call.part);
-        let mut add = |name: &str, value: &str| {
-            let _ = write!(fields, ",{name}={value}");
-        };
-        if let Some(mark) = &call.mark {
-            add("dedupe", mark);
-        }
-        if let Some(tag) = &call.held_tag {
-            add("known", tag);
-        }
+        let bounds = &self.pools.shared.bounds;
+        let track = usize::from(access.call.track.0);
         let source = fill
             .map(|fill| fill.source)
             .filter(|&source| source != host);
-        if let Some(source) = source {
-            let name = self.pools.name(source);
-            must(name.is_some(), &self.counts.broken_unknown_host);
-            add("via", name.as_deref().unwrap_or("-"));
-        }
-        if let Some(fill) = fill {
-            add("tier", &fill.rank.to_string());
-            if let Some(oldest) = fill.oldest {
-                // Rounded down, to the strict side, but never to none, which would mean any age.
-                add("fresh", &(oldest.0 / 1000).max(1).to_string());
-            }
-            let words = [
-                ("merge", fill.join),
-                ("local", fill.held_only),
-                ("revalidate", fill.renew),
-            ];
-            let words: Vec<&str> = words
-                .iter()
-                .filter(|(_, on)| *on)
-                .map(|(word, _)| *word)
-                .collect();
-            if !words.is_empty() {
-                add("opts", &words.join("+"));
-            }
-        }
-        let no = HandOffNo(access.hand_offs.len() as u8);
-        let errand = Errand {
-            id: ErrandId { access: id, no },
+        let name = source.and_then(|source| self.pools.name(source));
+        let named = name.is_some() == source.is_some();
+        must(named, &self.counts.broken_unknown_host);
+        // A repeat is known for a while only; a wait for a connection may outlast that.
+        let earlier = access.hand_offs.iter();
+        let ran = earlier
+            .clone()
+            .filter(|earlier| earlier.ran)
+            .map(|earlier| earlier.sent);
+        let begin_by = match self.effects[track] {
+            Effect::Fingerprinted { window, .. } => ran.min().map(|first| first + window),
+            _ => None,
+        };
+        let sending = Sending {
+            id: HandOffId {
+                access: id,
+                no: HandOffNo(access.hand_offs.len() as u8),
+            },
             host,
-            reference: call.reference.clone(),
-            fields,
+            call: access.call.clone(),
+            track: bounds.track_names[track].as_str().into(),
+            fill,
+            source: name,
             limit: self.clock.instant(access.limit),
-            body: call.body.clone(),
-            may_be_same: call.held_tag.is_some(),
-            avoid: access
-                .hand_offs
-                .iter()
-                .filter_map(|earlier| earlier.line)
-                .collect(),
+            begin_by: begin_by.map(|by| self.clock.instant(by)),
+            avoid: earlier.filter_map(|earlier| earlier.line).collect(),
         };
         access.hand_offs.push(HandedOff {
             host,
@@ -531,8 +519,9 @@
             sent: now,
             line: None,
             over: false,
+            ran: true,
         });
-        self.pools.submit(errand);
+        self.pools.submit(sending);
     }
 
     fn report(&self) {
@@ -541,12 +530,18 @@
         info!(self.log, "figures"; "counts" => self.counts.words(), "open" => state.accesses.len(),
             "calls" => state.calls.len(), "clients" => state.clients.len(), "out" => out,
             "lines" => lines, "pools" => pools, "timers" => state.limits.len() + state.wakes.len(),
-            "held" => self.pools.held.bytes(), "process" => process_figures());
+            "held" => self.pools.shared.held.bytes(), "process" => process_figures());
     }
 }
 
-fn take_next(queue: &mut mpsc::Receiver<Inbound>) -> Option<Inbound> {
-    crate::servers::next_now(queue)
+/// What is in a queue already.
+pub fn next_now<T>(queue: &mut mpsc::Receiver<T>) -> Option<T> {
+    let mut next = std::pin::pin!(queue.recv());
+    let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+    match next.as_mut().poll(&mut context) {
+        std::task::Poll::Ready(order) => order,
+        std::task::Poll::Pending => None,
+    }
 }
 
 /// Resident memory with its peak, descriptors and processor time, as the system tells them.
--- /dev/null
+++ b/crates/trailproxyd/src/link.rs
@@ -0,0 +1,440 @@
+//! One connection to a host: RESP, requests pipelined and answered in any order.
+
+use crate::checks::{Held, Parcel, count, must};
+use crate::dispatch::{Inbound, next_now};
+use crate::msgpack::Fault;
+use crate::resp;
+use crate::ring::Ring;
+use crate::servers::{Answer, FromServer, HandOffId, LineId, Sending, Shared, ToServer};
+use local_channel::mpsc;
+use slog::{debug, info};
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until};
+use trailproxy::interface::{Ending, Note};
+use trailproxy::units::{HostId, Span};
+
+/// The bytes of an object, by the protocol, and of the words beside it.
+const LONGEST_WORD: usize = 240_000;
+const WORDS: usize = 4;
+/// How often a reader looks whether memory is free again.
+const READ_AGAIN: Duration = Duration::from_millis(5);
+
+/// What waits to be written.
+enum Packet {
+    Sending(Sending),
+    Kill(Rc<str>),
+}
+
+struct OpenHandOff {
+    id: HandOffId,
+    sent: Instant,
+    may_be_same: bool,
+}
+
+/// One connection, as its own task knows it.
+pub struct Link {
+    host: HostId,
+    id: LineId,
+    stream: TcpStream,
+    orders: mpsc::Receiver<ToServer>,
+    shared: Rc<Shared>,
+    incoming: Ring,
+    wants: usize,
+    /// One request at a time: what is not begun can still be dropped.
+    outgoing: Ring,
+    in_ring: Option<Rc<str>>,
+    begun: bool,
+    unsent: VecDeque<Packet>,
+    /// By the id of the request; one that is in the ring and not begun is here, too.
+    open: BTreeMap<Rc<str>, OpenHandOff>,
+    heard: Instant,
+    active: Instant,
+    retired: bool,
+}
+
+type Over = &'static str;
+
+impl Link {
+    pub fn new(
+        host: HostId,
+        id: LineId,
+        stream: TcpStream,
+        orders: mpsc::Receiver<ToServer>,
+        shared: Rc<Shared>,
+    ) -> Link {
+        Link {
+            host,
+            id,
+            stream,
+            orders,
+            incoming: Ring::new(shared.held.clone()),
+            wants: 1,
+            outgoing: Ring::new(shared.held.clone()),
+            in_ring: None,
+            begun: false,
+            unsent: VecDeque::new(),
+            open: BTreeMap::new(),
+            heard: Instant::now(),
+            active: Instant::now(),
+            retired: false,
+            shared,
+        }
+    }
+
+    pub async fn serve(mut self) {
+        let why = loop {
+            if let Err(why) = self.turn().await {
+                break why;
+            }
+        };
+        if !self.open.is_empty() || !self.unsent.is_empty() {
+            let (host, open) = (format!("{:x}", self.host.0), self.open.len());
+            info!(self.shared.log, "host connection broken"; "host" => host, "open" => open, "why" => why);
+        }
+        let not_begun = self.in_ring.take().filter(|_| !self.begun);
+        for (reference, sending) in std::mem::take(&mut self.open) {
+            let clean = not_begun.as_ref() == Some(&reference);
+            self.end(
+                sending.id,
+                if clean { Ending::NotSent } else { Ending::Lost },
+            );
+        }
+        for packet in std::mem::take(&mut self.unsent) {
+            self.drop_packet(packet);
+        }
+        while let Some(order) = next_now(&mut self.orders) {
+            if let ToServer::Send(sending) = order {
+                self.end(sending.id, Ending::NotSent);
+            }
+        }
+        let (host, line) = (self.host, self.id);
+        let _ = self
+            .shared
+            .queue
+            .send(Inbound::Server(FromServer::Closed { host, line }));
+    }
+
+    fn end(&self, id: HandOffId, ending: Ending) {
+        let answer = Answer::bare(ending);
+        self.shared.end(id, self.host, Some(self.id), answer);
+    }
+
+    fn drop_packet(&self, packet: Packet) {
+        if let Packet::Sending(sending) = packet {
+            self.end(sending.id, Ending::NotSent);
+        }
+    }
+
+    async fn turn(&mut self) -> Result<(), Over> {
+        // What the host has said, its end above all, is known before anything more goes out.
+        let may_read = self.shared.held.bytes() < self.shared.held_limit;
+        if may_read {
+            self.read()?;
+        } else {
+            count(&self.shared.counts.reading_paused);
+        }
+        self.write()?;
+        let idle = self.open.is_empty() && self.unsent.is_empty() && self.outgoing.is_empty();
+        if idle && self.retired {
+            return Err("retired");
+        }
+        // A little before the host closes it, or a request may cross its close.
+        let bounds = &self.shared.bounds;
+        let idle_close = Duration::from_micros((bounds.idle_close - bounds.dial_within).0);
+        let idle_until = self.active + idle_close;
+        tokio::select! {
+            biased;
+            order = self.orders.recv() => match order {
+                Some(order) => self.obey(order)?,
+                None => return Err("not needed"),
+            },
+            ready = self.stream.readable(), if may_read => {
+                ready.map_err(|_| "read failed")?;
+            }
+            ready = self.stream.writable(), if !self.outgoing.is_empty() => {
+                ready.map_err(|_| "write failed")?;
+            }
+            _ = sleep(READ_AGAIN), if !may_read => {}
+            _ = sleep_until(idle_until), if idle => return Err("idle"),
+        }
+        Ok(())
+    }
+
+    fn obey(&mut self, order: ToServer) -> Result<(), Over> {
+        self.active = Instant::now();
+        match order {
+            ToServer::Send(sending) => self.unsent.push_back(Packet::Sending(sending)),
+            ToServer::Kill(id) => {
+                if !self.drop_unsent(id) {
+                    self.kill(id);
+                }
+            }
+            ToServer::Recall(id) => {
+                self.drop_unsent(id);
+            }
+            ToServer::Retire => self.retired = true,
+            ToServer::Break => return Err("its process was started anew"),
+        }
+        Ok(())
+    }
+
+    /// Whether not a byte of it was written: then it is dropped.
+    fn drop_unsent(&mut self, id: HandOffId) -> bool {
+        let is_it =
+            |packet: &Packet| matches!(packet, Packet::Sending(sending) if sending.id == id);
+        if let Some(at) = self.unsent.iter().position(is_it) {
+            self.unsent.remove(at);
+            self.end(id, Ending::NotSent);
+            return true;
+        }
+        let waiting = self.in_ring.as_ref().filter(|_| !self.begun);
+        let waiting = waiting.filter(|reference| {
+            self.open
+                .get(*reference)
+                .is_some_and(|sending| sending.id == id)
+        });
+        let Some(reference) = waiting.cloned() else {
+            return false;
+        };
+        self.open.remove(&reference);
+        self.in_ring = None;
+        self.outgoing.consume(self.outgoing.len());
+        self.end(id, Ending::NotSent);
+        true
+    }
+
+    fn kill(&mut self, id: HandOffId) {
+        let found = self.open.iter().find(|(_, sending)| sending.id == id);
+        let Some((reference, sending)) = found.map(|(r, sending)| (r.clone(), sending)) else {
+            return;
+        };
+        // A connection that owed an answer and said nothing for a dial's time is not used again.
+        let silence = Duration::from_micros(self.shared.bounds.dial_within.0);
+        let (unheard, long) = (self.heard <= sending.sent, sending.sent.elapsed() > silence);
+        if unheard && long && !self.retired {
+            let (host, line) = (self.host, self.id);
+            let _ = self
+                .shared
+                .queue
+                .send(Inbound::Server(FromServer::Silent { host, line }));
+        }
+        self.open.remove(&reference);
+        self.unsent.push_back(Packet::Kill(reference));
+        self.end(id, Ending::Withdrawn);
+    }
+
+    fn write(&mut self) -> Result<(), Over> {
+        loop {
+            if self.outgoing.is_empty() {
+                self.in_ring = None;
+                self.begun = false;
+                let Some(packet) = self.unsent.pop_front() else {
+                    self.outgoing.rest(true);
+                    return Ok(());
+                };
+                self.encode(packet);
+            }
+            match self.stream.try_write(self.outgoing.parts().0) {
+                Ok(n) => {
+                    self.begun |= n > 0;
+                    self.outgoing.consume(n);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(_) => return Err("write failed"),
+            }
+        }
+    }
+
+    fn encode(&mut self, packet: Packet) {
+        let mut out = Vec::with_capacity(512);
+        match packet {
+            Packet::Kill(reference) => {
+                resp::put_array(&mut out, 2);
+                resp::put_word(&mut out, b"KILL");
+                resp::put_word(&mut out, reference.as_bytes());
+            }
+            Packet::Sending(sending) => {
+                let (now, call) = (Instant::now(), &sending.call);
+                if sending.is_late(now) {
+                    return self.end(sending.id, Ending::NotSent);
+                }
+                resp::put_array(&mut out, WORDS);
+                resp::put_word(&mut out, b"PULL");
+                resp::put_word(&mut out, call.reference.as_bytes());
+                resp::put_word(&mut out, fields(&sending, now).as_bytes());
+                resp::put_word(&mut out, &call.body);
+                self.in_ring = Some(call.reference.clone());
+                let open = OpenHandOff {
+                    id: sending.id,
+                    sent: now,
+                    may_be_same: call.held_tag.is_some(),
+                };
+                let before = self.open.insert(call.reference.clone(), open);
+                must(before.is_none(), &self.shared.counts.broken_two_endings);
+            }
+        }
+        self.outgoing.push(&out);
+    }
+
+    fn read(&mut self) -> Result<(), Over> {
+        loop {
+            self.incoming.reserve(self.wants);
+            match self.stream.try_read(self.incoming.room()) {
+                Ok(0) => return Err("closed"),
+                Ok(n) => {
+                    self.incoming.filled(n);
+                    (self.heard, self.active) = (Instant::now(), Instant::now());
+                    self.parse()?;
+                    if self.shared.held.bytes() >= self.shared.held_limit {
+                        return Ok(());
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.incoming.rest(true);
+                    return Ok(());
+                }
+                Err(_) => return Err("reset"),
+            }
+        }
+    }
+
+    fn parse(&mut self) -> Result<(), Over> {
+        while self.incoming.len() >= self.wants {
+            let (words, n) = match resp::read(self.incoming.whole(), WORDS, LONGEST_WORD) {
+                Ok(read) => read,
+                Err(Fault::Short(wants)) => {
+                    self.wants = wants;
+                    return Ok(());
+                }
+                Err(Fault::Malformed(why)) => return self.bad(why),
+            };
+            let [reference, word, fields, body] = words.as_slice() else {
+                return self.bad("an answer has not four words");
+            };
+            let sending = std::str::from_utf8(reference)
+                .ok()
+                .and_then(|r| self.open.remove(r));
+            let words = [*word, *fields, *body];
+            let answer = sending
+                .as_ref()
+                .map(|sending| read_answer(words, sending, &self.shared.held));
+            self.incoming.consume(n);
+            self.wants = 1;
+            match (sending, answer) {
+                (Some(sending), Some(Some(answer))) => {
+                    self.shared
+                        .end(sending.id, self.host, Some(self.id), answer);
+                }
+                (Some(sending), _) => {
+                    self.end(sending.id, Ending::Lost);
+                    return self.bad("an answer makes no sense");
+                }
+                // It was given up before.
+                (None, _) => count(&self.shared.counts.late_answers),
+            }
+        }
+        Ok(())
+    }
+
+    fn bad(&self, why: Over) -> Result<(), Over> {
+        count(&self.shared.counts.bad_hosts);
+        debug!(self.shared.log, "host said what can't be read"; "why" => why);
+        Err(why)
+    }
+}
+
+/// The fields of a request, as the hosts want them.
+fn fields(sending: &Sending, now: Instant) -> String {
+    let call = &sending.call;
+    let mut fields = format!(
+        "lane={},name={},piece={}",
+        sending.track, call.object_text, call.part
+    );
+    let mut add = |name: &str, value: &str| {
+        let _ = write!(fields, ",{name}={value}");
+    };
+    // Rounded down: the host gives up no later than the dispatcher.
+    let left = sending.limit.saturating_duration_since(now);
+    add("ttl", &left.as_millis().max(1).to_string());
+    if let Some(mark) = &call.mark {
+        add("dedupe", mark);
+    }
+    if let Some(tag) = &call.held_tag {
+        add("known", tag);
+    }
+    if let Some(source) = &sending.source {
+        add("via", source);
+    }
+    if let Some(fill) = sending.fill {
+        add("tier", &fill.rank.to_string());
+        if let Some(oldest) = fill.oldest {
+            // Rounded down, to the strict side, but never to none, which would mean the usual age.
+            add("fresh", &(oldest.0 / 1000).max(1).to_string());
+        }
+        let words = [
+            (fill.join, "merge"),
+            (fill.held_only, "local"),
+            (fill.renew, "revalidate"),
+        ];
+        let words: Vec<&str> = words
+            .iter()
+            .filter(|(on, _)| *on)
+            .map(|(_, word)| *word)
+            .collect();
+        if !words.is_empty() {
+            add("opts", &words.join("+"));
+        }
+    }
+    fields
+}
+
+fn read_answer(words: [&[u8]; 3], sending: &OpenHandOff, held: &Held) -> Option<Answer> {
+    let [word, fields, body] = words;
+    let fields = std::str::from_utf8(fields).ok()?;
+    let named = |name: &str| {
+        let pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
+        pairs
+            .into_iter()
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    };
+    let ending = match word {
+        b"data" => Ending::Done,
+        b"unchanged" if sending.may_be_same => Ending::Done,
+        b"absent" => Ending::Missed,
+        b"full" => Ending::Full,
+        b"failed" => Ending::Error,
+        b"moot" => Ending::NotSent,
+        _ => return None,
+    };
+    let note = match named("why") {
+        Some("TCP_HIT") => Note::Hit,
+        Some("TCP_MISS") => Note::Filled,
+        Some("TCP_MISS_ROOT") => Note::FilledByOrigin,
+        Some("TCP_JOIN") => Note::Joined,
+        Some("TCP_STALE") => Note::Stale,
+        Some("PEER_DENY") => Note::SourceRefused,
+        Some("PEER_DEAD") => Note::SourceLost,
+        Some("PEER_MISS") => Note::SourceLacks,
+        Some("FILL_FULL") => Note::NoFillPlace,
+        Some("ROOT_FAIL") => Note::OriginFailed,
+        _ => Note::Untold,
+    };
+    let waited = named("lag").and_then(|ms| ms.parse().ok());
+    let report = named("rep").unwrap_or("").split(['+', ';', ' ']);
+    let report = report.map(|pair| pair.rsplit([':', '=']).next().unwrap_or(pair));
+    Some(Answer {
+        ending,
+        note,
+        waited: waited
+            .filter(|ms| *ms > 0.0)
+            .map(|ms: f64| Span::from_secs_f64(ms / 1000.0)),
+        report: report.filter_map(|value| value.parse().ok()).collect(),
+        body: (word == b"data").then(|| Parcel::new(body, held)),
+    })
+}
--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -51,6 +51,8 @@
     Hosts {
         form: ListForm,
         members: Vec<Member>,
+        /// Members that can't be read, which are passed over.
+        unread: usize,
     },
     Purged {
         object: Option<ObjectId>,
@@ -111,11 +113,19 @@
             _ => ListForm::Changes,
         };
         let members = hosts.get("members")?.as_array()?;
-        let members = members.iter().map(|member| read_member(member, names));
-        let members = members.collect::<Option<Vec<_>>>()?;
+        let told = members.len();
+        let members = members
+            .iter()
+            .filter_map(|member| read_member(member, names));
+        let members: Vec<Member> = members.collect();
+        let unread = told - members.len();
         Some(Entry {
             pos,
-            change: Change::Hosts { form, members },
+            change: Change::Hosts {
+                form,
+                members,
+                unread,
+            },
         })
     }
 }
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod dispatch;
 mod http;
+mod link;
 mod list;
 mod msgpack;
 mod resp;
@@ -86,7 +87,7 @@
         counts: counts.clone(),
         log: log.clone(),
     });
-    info!(log, "started"; "listen" => %listen, "known" => start.known_until,
+    info!(log, "started"; "listen" => %listen, "known" => start.known_until, "unread" => start.known_unread,
         "descriptors" => start.descriptors, "memory" => start.memory_bytes);
     let accepting = tokio::task::spawn_local(clients::accept(listener, shared.clone()));
     if let Some(address) = start.journal {
@@ -111,21 +112,24 @@
             }
         });
     }
+    let effects = start
+        .terms
+        .tracks
+        .iter()
+        .map(|track| track.effect)
+        .collect();
     let decisions = Dispatcher::new(start.terms, start.seed);
-    let most_lines = start
-        .descriptors
-        .saturating_sub(most_clients + RESERVE)
-        .max(1);
-    let pools = Pools::new(
+    let most_lines = start.descriptors.saturating_sub(most_clients + RESERVE);
+    let pools = Pools::new(Rc::new(servers::Shared {
         queue,
-        start.bounds,
-        most_lines,
+        bounds: start.bounds,
+        most_lines: most_lines.max(1),
         held,
-        start.memory_bytes / 2,
-        counts.clone(),
-        log.clone(),
-    );
-    let dispatch = Dispatch::new(decisions, pools, start.link_full_at, counts, log);
+        held_limit: start.memory_bytes / 2,
+        counts,
+        log,
+    }));
+    let dispatch = Dispatch::new(decisions, pools, start.link_full_at, effects);
     dispatch
         .run(start.known, inbound, move || accepting.abort())
         .await;
--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -17,6 +17,8 @@
     /// What the journal service has told so far, and its last place.
     pub known: Vec<Entry>,
     pub known_until: u64,
+    /// Entries that can't be read, which are passed over.
+    pub known_unread: usize,
     pub terms: Terms,
     pub link_full_at: Option<usize>,
     pub bounds: Bounds,
@@ -61,13 +63,12 @@
     let bounds = read_bounds(&lines).map_err(unreadable)?;
     let names = Names::of(&bounds);
     let entries = json.pointer("/known/entries").and_then(Value::as_array);
+    let entries: Vec<&Value> = entries.into_iter().flatten().collect();
     let known: Vec<Entry> = entries
-        .into_iter()
-        .flatten()
-        .map(|entry| {
-            Entry::read(entry, &names).ok_or(format!("known has an unreadable entry {entry}"))
-        })
-        .collect::<Result<_, _>>()?;
+        .iter()
+        .filter_map(|entry| Entry::read(entry, &names))
+        .collect();
+    let known_unread = entries.len() - known.len();
     let told_until = json.pointer("/known/pos").and_then(Value::as_u64);
     let last = known.iter().map(|entry| entry.pos).max();
     Ok(Start {
@@ -83,6 +84,7 @@
             .map(|text| address("journal", text))
             .transpose()?,
         known,
+        known_unread,
         known_until: told_until.or(last).unwrap_or(0),
         terms,
         link_full_at,
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -270,6 +270,26 @@
     );
 }
 
+#[test]
+fn a_fingerprinted_access_does_not_begin_anew_past_its_window() {
+    let (_socket, _fillers, address) = never_up();
+    let stage = Stage::with(|config, _| {
+        config["settings"]["ceilings"]["dial_timeout_us"] = json!(60_000_000);
+        config["settings"]["classes"][1]["repeat_window_us"] = json!(500_000);
+    });
+    let (mut client, mut journal) = (stage.client(), stage.journal());
+    client.ask("change", 7, 3000);
+    let (pull, sent) = (stage.pull(), Instant::now());
+    assert_eq!(pull.host, "o1");
+    // It may have run; the repeat waits for a connection that never comes up.
+    journal.tell(&hosts(2, false, &[member("o1", address, "ready", 0)]));
+    assert!(client.answer().1.is_error("Throttled"));
+    assert!(
+        sent.elapsed() < Duration::from_secs(2),
+        "at the end of the window, not of its time"
+    );
+}
+
 /// Asks for some objects, of which those of c1 wait for a dial, tells an event, and gives the requests
 /// that c2 hears; all of them come long before the dial time is over.
 fn told_while_waiting(event: impl FnOnce(&Stage) -> serde_json::Value) -> Vec<Heard> {
