A connection to the new process outlives the late word of its start; a full client can revoke

Only connections older than the told start end now. - clients.rs stopped reading at 32 open requests, so that a revoke from a client with all of them open was heard late.

--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -16,8 +16,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::units::*;
 
-/// Open requests on one connection, and the bytes of a write, by the protocol.
-const MOST_OPEN: usize = 32;
+/// Open requests on one connection, by the protocol; and from how many on no more is read. In between
+/// room is left for what a client revokes, or a reset would be heard of late.
+const OPEN: usize = 32;
+const MOST_OPEN: usize = 2 * OPEN;
+/// The bytes of a write, by the protocol.
 const LONGEST_BODY: usize = 48_000;
 /// A body and its fields.
 const LONGEST_MESSAGE: usize = LONGEST_BODY + 16 * 1024;
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -111,7 +111,7 @@
     ) -> Dispatch {
         Dispatch {
             decisions,
-            clock: Clock::new(),
+            clock: pools.shared.clock,
             link_full_at,
             effects,
             counts: pools.shared.counts.clone(),
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -14,7 +14,7 @@
 mod startup;
 
 use checks::{Counts, Held};
-use dispatch::{Dispatch, Inbound};
+use dispatch::{Clock, Dispatch, Inbound};
 use local_channel::mpsc;
 use servers::Pools;
 use slog::{Drain, Logger, info, o};
@@ -123,6 +123,7 @@
     let pools = Pools::new(Rc::new(servers::Shared {
         queue,
         bounds: start.bounds,
+        clock: Clock::new(),
         most_lines: most_lines.max(1),
         held,
         held_limit: start.memory_bytes / 2,
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::checks::{Counts, Held, Parcel, count, must};
 use crate::clients::Call;
-use crate::dispatch::{Inbound, Queue};
+use crate::dispatch::{Clock, Inbound, Queue};
 use crate::link::Link;
 use crate::list::Member;
 use local_channel::mpsc;
@@ -114,6 +114,8 @@
     orders: mpsc::Sender<ToServer>,
     open: usize,
     retired: bool,
+    /// Since when it is up.
+    up: Moment,
 }
 
 struct Pool {
@@ -128,6 +130,7 @@
 pub struct Shared {
     pub queue: Queue,
     pub bounds: Bounds,
+    pub clock: Clock,
     /// Connections that all pools together may hold.
     pub most_lines: usize,
     pub held: Held,
@@ -193,9 +196,12 @@
             };
             let pool = self.pools.entry(member.entry.host).or_insert_with(fresh);
             let moved = pool.member.address != member.address;
+            let started = member.entry.started.unwrap_or_default();
             if moved || pool.member.entry.started != member.entry.started {
-                // What its former process had is lost with it, though a silent machine never says so.
-                for line in &mut pool.lines {
+                // What its former process had is lost with it, though a silent machine never says so. The
+                // list may tell late: what came up since is to the new process.
+                let former = |line: &&mut Line| moved || line.up < started;
+                for line in pool.lines.iter_mut().filter(former) {
                     line.retired = true;
                     let _ = line.orders.send(ToServer::Break);
                 }
@@ -422,6 +428,7 @@
             orders: orders_in,
             open: 0,
             retired,
+            up: self.shared.clock.moment(Instant::now()),
         });
         let link = Link::new(host, id, stream, orders, self.shared.clone());
         tokio::task::spawn_local(link.serve());
