--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -176,10 +176,15 @@
 
 /// Follows the journal service for as long as the process runs.
 pub async fn follow(mut journal: Journal) {
+    let mut told = (String::new(), 0);
     loop {
         count(&journal.counts.journal_calls);
-        let why = journal.call().await.unwrap_err();
-        info!(journal.log, "journal call ended"; "why" => why, "last" => journal.last);
+        let Err(why) = journal.call().await;
+        // As long as nothing changes, it is told once.
+        if told != (why.clone(), journal.last) {
+            info!(journal.log, "journal call ended"; "why" => &why, "last" => journal.last);
+            told = (why, journal.last);
+        }
         sleep(CALL_AGAIN).await;
     }
 }
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -31,8 +31,8 @@
 /// Lines that wait for the log's own thread; more are dropped and their number is logged.
 const LOG_LINES: usize = 4096;
 const BACKLOG: u32 = 1024;
-/// Descriptors kept for the listener, the journal, the log and the runtime.
-const RESERVE: usize = 32;
+/// Descriptors kept for the listener, the journal, the log and the runtime, which take 15 at most.
+const RESERVE: usize = 20;
 
 fn main() -> ExitCode {
     let start = match startup::read() {
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -412,6 +412,33 @@
     assert_eq!(stage.journal().last, 5);
 }
 
+#[test]
+fn an_unreadable_member_is_passed_over_and_an_unknown_zone_serves_nobody() {
+    let stage = Stage::new();
+    let (mut client, mut journal) = (stage.client(), stage.journal());
+    let at = |id| stage.addresses[id];
+    let mut nowhere = member("c7", at("c1"), "ready", 0);
+    nowhere["locality"] = json!("nowhere");
+    let broken = json!({"id": "c8", "phase": "ready"});
+    let gone = member("c1", at("c1"), "gone", 0);
+    journal.tell(&hosts(2, false, &[nowhere, broken, gone]));
+    journal.tell(&json!({"pos": 3, "expire": {"set": 17, "stamp": unix_ms()}}));
+    wait_for("both are heeded", || {
+        client.ask("image", 7, 2000);
+        let pull = stage.pull();
+        pull.hit(b"x");
+        client.answer();
+        pull.field("fresh").is_some()
+    });
+    for object in 0..20 {
+        client.ask("image", object, 2000);
+        let pull = stage.pull();
+        assert_eq!(pull.host, "c2");
+        pull.hit(b"x");
+        client.answer();
+    }
+}
+
 #[test]
 fn a_silent_journal_is_called_again() {
     let stage = Stage::new();
