--- /dev/null
+++ b/crates/terms/tests/forms.rs
@@ -0,0 +1,68 @@
+//! The same settings in both forms give the same terms, and what is wrong is said in plain words.
+
+use serde_json::json;
+use trailproxy_terms::{Lines, Unreadable, read_bounds, read_terms};
+
+const TEXT: &str = "az=1\nbalancers=3\nclasses.count=2\nclasses.0.name=small_file\n\
+    classes.0.on_time_us=300000\nclasses.0.aim_stretch=1.6\nclasses.0.semantics=repeatable\n\
+    classes.0.hard_limit_us=3000000\nclasses.1.name=order\nclasses.1.on_time_us=800000\n\
+    classes.1.semantics=by_key\nclasses.1.group=zone\nclasses.1.repeat_window_us=2000000\n\
+    classes.1.hard_limit_us=5000000\nceilings.max_attempts=6\nceilings.cancel=true\n\
+    ceilings.retry_after=true\nceilings.max_retry_after_us=2000000\nceilings.dial_timeout_us=400000\n\
+    ceilings.idle_close_us=30000000\nceilings.max_streams=32\nceilings.max_open=20000\n\
+    failure_domains=hub,depot\nmachine_types=cache,parent,origin\nfamily_info.second_tier_kind=1\n\
+    family_info.master_kind=2\nfamily_info.parent_starts_at=0.082\nfamily_info.parent_ramp_us=20000000\n\
+    family_info.upper_fall_multiple=2.0\nfamily_info.stream_kb_per_s=3600.0\n\
+    family_info.feed_kb_per_s=0.0,35168.5\nfamily_info.seats_by_zone=0,3\n\
+    family_info.max_age_us=8000000,0\nfamily_info.usable_after_us=20000000,0\n\
+    family_info.never_kept=false,true\nrules.cold_us=14000000\nrules.start_capacity=0.25\n\
+    rules.overload_factor=4.0\nrules.tip_after_us=1000000\ncustomers=\n";
+
+fn nested() -> serde_json::Value {
+    json!({
+        "az": 1, "balancers": 3, "customers": [], "failure_domains": ["hub", "depot"],
+        "machine_types": ["cache", "parent", "origin"],
+        "classes": [
+            {"name": "small file", "on_time_us": 300000, "aim_stretch": 1.6, "semantics": "repeatable",
+                "hard_limit_us": 3000000},
+            {"name": "order", "on_time_us": 800000, "semantics": "by_key", "group": "zone",
+                "repeat_window_us": 2000000.0, "hard_limit_us": 5000000}
+        ],
+        "ceilings": {"max_attempts": 6, "cancel": true, "retry_after": true,
+            "max_retry_after_us": 2000000, "dial_timeout_us": 400000, "idle_close_us": 30000000,
+            "max_streams": 32, "max_open": 20000},
+        "family_info": {"second_tier_kind": 1, "master_kind": 2, "parent_starts_at": 0.082,
+            "parent_ramp_us": 20000000, "upper_fall_multiple": 2.0, "stream_kb_per_s": 3600.0,
+            "feed_kb_per_s": [0.0, 35168.5], "seats_by_zone": [0, 3], "max_age_us": [8000000, 0],
+            "usable_after_us": [20000000, 0], "never_kept": [false, true]},
+        "rules": {"cold_us": 14000000, "start_capacity": 0.25, "overload_factor": 4.0,
+            "tip_after_us": 1000000}
+    })
+}
+
+#[test]
+fn both_forms_give_the_same_terms() {
+    let (text, json) = (Lines::from_text(TEXT), Lines::from_json(&nested()));
+    let both = [&text, &json].map(|lines| {
+        let (terms, bounds) = (read_terms(lines), read_bounds(lines));
+        format!("{:?} {:?}", terms.expect("terms"), bounds.expect("bounds"))
+    });
+    assert_eq!(both[0], both[1]);
+    for told in ["link_kb_per_s: Some(35168.5)", "group: Zone", "\"small_file\"", "Span(5000000)"] {
+        assert!(both[0].contains(told), "{told} in {}", both[0]);
+    }
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let said = |pointer: &str, value| {
+        let mut settings = nested();
+        *settings.pointer_mut(pointer).expect("a place") = value;
+        let Unreadable(why) = read_terms(&Lines::from_json(&settings)).expect_err("it is wrong");
+        why
+    };
+    assert_eq!(said("/az", json!("x")), "setting az can't be read: \"x\"");
+    assert_eq!(said("/balancers", json!(null)), "setting balancers is missing");
+    assert!(said("/classes/1/semantics", json!("twice")).contains("\"twice\" of class 1"));
+    assert!(said("/family_info/seats_by_zone", json!(["y"])).contains("seats_by_zone has an unreadable"));
+}
