--- a/crates/terms/tests/forms.rs
+++ b/crates/terms/tests/forms.rs
@@ -48,7 +48,12 @@
         format!("{:?} {:?}", terms.expect("terms"), bounds.expect("bounds"))
     });
     assert_eq!(both[0], both[1]);
-    for told in ["link_kb_per_s: Some(35168.5)", "group: Zone", "\"small_file\"", "Span(5000000)"] {
+    for told in [
+        "link_kb_per_s: Some(35168.5)",
+        "group: Zone",
+        "\"small_file\"",
+        "Span(5000000)",
+    ] {
         assert!(both[0].contains(told), "{told} in {}", both[0]);
     }
 }
@@ -62,7 +67,13 @@
         why
     };
     assert_eq!(said("/az", json!("x")), "setting az can't be read: \"x\"");
-    assert_eq!(said("/balancers", json!(null)), "setting balancers is missing");
+    assert_eq!(
+        said("/balancers", json!(null)),
+        "setting balancers is missing"
+    );
     assert!(said("/classes/1/semantics", json!("twice")).contains("\"twice\" of class 1"));
-    assert!(said("/family_info/seats_by_zone", json!(["y"])).contains("seats_by_zone has an unreadable"));
+    assert!(
+        said("/family_info/seats_by_zone", json!(["y"]))
+            .contains("seats_by_zone has an unreadable")
+    );
 }
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -206,6 +206,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
@@ -235,12 +236,9 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill")
-            .args([name, &id])
-            .status()
-            .expect("kill runs");
-        assert!(sent.success());
+        let order = format!("kill {name} {}", self.child.id());
+        let sent = Command::new("sh").args(["-c", &order]).status();
+        assert!(sent.expect("a shell").success());
     }
 
     pub fn ended(&mut self) -> ExitStatus {
