--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -183,6 +183,7 @@
     }
 
     /// Takes a change of the host list. Pools go by host: another host may come to a gone one's address.
+    /// What waits for a host that is not ready any more is recalled by the one who handed it off.
     pub fn list(&mut self, form: ListForm, members: &[Member]) {
         if form == ListForm::Whole {
             let gone = |pool: &mut Pool| pool.member.entry.state = HostState::Gone;
@@ -217,9 +218,6 @@
                     line.retired = true;
                     let _ = line.orders.send(ToServer::Retire);
                 }
-                for (_, sending) in pool.waiting.drain(..) {
-                    self.shared.dropped(&sending, Ending::NotSent);
-                }
             }
         }
         self.forget();
@@ -379,6 +377,9 @@
                         self.assign(host);
                     }
                 }
+                if line.is_none() {
+                    self.forget();
+                }
                 self.places.remove(&id).map(|_| (id, line, answer))
             }
             FromServer::Silent { host, line } => {
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -457,6 +457,9 @@
 fn a_connection_that_owed_an_answer_and_said_nothing_is_not_used_again() {
     let stage = Stage::new();
     let mut client = stage.client();
+    // Another hand-off keeps it up.
+    client.ask("order", 6, 3000);
+    assert_eq!(stage.pull().host, "o1");
     client.ask("order", 7, 600);
     let silent = stage.pull();
     assert!(client.answer().1.is_error("Broken"));
@@ -581,6 +584,7 @@
     ask(&mut clients, 0);
     let open: Vec<Heard> = (0..8).map(|_| stage.pull()).collect();
     stage.program.signal("-TERM");
+    let asked = Instant::now();
     std::thread::sleep(Duration::from_millis(250));
     answer(&mut clients, &open);
     // Nothing is open now; requests still come, on open connections and on new ones.
@@ -590,7 +594,12 @@
     ask(&mut clients, 10);
     let late: Vec<Heard> = (0..9).map(|_| stage.pull()).collect();
     answer(&mut clients, &late);
-    assert!(clients.iter_mut().all(Client::is_closed), "half-closed");
+    assert!(clients.iter_mut().all(Client::is_closed));
+    let took = asked.elapsed();
+    assert!(
+        took < Duration::from_millis(2500),
+        "half-closed by it: {took:?}"
+    );
     drop(clients);
     assert!(stage.program.ended().success());
 }
