Client connections that are idle or say nothing give up their places

At fault: clients.rs accept() stopped at a third of the descriptors, and nothing ever closed an idle connection. Now an idle one is closed after 4.5 s (usual clients close at 4 s), one without a whole message after 2.5 s, and past the half of the descriptors the longest silent or idle one leaves for a newcomer.

--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -42,6 +42,12 @@
     journal_repeats,
     late_finals,
     clients_stalled,
+    /// Client connections closed: idle for good, without a whole message in time, to make room.
+    clients_idle,
+    clients_unsaid,
+    places_given_up,
+    /// A newcomer found no place and waited.
+    places_wanted,
     accepts_failed,
     reading_paused,
     /// From here on: what must stay zero.
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -5,10 +5,11 @@
 use crate::held::{Held, Parcel};
 use crate::list::object_id;
 use crate::msgpack::{self, Fault, Value};
+use crate::places::{Places, Use};
 use crate::ring::Ring;
 use local_channel::mpsc;
 use slog::{Logger, debug};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -29,7 +30,11 @@
 const TOGETHER: usize = 16 * 1024;
 /// Longer waits are no waits of a client.
 const LONGEST_WAIT_MS: f64 = 3_600_000.0;
-const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
+/// A client is owed a word or a close within 3 s: by then its message must be whole.
+const WHOLE_WITHIN: Duration = Duration::from_millis(2500);
+/// Clients close what has been idle for 4 s, by the protocol; who does not is not coming back.
+const IDLE_WITHIN: Duration = Duration::from_millis(4500);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClientId(pub u64);
@@ -79,35 +84,37 @@
     Reply(u32, Reply),
     /// Nothing more comes: flush, half-close, read to the end.
     Finish,
+    /// Its place is wanted: it ends unless something has come by now.
+    GiveWay,
 }
 
 /// What all connections share.
 pub struct Shared {
     pub queue: Queue,
     pub tracks: HashMap<String, TrackId>,
-    pub most_clients: usize,
+    pub places: RefCell<Places>,
     /// No client waits longer than this for anything.
     pub longest_limit: Duration,
-    pub open: Cell<usize>,
     pub ending: Cell<bool>,
     pub held: Held,
     pub counts: Rc<Counts>,
     pub log: Logger,
 }
 
-/// Accepts clients, as many as the descriptors allow; the others wait in the backlog.
+/// Accepts clients, as many as the descriptors allow. Past that a newcomer waits in the backlog for as
+/// long as it takes one that says nothing, or is idle, to leave.
 pub async fn accept(listener: TcpListener, shared: Rc<Shared>) {
     let mut next = 0;
     loop {
-        if shared.open.get() >= shared.most_clients {
+        let accepted = listener.accept().await;
+        while !shared.places.borrow_mut().free(Instant::now()) {
+            count(&shared.counts.places_wanted);
             sleep(ACCEPT_AGAIN).await;
-            continue;
         }
-        match listener.accept().await {
+        match accepted {
             Ok((stream, _)) => {
                 next += 1;
                 let _ = stream.set_nodelay(true);
-                shared.open.set(shared.open.get() + 1);
                 let connection = Connection::new(ClientId(next), stream, shared.clone());
                 tokio::task::spawn_local(connection.serve());
             }
@@ -137,6 +144,10 @@
     written: u64,
     encoded: u64,
     progress: Instant,
+    /// Since when it is idle, or its next message under way, once none is open.
+    since: Instant,
+    /// Whether a whole message has come.
+    spoken: bool,
     /// The latest outer limit of all that was asked for.
     last_limit: Instant,
     eof: bool,
@@ -153,6 +164,8 @@
 impl Connection {
     fn new(id: ClientId, stream: TcpStream, shared: Rc<Shared>) -> Connection {
         let (orders_in, orders) = mpsc::channel();
+        let now = Instant::now();
+        shared.places.borrow_mut().open(id, now, orders_in.clone());
         let opened = Inbound::Client(FromClient::Opened(id, orders_in));
         let _ = shared.queue.send(opened);
         Connection {
@@ -167,8 +180,10 @@
             ends: VecDeque::new(),
             written: 0,
             encoded: 0,
-            progress: Instant::now(),
-            last_limit: Instant::now(),
+            progress: now,
+            since: now,
+            spoken: false,
+            last_limit: now,
             eof: false,
             finishing: false,
             half_closed: false,
@@ -185,7 +200,7 @@
         if let Over::Broken(why) = over {
             debug!(self.shared.log, "client connection broken"; "client" => self.id.0, "why" => why);
         }
-        self.shared.open.set(self.shared.open.get() - 1);
+        self.shared.places.borrow_mut().close(self.id);
         let closed = Inbound::Client(FromClient::Closed(self.id));
         let _ = self.shared.queue.send(closed);
     }
@@ -195,10 +210,21 @@
         self.owed.len() + self.replies.len() + self.ends.len()
     }
 
+    /// How it uses its place, and until when it may.
+    fn used(&self) -> (Use, Instant) {
+        match (self.open(), self.spoken && self.incoming.is_empty()) {
+            (1.., _) => (Use::Busy, self.since),
+            (0, false) => (Use::Unsaid(self.since), self.since + WHOLE_WITHIN),
+            (0, true) => (Use::Idle(self.since), self.since + IDLE_WITHIN),
+        }
+    }
+
     async fn turn(&mut self) -> Result<(), Over> {
         self.write()?;
         self.parse()?;
         let idle = self.outgoing.is_empty();
+        let (used, leaves_at) = self.used();
+        self.shared.places.borrow_mut().note(self.id, used);
         if idle && self.open() == 0 {
             if self.finishing && !self.half_closed {
                 self.half_closed = true;
@@ -216,6 +242,14 @@
             order = self.orders.recv() => match order {
                 Some(ToClient::Reply(number, reply)) => self.reply(number, reply),
                 Some(ToClient::Finish) | None => self.finishing = true,
+                Some(ToClient::GiveWay) => {
+                    self.read()?;
+                    self.parse()?;
+                    if self.used().0 == used && used != Use::Busy {
+                        count(&self.shared.counts.places_given_up);
+                        return Err(Over::Clean);
+                    }
+                }
             },
             ready = self.stream.writable(), if !idle => {
                 ready.map_err(|_| Over::Broken("write failed"))?;
@@ -224,6 +258,13 @@
                 ready.map_err(|_| Over::Broken("read failed"))?;
                 self.read()?;
             }
+            _ = sleep_until(leaves_at), if used != Use::Busy => {
+                match used {
+                    Use::Idle(_) => count(&self.shared.counts.clients_idle),
+                    _ => count(&self.shared.counts.clients_unsaid),
+                }
+                return Err(Over::Clean);
+            }
             _ = sleep_until(stalled), if !idle => {
                 count(&self.shared.counts.clients_stalled);
                 return Err(Over::Broken("it takes nothing"));
@@ -236,6 +277,9 @@
         match self.stream.try_read(self.incoming.room()) {
             Ok(0) => self.eof = true,
             Ok(n) => {
+                if self.spoken && self.incoming.is_empty() {
+                    self.since = Instant::now();
+                }
                 self.incoming.filled(n);
                 if self.half_closed {
                     self.incoming.consume(n);
@@ -280,6 +324,7 @@
                     while self.ends.front().is_some_and(|&end| end <= self.written) {
                         self.ends.pop_front();
                     }
+                    self.since = self.progress;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(_) => return Err(Over::Broken("write failed")),
@@ -300,6 +345,7 @@
             };
             self.incoming.consume(n);
             self.wants = 1;
+            (self.spoken, self.since) = (true, Instant::now());
             self.take(message)?;
         }
         Ok(())
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -8,6 +8,7 @@
 mod link;
 mod list;
 mod msgpack;
+mod places;
 mod resp;
 mod ring;
 mod servers;
@@ -21,7 +22,7 @@
 use servers::Pools;
 use slog::{Drain, Logger, info, o};
 use startup::Start;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -76,14 +77,14 @@
     let listener = bind(start.listen).map_err(|e| format!("can't listen on {listen}: {e}"))?;
     let (queue, inbound) = mpsc::channel();
     let (counts, held) = (Rc::new(Counts::default()), Held::default());
-    let most_clients = start.descriptors / 3;
+    // Usual clients hold a third; what others hold beyond that is closed when it is wanted.
+    let most_clients = start.descriptors / 2;
     let tracks = start.bounds.track_names.iter().cloned();
     let shared = Rc::new(clients::Shared {
         queue: queue.clone(),
         tracks: tracks.zip((0..).map(trailproxy::units::TrackId)).collect(),
-        most_clients,
+        places: RefCell::new(places::Places::new(most_clients)),
         longest_limit: Duration::from_micros(start.bounds.longest_limit.0),
-        open: Cell::new(0),
         ending: Cell::new(false),
         held: held.clone(),
         counts: counts.clone(),
