--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::{Inbound, Queue};
 use crate::http::Response;
 use crate::sse::Events;
+use local_channel::mpsc;
 use serde_json::Value;
 use slog::{Logger, info, warn};
 use std::collections::HashMap;
@@ -16,9 +17,11 @@
 use trailproxy::units::*;
 use trailproxy_terms::Bounds;
 
-/// A comment comes every second: three missed, and the connection is taken for dead.
-const SILENCE: Duration = Duration::from_secs(3);
-const CALL_AGAIN: Duration = Duration::from_millis(200);
+/// A comment comes every second: two missed, and the connection is taken for dead.
+const SILENCE: Duration = Duration::from_millis(2200);
+/// What it has to tell counts as told 4 s after it fell silent: a call comes up within this, or never.
+const CALL_WITHIN: Duration = Duration::from_secs(1);
+const CALL_AGAIN: Duration = Duration::from_millis(100);
 const READ_SIZE: usize = 16 * 1024;
 
 /// Zones and kinds by the names that the settings give them.
@@ -165,8 +168,9 @@
 }
 
 pub struct Journal {
-    pub address: SocketAddr,
-    pub names: Names,
+    /// `None`: what is known at the start is all there is.
+    pub address: Option<SocketAddr>,
+    pub names: Rc<Names>,
     /// The last place that was told.
     pub last: u64,
     pub queue: Queue,
@@ -174,28 +178,58 @@
     pub log: Logger,
 }
 
-/// Follows the journal service for as long as the process runs.
-pub async fn follow(mut journal: Journal) {
+/// What a new configuration says of the journal service, and what that had told by then.
+pub struct Moved {
+    pub address: Option<SocketAddr>,
+    pub known: Vec<Entry>,
+}
+
+/// Follows the journal service for as long as the process runs, wherever it moves to.
+pub async fn follow(mut journal: Journal, mut moves: mpsc::Receiver<Moved>) {
     let mut told = (String::new(), 0);
     loop {
-        count(&journal.counts.journal_calls);
-        let Err(why) = journal.call().await;
-        // As long as nothing changes, it is told once.
-        if told != (why.clone(), journal.last) {
-            info!(journal.log, "journal call ended"; "why" => &why, "last" => journal.last);
-            told = (why, journal.last);
+        let moved = tokio::select! {
+            biased;
+            moved = moves.recv() => moved,
+            why = journal.calls() => {
+                // As long as nothing changes, it is told once.
+                if told != (why.clone(), journal.last) {
+                    info!(journal.log, "journal call ended"; "why" => &why, "last" => journal.last);
+                    told = (why, journal.last);
+                }
+                None
+            }
+        };
+        // What was cut off in the middle of an event is told again: the numbers carry on.
+        if let Some(moved) = moved {
+            journal.address = moved.address;
+            moved
+                .known
+                .into_iter()
+                .for_each(|entry| journal.learn(entry));
+            told.0.clear();
         }
-        sleep(CALL_AGAIN).await;
     }
 }
 
 impl Journal {
-    async fn call(&mut self) -> Result<std::convert::Infallible, String> {
+    /// One call and the wait for the next, or none for ever.
+    async fn calls(&mut self) -> String {
+        let Some(address) = self.address else {
+            return std::future::pending().await;
+        };
+        count(&self.counts.journal_calls);
+        let Err(why) = self.call(address).await;
+        sleep(CALL_AGAIN).await;
+        why
+    }
+
+    async fn call(&mut self, address: SocketAddr) -> Result<std::convert::Infallible, String> {
         let silent = |_| "silent".to_owned();
         let broken = |e: std::io::Error| e.to_string();
-        let dial = timeout(SILENCE, TcpStream::connect(self.address));
+        let dial = timeout(CALL_WITHIN, TcpStream::connect(address));
         let stream = dial.await.map_err(silent)?.map_err(broken)?;
-        let (address, last) = (self.address, self.last);
+        let last = self.last;
         let request = format!(
             "GET /journal HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\n\
              Last-Event-ID: {last}\r\n\r\n"
@@ -242,6 +276,15 @@
         }
     }
 
+    /// What a new configuration knows and was not heard yet, as far as it follows on.
+    fn learn(&mut self, entry: Entry) {
+        if entry.pos == self.last + 1 {
+            self.last = entry.pos;
+            count(&self.counts.journal_events);
+            let _ = self.queue.send(Inbound::Journal(entry));
+        }
+    }
+
     /// Each event once and in order: what was told is passed over, past a gap the call is made again.
     fn take(&mut self, id: &str, data: &str) -> Result<(), String> {
         let json: Value = serde_json::from_str(data).unwrap_or_default();
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -19,8 +19,9 @@
 use dispatch::{Clock, Dispatch, Inbound};
 use held::Held;
 use local_channel::mpsc;
+use serde_json::Value;
 use servers::Pools;
-use slog::{Drain, Logger, info, o};
+use slog::{Drain, Logger, info, o, warn};
 use startup::Start;
 use std::cell::{Cell, RefCell};
 use std::process::ExitCode;
@@ -93,16 +94,24 @@
     info!(log, "started"; "listen" => %listen, "known" => start.known_until, "unread" => start.known_unread,
         "descriptors" => start.descriptors, "memory" => start.memory_bytes);
     let accepting = tokio::task::spawn_local(clients::accept(listener, shared.clone()));
-    if let Some(address) = start.journal {
-        tokio::task::spawn_local(list::follow(list::Journal {
-            address,
-            names: start.names,
-            last: start.known_until,
-            queue: queue.clone(),
-            counts: counts.clone(),
-            log: log.clone(),
-        }));
-    }
+    let (moved, moves) = mpsc::channel();
+    let journal = list::Journal {
+        address: start.journal,
+        names: start.names,
+        last: start.known_until,
+        queue: queue.clone(),
+        counts: counts.clone(),
+        log: log.clone(),
+    };
+    tokio::task::spawn_local(list::follow(journal, moves));
+    let mut hangup =
+        signal(SignalKind::hangup()).map_err(|e| format!("signals can't be heard: {e}"))?;
+    let (mut file, noted) = (start.file, log.clone());
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            read_again(&mut file, &moved, &noted);
+        }
+    });
     let asked = queue.clone();
     let signals = [SignalKind::terminate(), SignalKind::interrupt()].map(signal);
     for stream in signals {
@@ -140,6 +149,25 @@
     Ok(())
 }
 
+/// What a new file says of the journal service holds at once; what else it changes needs a new start.
+/// One that can't be read changes nothing.
+fn read_again(file: &mut Value, moved: &mpsc::Sender<list::Moved>, log: &Logger) {
+    let start = match startup::read() {
+        Ok(start) => start,
+        Err(why) => return warn!(log, "new configuration refused"; "why" => why),
+    };
+    let changed = |name: &&str| file.get(name) != start.file.get(name);
+    let fixed = ["settings", "limits", "listen", "name"].into_iter();
+    let waiting = fixed.filter(changed).collect::<Vec<_>>().join(" ");
+    info!(log, "configuration read again"; "journal" => start.journal.map(|at| at.to_string()),
+        "known" => start.known_until, "needs_a_new_start" => waiting);
+    *file = start.file;
+    let _ = moved.send(list::Moved {
+        address: start.journal,
+        known: start.known,
+    });
+}
+
 fn bind(listen: std::net::SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match listen {
         std::net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -3,6 +3,7 @@
 use crate::list::{Entry, Names};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use trailproxy::interface::Terms;
 use trailproxy_terms::{Bounds, Lines, Unreadable, read_bounds, read_terms};
 
@@ -22,7 +23,9 @@
     pub terms: Terms,
     pub link_full_at: Option<usize>,
     pub bounds: Bounds,
-    pub names: Names,
+    pub names: Rc<Names>,
+    /// All of the file, to tell what a later one changes.
+    pub file: Value,
 }
 
 /// Reads all of it; the message says in plain words what is wrong.
@@ -89,6 +92,7 @@
         terms,
         link_full_at,
         bounds,
-        names,
+        names: Rc::new(names),
+        file: json.clone(),
     })
 }
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -830,3 +830,68 @@
     stage.program.signal("-TERM");
     assert!(stage.program.ended().success());
 }
+
+#[test]
+fn clients_that_ask_once_and_stay_give_way_to_a_newcomer() {
+    let stage = Stage::with(|config, _| config["limits"]["sockets"] = json!(64));
+    let stay: Vec<Client> = (0..80)
+        .map(|_| {
+            let mut client = stage.client();
+            client.ask_with("heartbeat", vec![], &[]);
+            assert_eq!(client.answer().1, Final::done(&[1]));
+            client
+        })
+        .collect();
+    // One of them asks again, too late or in time: it is answered, or may ask anew.
+    let mut first = stay.into_iter().next().expect("a client");
+    assert!(first.is_closed());
+}
+
+#[test]
+fn a_client_that_says_nothing_or_half_a_message_is_closed_within_three_seconds() {
+    let stage = Stage::new();
+    let began = Instant::now();
+    let (mut silent, mut half) = (stage.client(), stage.client());
+    half.stream.write_all(&[0x94, 0x00]).expect("half");
+    let mut usual = stage.client();
+    usual.ask("image", 7, 3000);
+    let pull = stage.pull();
+    assert!(silent.is_closed() && half.is_closed());
+    assert!(began.elapsed() >= Duration::from_secs(2));
+    pull.hit(b"kept");
+    assert_eq!(usual.answer().1, Final::done(b"kept"));
+}
+
+#[test]
+fn a_hangup_moves_the_journal_and_leaves_what_is_open_alone() {
+    let stage = Stage::new();
+    let _former = stage.journal();
+    let mut client = stage.client();
+    client.ask("image", 7, 3000);
+    let pull = stage.pull();
+    for bad in ["{\"half\": ", "{\"journal\": \"nowhere\"}"] {
+        stage.program.configure(bad);
+        wait_for("it says so", || {
+            stage.program.logged("new configuration refused")
+        });
+    }
+    let (lines_in, lines) = std::sync::mpsc::channel();
+    let mut config = stage.config.clone();
+    config["journal"] = json!(stage::journal(lines_in).to_string());
+    stage.program.configure(&config.to_string());
+    let mut line = lines.recv_timeout(SOON).expect("a call to the new address");
+    assert_eq!(line.last, 1, "the numbers carry on");
+    let drain = |name| member(name, stage.addresses[name], "draining", 0);
+    line.tell(&hosts(2, false, &[drain("c1"), drain("c2")]));
+    pull.hit(b"kept");
+    assert_eq!(client.answer().1, Final::done(b"kept"));
+    wait_for("it is told", || {
+        let heard = {
+            client.ask("image", 8, 1000);
+            stage.pull()
+        };
+        heard.hit(b"x");
+        client.answer();
+        heard.host == "p1"
+    });
+}
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -124,7 +124,8 @@
     }
 }
 
-fn journal(lines: Sender<JournalLine>) -> SocketAddr {
+/// Calls that come to another address of the journal service.
+pub fn journal(lines: Sender<JournalLine>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
@@ -200,6 +201,8 @@
     pub child: Child,
     pub address: SocketAddr,
     log: PathBuf,
+    /// Where its configuration stands.
+    path: PathBuf,
 }
 
 impl Drop for Program {
@@ -207,6 +210,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.log);
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
@@ -229,12 +233,23 @@
             child,
             address,
             log,
+            path,
         };
         wait_for("it listens", || TcpStream::connect(address).is_ok());
-        let _ = std::fs::remove_file(path);
         program
     }
 
+    /// Replaces its configuration and tells it so.
+    pub fn configure(&self, text: &str) {
+        std::fs::write(&self.path, text).expect("a configuration");
+        self.signal("-HUP");
+    }
+
+    pub fn logged(&self, words: &str) -> bool {
+        let log = std::fs::read_to_string(&self.log);
+        log.is_ok_and(|log| log.contains(words))
+    }
+
     pub fn signal(&self, name: &str) {
         let order = format!("kill {name} {}", self.child.id());
         let sent = Command::new("sh").args(["-c", &order]).status();
