Bad clients blame no host; a spoilt answer costs one request; a withdrawal has to arrive

Seen in the logs: the origin's breaker opened at 2.6 s, for 10 s, upon three errors to bad clients' unknown objects, each tried at all caches and straight at the origin; one unreadable answer ended 7 to 18 hand-offs of its connection and opened the breaker of a sound cache. Ruled out: places, memory, the queue (first attempt within 0.3 ms). At fault: logic.rs learn() weighed Error and Lost whoever asked; servers.rs assign() filled one connection before the next. Now Error and Lost blame nobody while nothing was done for that client; each hand-off has a connection to itself as far as descriptors go (share by pools); a client with more than 32 open is closed; an id that was lately open is an error. Then seen: rule 'duplicate' once at 7.98 s, a trace of that request: withdrawn at a cache that had fallen silent and handed off elsewhere within 1 ms, its KILL on another connection still unread there. Now a withdrawal, or a close of ours, ends its hand-offs 5 ms later.

--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -219,6 +219,7 @@
         note,
         waited,
         link_full,
+        proven: true,
     }))
 }
 
--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -34,6 +34,8 @@
     no_connection,
     late_answers,
     bad_clients,
+    /// Requests under an id that was open already, or lately.
+    ids_again,
     bad_hosts,
     bad_entries,
     dials,
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -18,8 +18,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::units::*;
 
-/// Open requests on one connection, by the protocol; and from how many on no more is read. In between
-/// room is left for what a client revokes, or a reset would be heard of late.
+/// Open requests on one connection, by the protocol: one that asks for more is closed, and all that it
+/// asked for is withdrawn. Bad requests are told so at twice that, as answers not yet taken count, too.
 const OPEN: usize = 32;
 const MOST_OPEN: usize = 2 * OPEN;
 /// The bytes of a write, by the protocol.
@@ -358,6 +358,7 @@
         };
         match message {
             Message::Damage(why) => return damage(why),
+            Message::Call(_) if self.open() >= OPEN => return damage("too many are open at once"),
             Message::Call(call) => {
                 if !self.owed.insert(call.id.number) {
                     return damage("a number is used twice");
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::servers::{Answer, FromServer, HandOffId, LineId, Pools, Sending};
 use local_channel::mpsc;
 use slog::{Logger, debug, info};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, sleep_until};
@@ -74,6 +74,12 @@
     hand_offs: Vec<HandedOff>,
 }
 
+struct Client {
+    replies: mpsc::Sender<ToClient>,
+    /// Whether anything was done for it.
+    proven: bool,
+}
+
 pub struct Dispatch {
     pub decisions: Dispatcher,
     pub pools: Pools,
@@ -90,9 +96,11 @@
 struct State {
     accesses: BTreeMap<AccessId, Access>,
     calls: BTreeMap<CallId, AccessId>,
-    /// The ids of open accesses, which hosts tell their answers by.
+    /// The ids of open accesses, which hosts tell their answers by, and of those that were open as
+    /// lately as a host may still have them: for it a second request under one would be a second copy.
     references: BTreeSet<Rc<str>>,
-    clients: BTreeMap<ClientId, mpsc::Sender<ToClient>>,
+    fading: VecDeque<(Moment, Rc<str>)>,
+    clients: BTreeMap<ClientId, Client>,
     limits: BTreeSet<(Moment, AccessId)>,
     wakes: BTreeSet<(Moment, WakeId)>,
     next: u64,
@@ -145,7 +153,7 @@
                     self.state.finished = true;
                     stop.take().into_iter().for_each(|stop| stop());
                     for client in self.state.clients.values() {
-                        let _ = client.send(ToClient::Finish);
+                        let _ = client.replies.send(ToClient::Finish);
                     }
                 }
                 let lingered = now >= asked + STILL_COMING + self.longest_limit();
@@ -217,7 +225,10 @@
                 if self.state.finished {
                     let _ = replies.send(ToClient::Finish);
                 }
-                self.state.clients.insert(client, replies);
+                let proven = false;
+                self.state
+                    .clients
+                    .insert(client, Client { replies, proven });
             }
             FromClient::Called(call) => self.arrived(now, call),
             FromClient::Revoked(call) => self.left(now, call),
@@ -242,6 +253,7 @@
         }
         if !self.state.references.insert(call.reference.clone()) {
             count(&self.counts.bad_clients);
+            count(&self.counts.ids_again);
             return self.reply(call.id, Reply::Aborted);
         }
         self.state.next += 1;
@@ -291,17 +303,21 @@
     }
 
     fn forget(&mut self, id: AccessId) {
+        let longest = self.pools.shared.bounds.longest_limit;
         let over = |access: &Access| access.closed && access.hand_offs.iter().all(|h| h.over);
         if self.state.accesses.get(&id).is_some_and(over)
             && let Some(access) = self.state.accesses.remove(&id)
         {
-            self.state.references.remove(&access.call.reference);
+            let reference = access.call.reference.clone();
+            let until = access.limit + longest;
+            self.state.fading.push_back((until, reference));
         }
     }
 
-    fn reply(&self, call: CallId, reply: Reply) {
-        if let Some(client) = self.state.clients.get(&call.client) {
-            let _ = client.send(ToClient::Reply(call.number, reply));
+    fn reply(&mut self, call: CallId, reply: Reply) {
+        if let Some(client) = self.state.clients.get_mut(&call.client) {
+            client.proven |= matches!(reply, Reply::Done(_) | Reply::Same);
+            let _ = client.replies.send(ToClient::Reply(call.number, reply));
         }
     }
 
@@ -347,11 +363,11 @@
         if ending == Ending::Done {
             self.answer(now, id.access, answer.body.map_or(Reply::Same, Reply::Done));
         }
-        let closed = self
-            .state
-            .accesses
-            .get(&id.access)
-            .is_none_or(|access| access.closed);
+        let state = &self.state;
+        let access = state.accesses.get(&id.access);
+        let closed = access.is_none_or(|access| access.closed);
+        let client = access.and_then(|access| state.clients.get(&access.call.id.client));
+        let proven = client.is_some_and(|client| client.proven);
         let link_full = self
             .link_full_at
             .and_then(|at| answer.report.get(at).copied());
@@ -366,6 +382,7 @@
                 note: answer.note,
                 waited: answer.waited,
                 link_full,
+                proven,
             }),
         );
         self.forget(id.access);
@@ -419,6 +436,9 @@
     /// What is due by now: waits for connections, outer limits, wake-ups.
     fn pass_time(&mut self, now: Moment) {
         self.pools.expire(self.clock.instant(now));
+        while let Some((_, id)) = self.state.fading.pop_front_if(|(until, _)| *until <= now) {
+            self.state.references.remove(&id);
+        }
         let due: Vec<AccessId> = {
             let due = self.state.limits.iter().take_while(|(at, _)| *at <= now);
             due.map(|&(_, id)| id).collect()
@@ -529,7 +549,7 @@
         let state = &self.state;
         info!(self.log, "figures"; "counts" => self.counts.words(), "open" => state.accesses.len(),
             "calls" => state.calls.len(), "clients" => state.clients.len(), "out" => out,
-            "lines" => lines, "pools" => pools, "timers" => state.limits.len() + state.wakes.len(),
+            "lines" => lines, "pools" => pools, "ids" => state.references.len(), "timers" => state.limits.len() + state.wakes.len(),
             "held" => self.pools.shared.held.bytes(), "process" => process_figures());
     }
 }
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -25,6 +25,10 @@
 /// How often a reader looks whether memory is free again.
 const READ_AGAIN: Duration = Duration::from_millis(5);
 
+/// How long word that a request is given up may be on its way. Until then its host may still hold it,
+/// and the same request at another host would be a second copy.
+const WORD_TRAVELS: Duration = Duration::from_millis(5);
+
 /// What waits to be written.
 enum Packet {
     Sending(Sending),
@@ -53,6 +57,8 @@
     unsent: VecDeque<Packet>,
     /// By the id of the request; one that is in the ring and not begun is here, too.
     open: BTreeMap<Rc<str>, OpenHandOff>,
+    /// Given up, and when the host knows.
+    withdrawn: VecDeque<(Instant, HandOffId)>,
     heard: Instant,
     active: Instant,
     retired: bool,
@@ -80,6 +86,7 @@
             begun: false,
             unsent: VecDeque::new(),
             open: BTreeMap::new(),
+            withdrawn: VecDeque::new(),
             heard: Instant::now(),
             active: Instant::now(),
             retired: false,
@@ -97,6 +104,19 @@
             let (host, open) = (format!("{:x}", self.host.0), self.open.len());
             info!(self.shared.log, "host connection broken"; "host" => host, "open" => open, "why" => why);
         }
+        // It is the host that ended it, or else the host has yet to hear of it.
+        let ended_there = ["closed", "reset", "read failed", "write failed"].contains(&why);
+        let _ = socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
+        let out = self.open.len() + self.withdrawn.len();
+        if !ended_there && out > 0 {
+            let (host, line) = (self.host, self.id);
+            let retired = FromServer::Unfit { host, line };
+            let _ = self.shared.queue.send(Inbound::Server(retired));
+            sleep(WORD_TRAVELS).await;
+        }
+        for (_, id) in std::mem::take(&mut self.withdrawn) {
+            self.end(id, Ending::Withdrawn);
+        }
         let not_begun = self.in_ring.take().filter(|_| !self.begun);
         for (reference, sending) in std::mem::take(&mut self.open) {
             let clean = not_begun.as_ref() == Some(&reference);
@@ -140,7 +160,15 @@
             count(&self.shared.counts.reading_paused);
         }
         self.write()?;
-        let idle = self.open.is_empty() && self.unsent.is_empty() && self.outgoing.is_empty();
+        let known = |at: &mut (Instant, HandOffId)| at.0 <= Instant::now();
+        while let Some((_, id)) = self.withdrawn.pop_front_if(known) {
+            self.end(id, Ending::Withdrawn);
+        }
+        let idle = self.open.is_empty()
+            && self.unsent.is_empty()
+            && self.outgoing.is_empty()
+            && self.withdrawn.is_empty();
+        let known_at = self.withdrawn.front().map(|at| at.0);
         if idle && self.retired {
             return Err("retired");
         }
@@ -161,6 +189,7 @@
                 ready.map_err(|_| "write failed")?;
             }
             _ = sleep(READ_AGAIN), if !may_read => {}
+            _ = sleep_until(known_at.unwrap_or(self.active)), if known_at.is_some() => {}
             _ = sleep_until(idle_until), if idle => return Err("idle"),
         }
         Ok(())
@@ -222,11 +251,12 @@
             let _ = self
                 .shared
                 .queue
-                .send(Inbound::Server(FromServer::Silent { host, line }));
+                .send(Inbound::Server(FromServer::Unfit { host, line }));
         }
         self.open.remove(&reference);
         self.unsent.push_back(Packet::Kill(reference));
-        self.end(id, Ending::Withdrawn);
+        self.withdrawn
+            .push_back((Instant::now() + WORD_TRAVELS, id));
     }
 
     fn write(&mut self) -> Result<(), Over> {
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -86,8 +86,9 @@
         line: Option<LineId>,
         answer: Answer,
     },
-    /// Nothing came from it for longer than a dial may take, though it owed an answer.
-    Silent {
+    /// Nothing new is to go there: it is about to close, or nothing came from it for longer than a
+    /// dial may take, though it owed an answer.
+    Unfit {
         host: HostId,
         line: LineId,
     },
@@ -259,30 +260,37 @@
         Duration::from_micros(self.shared.bounds.dial_within.0)
     }
 
-    /// Gives what waits to connections with room, and dials for the rest.
+    /// Gives what waits to connections, and dials for the rest. An answer that can't be read ends all
+    /// that is open on its connection, so each hand-off has one to itself as far as descriptors go.
     fn assign(&mut self, host: HostId) {
         let within = self.dial_within();
+        let share = (self.shared.most_lines / self.pools.len().max(1)).max(1);
+        let free = self.shared.most_lines.saturating_sub(self.lines);
         let Some(pool) = self.pools.get_mut(&host) else {
             return;
         };
         let most = self.shared.bounds.max_streams;
+        let dials = pool.dialing
+            + share
+                .saturating_sub(pool.lines.len() + pool.dialing)
+                .min(free);
         let mut left = VecDeque::new();
         while let Some((until, sending)) = pool.waiting.pop_front() {
             let fits = |line: &&mut Line| {
                 !line.retired && line.open < most && !sending.avoid.contains(&line.id)
             };
-            match pool.lines.iter_mut().find(fits) {
-                Some(line) => {
+            let lines = pool.lines.iter_mut().filter(fits);
+            match lines.min_by_key(|line| line.open) {
+                Some(line) if line.open == 0 || left.len() >= dials => {
                     self.places.insert(sending.id, (host, Some(line.id)));
                     line.open += 1;
                     let _ = line.orders.send(ToServer::Send(sending));
                 }
-                None => left.push_back((until, sending)),
+                _ => left.push_back((until, sending)),
             }
         }
         pool.waiting = left;
-        let wanted = pool.waiting.len().div_ceil(most.max(1));
-        while pool.dialing < wanted && self.lines < self.shared.most_lines {
+        while pool.dialing < pool.waiting.len().min(dials) {
             pool.dialing += 1;
             self.lines += 1;
             self.next += 1;
@@ -382,7 +390,7 @@
                 }
                 self.places.remove(&id).map(|_| (id, line, answer))
             }
-            FromServer::Silent { host, line } => {
+            FromServer::Unfit { host, line } => {
                 if let Some(pool) = self.pools.get_mut(&host) {
                     for known in pool.lines.iter_mut().filter(|known| known.id == line) {
                         known.retired = true;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -170,6 +170,8 @@
     pub waited: Option<Span>,
     /// How full the zone's link is, where its caches tell: transfers over those that fit.
     pub link_full: Option<f64>,
+    /// Whether anything was done for its client before, so that its accesses are known to make sense.
+    pub proven: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -107,6 +107,7 @@
     pub logged: Vec<String>,
     wakes: Vec<Moment>,
     pub link_full: Option<f64>,
+    pub proven: bool,
     next: u64,
 }
 
@@ -125,6 +126,7 @@
             logged: vec![],
             wakes: vec![],
             link_full: None,
+            proven: true,
             next: 0,
         };
         let all = CACHES.iter().chain(&PARENTS).chain([&ORIGIN]);
@@ -217,6 +219,7 @@
             note,
             waited,
             link_full: self.link_full,
+            proven: self.proven,
         }));
     }
 
