--- a/src/logic.rs
+++ b/src/logic.rs
@@ -589,10 +589,10 @@
             }
         }
         let good = |latency| Some(Good(latency));
+        let untold = self.terms.notes != NoteLevel::All;
         let (bad, vague, crowded) = (Some(Bad), Some(Vague), Some(Crowded));
         let alive = good(None).filter(|_| answered);
         let (of_host, of_source, of_origin) = match (ending, outcome.note) {
-            // Of a client that nothing was done for yet, the access may be what no host can use.
             (Error | Lost, _) if !outcome.proven => (None, None, None),
             (Done, Note::Filled) => (alive, good(Some(latency)), None),
             (Done, Note::FilledByOrigin) if attempt.blamed => (alive, good(None), vague),
@@ -606,9 +606,7 @@
             (Done, Note::Untold) if filled => (alive, good(size_kb.map(|_| latency)), None),
             (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
             // Either may be at fault, or one drains before the list tells: who answers others ends its run.
-            (Error, Note::Untold) if !own && self.terms.notes != NoteLevel::All => {
-                (vague, vague, None)
-            }
+            (Error, Note::Untold) if !own && untold => (vague, vague, None),
             (Full, Note::Untold) if !own => (vague, vague, None),
             (NoConnection | Lost, _) | (Error, Note::Untold) => (bad, None, None),
             _ => (alive, None, None),
