A parent that falls silent under way is blamed, not the origin; a lost hand-off counts half

Three now; a loss weighs as one that may be another's. From the code: a parent falls silent, a hand-off under way has heard it since it went out, so blame() turned to the origin, and origin_hides() then kept the parent from being blamed. Now a source quiet for half of the wait, while another parent was heard, is blamed.

--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -39,6 +39,10 @@
     bad_hosts,
     bad_entries,
     dials,
+    /// Connections to hosts that were closed as idle here, closed there, and reset.
+    lines_idle,
+    lines_closed,
+    lines_reset,
     journal_calls,
     journal_events,
     journal_repeats,
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -100,6 +100,12 @@
                 break why;
             }
         };
+        match why {
+            "idle" => count(&self.shared.counts.lines_idle),
+            "closed" => count(&self.shared.counts.lines_closed),
+            "reset" | "read failed" | "write failed" => count(&self.shared.counts.lines_reset),
+            _ => {}
+        }
         if !self.open.is_empty() || !self.unsent.is_empty() {
             let (host, open) = (format!("{:x}", self.host.0), self.open.len());
             info!(self.shared.log, "host connection broken"; "host" => host, "open" => open, "why" => why);
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -18,6 +18,10 @@
 use trailproxy::units::*;
 use trailproxy_terms::Bounds;
 
+/// So many hand-offs share a connection before another is dialled, as descriptors allow. More are lost
+/// with one spoilt answer; fewer leave connections idle, which hosts close, and new ones are less sure.
+const TOGETHER: usize = 3;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LineId(pub u64);
 
@@ -281,7 +285,7 @@
             };
             let lines = pool.lines.iter_mut().filter(fits);
             match lines.min_by_key(|line| line.open) {
-                Some(line) if line.open == 0 || left.len() >= dials => {
+                Some(line) if line.open < TOGETHER || left.len() >= dials => {
                     self.places.insert(sending.id, (host, Some(line.id)));
                     line.open += 1;
                     let _ = line.orders.send(ToServer::Send(sending));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,7 +30,7 @@
 const FIRST_SHARE: f64 = 0.05;
 const DOUBLING: Span = Span::from_secs(2);
 /// Failures in a row open a breaker from this weight on, or leave a crowded host this part of its share:
-/// a hard one has 4, an overdue one or maybe another's 2, a slow one 1. Lower acts on chance, higher late.
+/// a hard one has 4, one overdue, lost or maybe another's 2, a slow one 1. Lower acts on chance, higher late.
 const RUN_ACTS: u32 = 10;
 const CROWD_KEEPS: f64 = 0.25;
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as waits for
@@ -189,11 +189,8 @@
     fn judge(&mut self, now: Moment, weighs: u32, crowded: bool) {
         self.advance(now);
         let bad = weighs > 0;
-        (self.run, self.well) = if bad {
-            (self.run + weighs, self.well)
-        } else {
-            (0, now)
-        };
+        self.run = if bad { self.run + weighs } else { 0 };
+        self.well = if bad { self.well } else { now };
         if let Some(slot) = self.slots.back_mut() {
             slot.1 += u32::from(!bad);
             slot.2 += u32::from(bad);
@@ -203,10 +200,9 @@
         let cut = (self.share() * CROWD_KEEPS).max(FIRST_SHARE);
         if self.run >= RUN_ACTS || failing {
             // A crowd is thinned out: without any, the next host would be crowded.
-            match crowded {
-                true => self.turn(now, Phase::Ramp(cut, now + DOUBLING, true)),
-                false => self.turn(now, Phase::Open(now + OPEN_FOR)),
-            }
+            let thinned = Phase::Ramp(cut, now + DOUBLING, true);
+            let open = Phase::Open(now + OPEN_FOR);
+            self.turn(now, if crowded { thinned } else { open });
         } else if let Phase::Ramp(.., clean) = &mut self.phase {
             *clean &= self.run * 2 < RUN_ACTS;
         }
@@ -608,7 +604,8 @@
             // Either may be at fault, or one drains before the list tells: who answers others ends its run.
             (Error, Note::Untold) if !own && untold => (vague, vague, None),
             (Full, Note::Untold) if !own => (vague, vague, None),
-            (NoConnection | Lost, _) | (Error, Note::Untold) => (bad, None, None),
+            (Lost, _) => (vague, None, None),
+            (NoConnection, _) | (Error, Note::Untold) => (bad, None, None),
             _ => (alive, None, None),
         };
         let origin = self.origin.filter(|_| of_origin.is_some());
@@ -623,8 +620,8 @@
         }
     }
 
-    /// An overdue hand-off is the fault of its host if nothing was heard from it since, else of its
-    /// source if nothing came from there either, else of an origin that served none well since.
+    /// An overdue hand-off is its host's fault if nothing was heard from it since, else its source's if it
+    /// was not either, or not lately while another parent was, else an origin's that served none well since.
     fn blame(&mut self, now: Moment, id: AccessId) {
         let late = |t: &&mut Try| t.out && !t.blamed && now >= t.overdue_at;
         let tries = self.accesses.get_mut(&id).map(|access| &mut access.tries);
@@ -634,11 +631,15 @@
         attempt.blamed = true;
         let attempt = *attempt;
         let Plan { host, source, .. } = attempt.plan;
+        let lately = attempt.sent + now.since(attempt.sent).times(0.5);
+        let quiet = |id: &HostId| self.hosts[id].heard <= lately;
+        let others = !self.parents.iter().all(quiet);
+        let alone = others && quiet(&source) && self.parents.contains(&source);
         let silent = |id: HostId| self.hosts[&id].heard <= attempt.sent && Some(id) != self.origin;
         let unwell = |id: &HostId| self.hosts[id].breaker.well <= attempt.sent;
         if silent(host) {
             self.judge(now, host, Some(Verdict::Bad), &attempt);
-        } else if silent(source) && !self.origin_hides(&attempt) {
+        } else if (alone || silent(source)) && !self.origin_hides(&attempt) {
             self.judge(now, source, Some(Verdict::Bad), &attempt);
         } else if let Some(origin) = self.origin.filter(unwell) {
             let crowded = Some(Verdict::Crowded).filter(|_| !attempt.held_only);
@@ -811,8 +812,7 @@
             let source = open.unwrap_or(host);
             return Some(Plan { host, source });
         };
-        let source = source.unwrap_or(host);
-        Some(Plan { host, source })
+        source.or(Some(host)).map(|source| Plan { host, source })
     }
 
     /// The first open parent, or the origin where none is, if a fill from there would be in time.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -205,6 +205,23 @@
     assert!(stage.withdrawn.contains(&slow[5]));
 }
 
+#[test]
+fn a_parent_that_falls_silent_under_way_is_blamed_and_not_the_origin() {
+    let mut stage = Stage::new(terms());
+    let objects = stage.objects_of(PARENTS[0], 1000, 7);
+    let others = stage.objects_of(PARENTS[1], 3000, 60);
+    for &object in &objects[..6] {
+        stage.arrive(READS, object);
+    }
+    stage.pass(ms(10));
+    stage.play(objects[6], Ending::Done, Note::Filled, ms(20));
+    for other in others {
+        stage.pass(ms(10));
+        stage.play(other, Ending::Done, Note::Filled, ms(1));
+    }
+    assert_eq!(stage.logged, ["Parent 15 breaker open"]);
+}
+
 #[test]
 fn a_cache_that_turns_all_away_is_passed_by_and_opens_at_the_fifth() {
     let (mut stage, mut turned) = (Stage::new(terms()), 0);
@@ -376,6 +393,40 @@
     assert_eq!(stage.logged, ["Cache b breaker open"]);
 }
 
+#[test]
+fn what_an_unproven_client_asks_for_blames_no_host() {
+    let mut stage = Stage::new(terms());
+    stage.proven = false;
+    for object in 0..60 {
+        let id = stage.arrive(READS, object);
+        let ending = [Ending::Error, Ending::Lost][object as usize % 2];
+        if stage.last(id).host == CACHES[0] {
+            stage.answer(id, ending, Note::Untold, ms(2));
+        }
+        stage.answer(id, Ending::Done, Note::Filled, ms(20));
+    }
+    assert!(stage.logged.is_empty(), "{:?}", stage.logged);
+}
+
+#[test]
+fn five_lost_in_a_row_open_a_cache_and_fewer_do_not() {
+    let mut stage = Stage::new(terms());
+    let mut lost = 0;
+    for object in 0.. {
+        let id = stage.arrive(READS, object);
+        if stage.last(id).host == CACHES[0] {
+            assert!(stage.logged.is_empty(), "after {lost}");
+            stage.answer(id, Ending::Lost, Note::Untold, ms(2));
+            lost += 1;
+        }
+        stage.answer(id, Ending::Done, Note::Filled, ms(20));
+        if lost == 5 {
+            break;
+        }
+    }
+    assert_eq!(stage.logged, ["Cache b breaker open"]);
+}
+
 #[test]
 fn without_notes_and_sizes_a_parent_that_answers_is_not_blamed() {
     let notes = NoteLevel::None;
