--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -5,7 +5,7 @@
 use crate::held::{Held, Parcel};
 use crate::list::object_id;
 use crate::msgpack::{self, Fault, Value};
-use crate::places::{Places, Use};
+use crate::places::{Places, Room, Use};
 use crate::ring::Ring;
 use local_channel::mpsc;
 use slog::{Logger, debug};
@@ -107,9 +107,15 @@
     let mut next = 0;
     loop {
         let accepted = listener.accept().await;
-        while !shared.places.borrow_mut().free(Instant::now()) {
+        loop {
+            let room = shared.places.borrow_mut().free(Instant::now());
+            match room {
+                Room::Free => break,
+                // It leaves in its turn: a wait for each would hold newcomers up for seconds.
+                Room::Asked => tokio::task::yield_now().await,
+                Room::None => sleep(ACCEPT_AGAIN).await,
+            }
             count(&shared.counts.places_wanted);
-            sleep(ACCEPT_AGAIN).await;
         }
         match accepted {
             Ok((stream, _)) => {
--- a/crates/trailproxyd/src/places.rs
+++ b/crates/trailproxyd/src/places.rs
@@ -19,6 +19,14 @@
     Busy,
 }
 
+/// Whether a newcomer finds a place.
+pub enum Room {
+    Free,
+    /// Somebody is about to leave.
+    Asked,
+    None,
+}
+
 pub struct Places {
     most: usize,
     held: BTreeMap<ClientId, (Use, mpsc::Sender<ToClient>)>,
@@ -36,9 +44,9 @@
     }
 
     /// Whether there is a free one; if not, whoever can spare one best is asked to leave.
-    pub fn free(&mut self, now: Instant) -> bool {
+    pub fn free(&mut self, now: Instant) -> Room {
         if self.held.len() < self.most {
-            return true;
+            return Room::Free;
         }
         for kind in &mut self.yielding {
             let settled = |(since, _): &&(Instant, ClientId)| *since + SETTLED <= now;
@@ -49,10 +57,10 @@
                     *used = Use::Busy;
                     let _ = orders.send(ToClient::GiveWay);
                 }
-                break;
+                return Room::Asked;
             }
         }
-        false
+        Room::None
     }
 
     pub fn open(&mut self, client: ClientId, since: Instant, orders: mpsc::Sender<ToClient>) {
