--- /dev/null
+++ b/crates/lab/src/model.rs
@@ -0,0 +1,785 @@
+//! A day in virtual time: the fleet of stand-ins, clients with retries, and dispatchers that decide for themselves.
+//!
+//! One event queue, ordered by time and then by the order of filing, and every draw from the seed: the same scenario,
+//! policy and seed give the same day whatever the machine does.
+
+use crate::decide::baseline::{Decider, Policy};
+use crate::rules::{Breach, Checker, Final};
+use crate::scenario::Scenario;
+use crate::tally::{Cause, Summary, Tally};
+use crate::traffic::{Stream, Wish, group_of, mix};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use trailproxy::interface::*;
+use trailproxy::units::*;
+use trailproxy_standins::fleet::{Answer, Fleet, Pull, Said, Ticket};
+use trailproxy_standins::shape::Role;
+
+/// A dispatcher hears so long after a hand-off was withdrawn that it is over.
+const WITHDRAWN_AFTER: Span = Span::from_millis(5);
+/// The oracle is told the true state so often, and so late.
+const TRUTH_EVERY: Span = Span::from_millis(500);
+/// After the last arrival a day runs on for so long at most.
+const RUN_OUT: Span = Span::from_secs(30);
+/// Purges and hosts are told to a dispatcher that starts again after this.
+const START: Span = Span::from_millis(300);
+
+/// A day's result.
+pub struct Day {
+    pub summary: Summary,
+    pub tally: Tally,
+    pub breaches: Vec<Breach>,
+    /// What was still held at the end: accesses, hand-offs and fetches.
+    pub left_over: usize,
+}
+
+enum Ev {
+    Wish(usize, Wish),
+    /// An access reaches a dispatcher.
+    Comes(AccessId),
+    /// A hand-off reaches a host.
+    Asked(Ticket),
+    Withdrawn(Ticket),
+    Outcome(Ticket, Answer),
+    Wake(usize, u32, WakeId),
+    Told(usize, HostEntry),
+    Purged(usize, Option<ObjectId>, GroupId, Moment),
+    Final(AccessId, Final, Option<Span>, Option<Moment>),
+    Overdue(AccessId),
+    Retry(u64),
+    Kill(f64, Span),
+    Start(usize),
+    Truth,
+    Tick,
+}
+
+/// What a client wants, over all its tries.
+struct Want {
+    wish: Wish,
+    due: Moment,
+    until: Moment,
+    tries: u32,
+}
+
+struct Open {
+    want: u64,
+    seat: usize,
+    life: u32,
+    wish: Wish,
+    limit: Moment,
+    tickets: Vec<Ticket>,
+    last: Option<Ending>,
+    closed: bool,
+}
+
+struct Out {
+    access: AccessId,
+    no: HandOffNo,
+    seat: usize,
+    life: u32,
+    sent: Moment,
+    pull: Pull,
+    withdrawn: bool,
+}
+
+struct Seat {
+    zone: ZoneId,
+    life: u32,
+    decider: Option<Box<dyn Decider>>,
+}
+
+struct World<'a> {
+    scenario: &'a Scenario,
+    policy: Policy,
+    seed: u64,
+    now: Moment,
+    queue: BTreeMap<(Moment, u64), Ev>,
+    filed: u64,
+    fleet: Fleet,
+    seats: Vec<Seat>,
+    streams: Vec<Stream>,
+    wants: BTreeMap<u64, Want>,
+    open: BTreeMap<AccessId, Open>,
+    out: BTreeMap<Ticket, Out>,
+    next_id: u64,
+    chance: StdRng,
+    checker: Checker,
+    tally: Tally,
+    purged: Vec<(Option<ObjectId>, GroupId, Moment)>,
+    moved: (f64, f64, f64),
+    crossed: Vec<f64>,
+}
+
+/// Plays one day.
+pub fn run(scenario: &Scenario, policy: Policy, seed: u64) -> Day {
+    let mut world = World::new(scenario, policy, seed);
+    world.begin();
+    world.play();
+    world.end()
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, policy: Policy, seed: u64) -> World<'a> {
+        let zones = scenario.seats.iter().enumerate();
+        let seats = zones.flat_map(|(zone, &n)| (0..n).map(move |_| ZoneId(zone as u16)));
+        let seat = |zone| Seat {
+            zone,
+            life: 0,
+            decider: None,
+        };
+        World {
+            scenario,
+            policy,
+            seed,
+            now: Moment(0),
+            queue: BTreeMap::new(),
+            filed: 0,
+            fleet: Fleet::new(scenario.shape.clone(), &scenario.script, mix(seed, 1)),
+            seats: seats.map(seat).collect(),
+            streams: (0..scenario.loads.len())
+                .map(|nth| Stream::new(scenario, nth, mix(seed, 2)))
+                .collect(),
+            wants: BTreeMap::new(),
+            open: BTreeMap::new(),
+            out: BTreeMap::new(),
+            next_id: 0,
+            chance: StdRng::seed_from_u64(mix(seed, 3)),
+            checker: Checker::new(scenario.rule_bounds()),
+            tally: Tally::new(&scenario.importance, scenario.counted_from, scenario.length),
+            purged: Vec::new(),
+            moved: (0.0, 0.0, 0.0),
+            crossed: vec![0.0; scenario.shape.zones.len()],
+        }
+    }
+
+    fn file(&mut self, at: Moment, event: Ev) {
+        self.filed += 1;
+        self.queue.insert((at, self.filed), event);
+    }
+
+    fn begin(&mut self) {
+        warm_up(self.scenario, &mut self.fleet, self.seed);
+        for entry in self.fleet.list() {
+            self.checker.listed(Moment(0), entry);
+        }
+        for seat in 0..self.seats.len() {
+            self.start(seat);
+        }
+        for nth in 0..self.streams.len() {
+            self.next_wish(nth);
+        }
+        for kill in &self.scenario.kills {
+            self.file(kill.at, Ev::Kill(kill.share, kill.away));
+        }
+        if self.policy == Policy::Oracle {
+            self.file(Moment(0), Ev::Truth);
+        }
+        self.file(Moment(1_000_000), Ev::Tick);
+    }
+
+    fn play(&mut self) {
+        let end = Moment(0) + self.scenario.length + RUN_OUT;
+        loop {
+            let own = self.queue.first_key_value().map(|(&(at, _), _)| at);
+            let fleet = self.fleet.next();
+            let Some(at) = own.into_iter().chain(fleet).min().filter(|&at| at <= end) else {
+                break;
+            };
+            // Ticks alone keep no day going.
+            let idle = self.now > Moment(0) + self.scenario.length
+                && self.open.is_empty()
+                && self.wants.is_empty();
+            if idle {
+                break;
+            }
+            self.now = self.now.max(at);
+            if fleet.is_some_and(|fleet| own.is_none_or(|own| fleet <= own)) {
+                let said = self.fleet.advance(at);
+                said.into_iter().for_each(|said| self.said(said));
+            } else if let Some((_, event)) = self.queue.pop_first() {
+                self.happen(event);
+            }
+        }
+    }
+
+    fn end(mut self) -> Day {
+        self.sample();
+        self.checker.finish();
+        self.tally.settle_breakers();
+        let first = self.scenario.script.iter().map(|cue| cue.at).min();
+        let named = (
+            self.scenario.name.as_str(),
+            "model",
+            self.policy.name(),
+            self.seed,
+        );
+        let breaches = (self.checker.breaches(), self.checker.count());
+        let summary = self
+            .tally
+            .summary(named, &self.scenario.track_names, breaches, first);
+        Day {
+            breaches: self.checker.breaches().to_vec(),
+            left_over: self.open.len() + self.out.len() + self.fleet.under_way(),
+            summary,
+            tally: self.tally,
+        }
+    }
+
+    fn start(&mut self, seat: usize) {
+        let zone = self.seats[seat].zone;
+        let seed = mix(
+            mix(self.seed, seat as u64),
+            u64::from(self.seats[seat].life) + 4,
+        );
+        let mut decider = self.policy.decider(self.scenario.terms(zone), seed);
+        let entries = self.fleet.list();
+        decider.take(
+            self.now,
+            Event::Hosts {
+                form: ListForm::Whole,
+                entries,
+            },
+        );
+        for &(object, group, at) in &self.purged {
+            decider.take(
+                self.now,
+                Event::Purged {
+                    object,
+                    group,
+                    ago: self.now.since(at),
+                },
+            );
+        }
+        self.seats[seat].decider = Some(decider);
+        self.settle(seat);
+    }
+
+    fn next_wish(&mut self, nth: usize) {
+        if let Some(wish) = self.streams[nth].next() {
+            self.file(wish.at, Ev::Wish(nth, wish));
+        }
+    }
+
+    fn happen(&mut self, event: Ev) {
+        let now = self.now;
+        match event {
+            Ev::Wish(nth, wish) => {
+                self.next_wish(nth);
+                self.wish(wish);
+            }
+            Ev::Retry(want) => self.ask(want),
+            Ev::Comes(id) => self.comes(id),
+            Ev::Asked(ticket) => self.asked(ticket),
+            Ev::Withdrawn(ticket) => {
+                self.fleet.withdraw(now, ticket);
+                let none = Answer {
+                    ticket,
+                    ending: Ending::Withdrawn,
+                    note: Note::Untold,
+                    waited: None,
+                    minted: None,
+                    link_full: 0.0,
+                };
+                self.file(now + WITHDRAWN_AFTER, Ev::Outcome(ticket, none));
+            }
+            Ev::Outcome(ticket, answer) => self.outcome(ticket, answer),
+            Ev::Wake(seat, life, wake) => {
+                if self.seats[seat].life == life {
+                    self.tell(seat, Event::Woken { wake });
+                }
+            }
+            Ev::Told(seat, entry) => {
+                let entries = vec![entry];
+                self.tell(
+                    seat,
+                    Event::Hosts {
+                        form: ListForm::Changes,
+                        entries,
+                    },
+                );
+            }
+            Ev::Purged(seat, object, group, at) => {
+                self.tell(
+                    seat,
+                    Event::Purged {
+                        object,
+                        group,
+                        ago: now.since(at),
+                    },
+                );
+            }
+            Ev::Final(id, how, away, minted) => self.final_answer(id, how, away, minted),
+            Ev::Overdue(id) => self.overdue(id),
+            Ev::Kill(share, away) => self.kill(share, away),
+            Ev::Start(seat) => self.start(seat),
+            Ev::Truth => {
+                let hosts = self.scenario.shape.hosts.iter().map(|host| host.id);
+                let paces: Vec<_> = hosts
+                    .map(|host| (host, self.fleet.truth(now, host)))
+                    .collect();
+                let deciders = self
+                    .seats
+                    .iter_mut()
+                    .filter_map(|seat| seat.decider.as_mut());
+                deciders.for_each(|decider| decider.truth(now, &paces));
+                self.file(now + TRUTH_EVERY, Ev::Truth);
+            }
+            Ev::Tick => {
+                self.sample();
+                if now < Moment(0) + self.scenario.length {
+                    self.file(now + Span::from_secs(1), Ev::Tick);
+                }
+            }
+        }
+    }
+
+    /// Takes the bytes of the last second.
+    fn sample(&mut self) {
+        let moved = self.fleet.moved();
+        let now = (moved.origin_kb, moved.hub_kb, moved.hit_kb);
+        let before = std::mem::replace(&mut self.moved, now);
+        let zones = 0..self.crossed.len();
+        let crossed: Vec<f64> = zones
+            .map(|zone| self.fleet.crossed_kb(ZoneId(zone as u16)))
+            .collect();
+        let grown = crossed
+            .iter()
+            .zip(&self.crossed)
+            .map(|(now, before)| now - before)
+            .collect();
+        self.crossed = crossed;
+        let second = self.tally.second(self.now - Span::from_millis(500));
+        second.origin_kb += now.0 - before.0;
+        second.hub_kb += now.1 - before.1;
+        second.hit_kb += now.2 - before.2;
+        second.crossed_kb = grown;
+    }
+
+    fn wish(&mut self, wish: Wish) {
+        let track = &self.scenario.shape.tracks[usize::from(wish.track.0)];
+        let send = wish.kb / self.scenario.shape.flow_kb_per_s;
+        self.tally.asked(wish.at, wish.track);
+        self.next_id += 1;
+        let want = Want {
+            wish,
+            due: wish.at + track.due + Span::from_secs_f64(send * track.due_stretch),
+            until: wish.at + self.scenario.limits[usize::from(wish.track.0)],
+            tries: 0,
+        };
+        self.wants.insert(self.next_id, want);
+        self.ask(self.next_id);
+    }
+
+    /// A client's try goes to a dispatcher of its zone that is up.
+    fn ask(&mut self, want_id: u64) {
+        let Some(want) = self.wants.get_mut(&want_id) else {
+            return;
+        };
+        want.tries += 1;
+        let (wish, until) = (want.wish, want.until);
+        let up = |seat: &&(usize, &Seat)| seat.1.zone == wish.zone && seat.1.decider.is_some();
+        let seats: Vec<usize> = self
+            .seats
+            .iter()
+            .enumerate()
+            .filter(|seat| up(&seat))
+            .map(|seat| seat.0)
+            .collect();
+        if seats.is_empty() || self.now >= until {
+            self.wants.remove(&want_id);
+            return;
+        }
+        let seat = seats[self.chance.random_range(0..seats.len())];
+        self.next_id += 1;
+        let id = AccessId(self.next_id);
+        let open = Open {
+            want: want_id,
+            seat,
+            life: self.seats[seat].life,
+            wish,
+            limit: until,
+            tickets: Vec::new(),
+            last: None,
+            closed: false,
+        };
+        self.open.insert(id, open);
+        self.tally.accesses += 1;
+        self.file(self.now + self.scenario.hop, Ev::Comes(id));
+    }
+
+    fn comes(&mut self, id: AccessId) {
+        let now = self.now;
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let (seat, life, wish, limit) = (open.seat, open.life, open.wish, open.limit);
+        if self.seats[seat].decider.is_none() || self.seats[seat].life != life {
+            return self.lost(id);
+        }
+        self.checker.taken(now, id, wish.track, limit);
+        self.file(limit + Span::from_millis(50), Ev::Overdue(id));
+        let size_kb = Some(wish.kb).filter(|_| wish.told);
+        let (object, group, part) = (wish.object, wish.group, wish.part);
+        let arrival = Arrival {
+            id,
+            left: limit.since(now),
+            track: wish.track,
+            object,
+            group,
+            part,
+            size_kb,
+        };
+        self.tell(seat, Event::Arrived(arrival));
+    }
+
+    fn tell(&mut self, seat: usize, event: Event) {
+        let now = self.now;
+        if let Some(decider) = self.seats[seat].decider.as_mut() {
+            decider.take(now, event);
+            self.settle(seat);
+        }
+    }
+
+    fn settle(&mut self, seat: usize) {
+        let now = self.now;
+        let actions = self.seats[seat]
+            .decider
+            .as_mut()
+            .map(|decider| decider.settle(now));
+        for action in actions.into_iter().flatten() {
+            self.act(seat, action);
+        }
+    }
+
+    fn act(&mut self, seat: usize, action: Action) {
+        let (now, hop) = (self.now, self.scenario.hop);
+        match action {
+            Action::HandOff(hand_off) => self.hand_off(seat, hand_off),
+            Action::Reject { id, come_back } => {
+                self.given_up(id);
+                self.file(now + hop, Ev::Final(id, Final::Rejected, come_back, None));
+            }
+            Action::Abort { id } => {
+                self.given_up(id);
+                self.file(now + hop, Ev::Final(id, Final::Aborted, None, None));
+            }
+            Action::Withdraw { id, hand_off } => {
+                let ticket = self
+                    .open
+                    .get(&id)
+                    .and_then(|open| open.tickets.get(usize::from(hand_off.0)));
+                let out = ticket.copied().and_then(|ticket| self.out.get_mut(&ticket));
+                if let Some(out) = out.filter(|out| !out.withdrawn) {
+                    out.withdrawn = true;
+                    let ticket = out.pull.ticket;
+                    self.file(now + hop, Ev::Withdrawn(ticket));
+                }
+            }
+            Action::Wake { at, wake } => {
+                let life = self.seats[seat].life;
+                self.file(at.max(now), Ev::Wake(seat, life, wake));
+            }
+            Action::FollowList => {}
+            Action::Log { text } => self.log(seat, &text),
+        }
+    }
+
+    /// The module tells of its breakers in words.
+    fn log(&mut self, seat: usize, text: &str) {
+        let mut words = text.split(' ').skip(1);
+        let host = words
+            .next()
+            .and_then(|hex| u64::from_str_radix(hex, 16).ok());
+        if let (Some(host), Some("breaker"), Some(what)) = (host, words.next(), words.next()) {
+            self.tally
+                .breaker(self.now, seat as u32, host, what == "open");
+        }
+    }
+
+    fn given_up(&mut self, id: AccessId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.closed = true;
+            let cause = match open.last {
+                None => Cause::Unsent,
+                Some(Ending::Full) => Cause::Full,
+                Some(Ending::Missed) => Cause::Missed,
+                Some(Ending::Withdrawn | Ending::TimedOut) => Cause::TimedOut,
+                Some(_) => Cause::Failed,
+            };
+            *self.tally.causes.entry(cause).or_default() += 1;
+        }
+    }
+
+    fn hand_off(&mut self, seat: usize, hand_off: HandOff) {
+        let (now, hop) = (self.now, self.scenario.hop);
+        let Some(open) = self.open.get_mut(&hand_off.id) else {
+            return;
+        };
+        self.next_id += 1;
+        let ticket = Ticket(self.next_id);
+        let no = HandOffNo(open.tickets.len() as u8);
+        open.tickets.push(ticket);
+        let wish = open.wish;
+        let pull = Pull {
+            ticket,
+            host: hand_off.host,
+            zone: wish.zone,
+            track: wish.track,
+            object: wish.object,
+            group: wish.group,
+            part: wish.part,
+            kb: wish.kb,
+            fill: hand_off.fill,
+        };
+        let life = self.seats[seat].life;
+        let out = Out {
+            access: hand_off.id,
+            no,
+            seat,
+            life,
+            sent: now,
+            pull,
+            withdrawn: false,
+        };
+        self.out.insert(ticket, out);
+        self.tally.hand_offs += 1;
+        let source = hand_off.fill.map(|fill| fill.source);
+        self.checker
+            .sent(now, hand_off.id, no.0, hand_off.host, source, wish.kb);
+        let jitter = Span(self.chance.random_range(0..200));
+        self.file(now + hop + jitter, Ev::Asked(ticket));
+    }
+
+    fn asked(&mut self, ticket: Ticket) {
+        if let Some(out) = self.out.get(&ticket) {
+            self.fleet.hand_off(self.now, out.pull);
+            // What is answered at once is taken up at once.
+            let said = self.fleet.advance(self.now);
+            said.into_iter().for_each(|said| self.said(said));
+        }
+    }
+
+    fn said(&mut self, said: Said) {
+        let now = self.now;
+        match said {
+            Said::Answer(answer) => {
+                let jitter = Span(self.chance.random_range(0..200));
+                self.file(
+                    now + self.scenario.hop + jitter,
+                    Ev::Outcome(answer.ticket, answer),
+                );
+            }
+            Said::Listed(entry) => {
+                self.checker.listed(now, entry);
+                let late = self.fleet.list_delay(now);
+                for seat in 0..self.seats.len() {
+                    let delay = self
+                        .scenario
+                        .list_delay
+                        .times(0.5 + self.chance.random::<f64>());
+                    self.file(now + late + delay, Ev::Told(seat, entry));
+                }
+            }
+            Said::Purged { object, group } => {
+                self.checker.purged(now, object, group);
+                let old = self.scenario.shape.purge_done.times(4.0);
+                self.purged.retain(|purge| now.since(purge.2) < old);
+                self.purged.push((object, group, now));
+                for seat in 0..self.seats.len() {
+                    let delay = self
+                        .scenario
+                        .purge_delay
+                        .times(0.5 + self.chance.random::<f64>());
+                    self.file(now + delay, Ev::Purged(seat, object, group, now));
+                }
+            }
+            Said::Given { host, kb } => self.checker.filled(now, host, kb),
+            Said::Fell(_) => self.tally.fell += 1,
+        }
+    }
+
+    fn outcome(&mut self, ticket: Ticket, answer: Answer) {
+        let now = self.now;
+        let Some(out) = self.out.remove(&ticket) else {
+            return;
+        };
+        let id = out.access;
+        let never_ran = answer.ending.never_ran();
+        self.checker.ended(id, out.no.0, never_ran);
+        if self.seats[out.seat].life != out.life {
+            return;
+        }
+        let mut closed = false;
+        if let Some(open) = self.open.get_mut(&id) {
+            open.last = Some(answer.ending);
+            closed = answer.ending == Ending::Done && !open.closed;
+            if closed {
+                open.closed = true;
+                self.file(
+                    now + self.scenario.hop,
+                    Ev::Final(id, Final::Done, None, answer.minted),
+                );
+            }
+        }
+        let notes = self.scenario.terms.notes;
+        let hit = matches!(answer.note, Note::Hit | Note::Stale);
+        let told = notes == NoteLevel::All
+            || (notes == NoteLevel::Hits && (hit || answer.note == Note::Filled));
+        let outcome = Outcome {
+            id,
+            hand_off: out.no,
+            ending: answer.ending,
+            took: now.since(out.sent),
+            closed,
+            note: if told { answer.note } else { Note::Untold },
+            waited: answer.waited.filter(|_| notes == NoteLevel::All),
+            link_full: Some(answer.link_full).filter(|_| self.scenario.terms.link_told),
+            proven: true,
+        };
+        self.tell(out.seat, Event::Outcome(outcome));
+    }
+
+    fn final_answer(
+        &mut self,
+        id: AccessId,
+        how: Final,
+        away: Option<Span>,
+        minted: Option<Moment>,
+    ) {
+        let now = self.now;
+        let Some(open) = self.open.remove(&id) else {
+            return;
+        };
+        let copy = minted.map(|minted| (open.wish.object, open.wish.group, minted));
+        self.checker.answered(now, id, how, copy);
+        self.tally.answered(now, how);
+        if how == Final::Done {
+            if let Some(want) = self.wants.remove(&open.want) {
+                self.tally
+                    .served(want.wish.at, want.due, now, want.wish.track);
+            }
+            return;
+        }
+        let track = &self.scenario.shape.tracks[usize::from(open.wish.track.0)];
+        self.again(
+            open.want,
+            how == Final::Rejected || track.effect != Effect::Binding,
+            away,
+        );
+    }
+
+    /// A client tries again, or gives up.
+    fn again(&mut self, want_id: u64, may: bool, away: Option<Span>) {
+        let own = self
+            .scenario
+            .away
+            .times(0.75 + 0.5 * self.chance.random::<f64>());
+        let at = self.now + away.unwrap_or(own);
+        let most = self.scenario.retries;
+        match self.wants.get(&want_id) {
+            Some(want) if may && want.tries <= most && at < want.until => {
+                self.file(at, Ev::Retry(want_id))
+            }
+            _ => {
+                self.wants.remove(&want_id);
+            }
+        }
+    }
+
+    /// The client's connection broke, or it waited past its limit.
+    fn lost(&mut self, id: AccessId) {
+        self.checker.excused(id);
+        if let Some(open) = self.open.remove(&id) {
+            self.tally.lost += 1;
+            let track = &self.scenario.shape.tracks[usize::from(open.wish.track.0)];
+            self.again(open.want, track.effect != Effect::Binding, None);
+        }
+    }
+
+    fn overdue(&mut self, id: AccessId) {
+        // Nothing came in time: the checker keeps it as owed.
+        if let Some(open) = self.open.remove(&id) {
+            self.tally.lost += 1;
+            self.wants.remove(&open.want);
+            self.tell(open.seat, Event::Left { id });
+        }
+    }
+
+    /// Dispatchers die without a word; what they had out is abandoned with their connections.
+    fn kill(&mut self, share: f64, away: Span) {
+        for seat in 0..self.seats.len() {
+            if self.seats[seat].decider.is_none() || !self.chance.random_bool(share) {
+                continue;
+            }
+            self.seats[seat].decider = None;
+            self.seats[seat].life += 1;
+            let gone: Vec<Ticket> = self
+                .out
+                .iter()
+                .filter(|(_, out)| out.seat == seat)
+                .map(|(&ticket, _)| ticket)
+                .collect();
+            for ticket in gone {
+                self.fleet.withdraw(self.now, ticket);
+                self.out.remove(&ticket);
+            }
+            let lost: Vec<AccessId> = self
+                .open
+                .iter()
+                .filter(|(_, open)| open.seat == seat)
+                .map(|(&id, _)| id)
+                .collect();
+            lost.into_iter().for_each(|id| self.lost(id));
+            self.file(self.now + away + START, Ev::Start(seat));
+        }
+    }
+}
+
+/// Caches and parents that run when the day begins hold what was asked for lately.
+pub fn warm_up(scenario: &Scenario, fleet: &mut Fleet, seed: u64) {
+    let mut warm = scenario.clone();
+    let seconds = 60.0;
+    warm.length = Span::from_secs_f64(seconds);
+    warm.bursts.clear();
+    let roles = |role: Role| {
+        scenario
+            .shape
+            .hosts
+            .iter()
+            .filter(move |host| host.role == role)
+    };
+    for nth in 0..warm.loads.len() {
+        warm.loads[nth].from = Moment(0);
+        let track = &scenario.shape.tracks[usize::from(warm.loads[nth].track.0)];
+        if track.written {
+            continue;
+        }
+        let mut drawn = 0;
+        for wish in Stream::new(&warm, nth, mix(seed, 9)) {
+            drawn += 1;
+            if drawn > 200_000 {
+                break;
+            }
+            let part = (wish.object, wish.part);
+            // A copy's age is drawn evenly over its fresh time: older ones would have been renewed.
+            let age = track
+                .fresh
+                .map_or(0, |fresh| mix(wish.object.0, seed) % fresh.0.max(1));
+            let minted = Moment(0) - Span(age);
+            let group = group_of(wish.object);
+            let order = |part: u32| {
+                move |host: &&trailproxy_standins::shape::HostShape| {
+                    mix(wish.object.0 ^ u64::from(part) << 52, host.id.0)
+                }
+            };
+            let own = roles(Role::Cache)
+                .filter(|host| host.zone == wish.zone)
+                .max_by_key(order(wish.part));
+            let parent = roles(Role::Parent).max_by_key(order(0));
+            for host in own.into_iter().chain(parent) {
+                fleet.hold(host.id, part, group, wish.kb, minted);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,664 @@
+//! A scenario: a fleet, what its clients ask for, and what goes wrong, read from sections of one script.
+
+use std::collections::BTreeMap;
+use trailproxy::interface::*;
+use trailproxy::units::*;
+use trailproxy_operator::decide::{
+    Absent, FieldKind, Kind, Section, Shape as Takes, Sheet, Wrong, may, must,
+};
+use trailproxy_standins::fleet::kind_of;
+use trailproxy_standins::shape::*;
+
+const SECONDS: Takes = Takes::Number(0.0, 100_000.0);
+const MILLIS: Takes = Takes::Number(0.0, 10_000_000.0);
+const RATE: Takes = Takes::Number(0.0, 1_000_000.0);
+const KB: Takes = Takes::Number(0.0, 1e9);
+const SHARE: Takes = Takes::Number(0.0, 1.0);
+
+const TROUBLES: &[&str] = &[
+    "crash",
+    "silence",
+    "slow",
+    "stall",
+    "garbage",
+    "resets",
+    "ageing",
+    "roll",
+    "replace",
+    "link",
+    "late_list",
+    "purge",
+    "dispatchers",
+];
+
+/// The sections of a scenario, for the reader.
+pub const KINDS: &[Kind] = &[
+    Kind {
+        name: "scenario",
+        most: 1,
+        needed: true,
+        fields: &[
+            must("name", Takes::Name),
+            must("seconds", Takes::Number(1.0, 100_000.0)),
+            // Counted from this second on: before it, dispatchers learn and stores settle.
+            may("from_s", SECONDS, Absent::Number(1.0)),
+        ],
+    },
+    Kind {
+        name: "fleet",
+        most: 1,
+        needed: false,
+        fields: FLEET,
+    },
+    Kind {
+        name: "zone",
+        most: 1_000,
+        needed: true,
+        fields: &[
+            must("name", Takes::Name),
+            may("link_kb_per_s", KB, Absent::Number(0.0)),
+            may("distance_ms", MILLIS, Absent::Number(10.0)),
+            may("dispatchers", Takes::Whole(0, 10_000), Absent::Whole(0)),
+        ],
+    },
+    Kind {
+        name: "hosts",
+        most: 5_000,
+        needed: true,
+        fields: &[
+            must("role", Takes::Word(&["cache", "parent", "origin"])),
+            must("zone", Takes::Of("zone")),
+            may("count", Takes::Whole(1, 10_000), Absent::Whole(1)),
+            may("size", Takes::Number(0.1, 1e6), Absent::Number(8.0)),
+            may("room_kb", KB, Absent::Number(400_000.0)),
+            may("first_byte_ms", MILLIS, Absent::Number(8.0)),
+            may("places", Takes::Whole(1, 1_000_000), Absent::Whole(400)),
+            may("cell", Takes::Whole(0, 60_000), Absent::Whole(0)),
+        ],
+    },
+    Kind {
+        name: "track",
+        most: 100,
+        needed: true,
+        fields: &[
+            must("name", Takes::Name),
+            may("due_ms", MILLIS, Absent::Number(800.0)),
+            may(
+                "limit_ms",
+                Takes::Number(10.0, 1e6),
+                Absent::Number(3_000.0),
+            ),
+            may("stretch", Takes::Number(0.0, 100.0), Absent::Number(2.0)),
+            may("importance", Takes::Number(0.0, 1e6), Absent::Number(1.0)),
+            may(
+                "effect",
+                Takes::Word(&["retriable", "fingerprinted", "binding"]),
+                Absent::Text("retriable"),
+            ),
+            may(
+                "group",
+                Takes::Word(&["all", "zone", "cell"]),
+                Absent::Text("all"),
+            ),
+            may("window_ms", MILLIS, Absent::Number(2_000.0)),
+            may("fresh_ms", MILLIS, Absent::Number(0.0)),
+            may("grace_ms", MILLIS, Absent::Number(0.0)),
+            may("written", Takes::Flag, Absent::Flag(false)),
+        ],
+    },
+    Kind {
+        name: "stream",
+        most: 1_000,
+        needed: true,
+        fields: &[
+            must("track", Takes::Of("track")),
+            must("per_s", RATE),
+            may("zone", Takes::Of("zone"), Absent::Text("")),
+            may(
+                "objects",
+                Takes::Whole(1, 100_000_000),
+                Absent::Whole(5_000),
+            ),
+            may("zipf", Takes::Number(0.0, 5.0), Absent::Number(0.9)),
+            may("median_kb", Takes::Number(0.01, 1e9), Absent::Number(80.0)),
+            // Of the logarithm of the sizes.
+            may("spread", Takes::Number(0.0, 4.0), Absent::Number(0.8)),
+            may("most_kb", KB, Absent::Number(20_000.0)),
+            may("parts", Takes::Whole(1, 1_000), Absent::Whole(1)),
+            may("local", SHARE, Absent::Number(0.2)),
+            may("once", SHARE, Absent::Number(0.0)),
+            may("from_s", SECONDS, Absent::Number(0.0)),
+            may("until_s", SECONDS, Absent::Number(100_000.0)),
+            may("told", Takes::Flag, Absent::Flag(true)),
+        ],
+    },
+    Kind {
+        name: "burst",
+        most: 1_000,
+        needed: false,
+        fields: &[
+            must("track", Takes::Of("track")),
+            must("at_s", SECONDS),
+            must("for_s", SECONDS),
+            must("times", Takes::Number(0.0, 1_000.0)),
+        ],
+    },
+    Kind {
+        name: "clients",
+        most: 1,
+        needed: false,
+        fields: &[
+            may("retries", Takes::Whole(0, 20), Absent::Whole(1)),
+            may("away_ms", MILLIS, Absent::Number(300.0)),
+        ],
+    },
+    Kind {
+        name: "trouble",
+        most: 10_000,
+        needed: false,
+        fields: &[
+            must("kind", Takes::Word(TROUBLES)),
+            must("at_s", SECONDS),
+            may("for_s", SECONDS, Absent::Number(5.0)),
+            // The beginning of hosts' names, a zone for a link, a group for a purge, nothing for the list.
+            may("target", Takes::Name, Absent::Text("")),
+            may("by", Takes::Number(0.0, 1e6), Absent::Number(0.0)),
+            // From one host to the next.
+            may("step_s", SECONDS, Absent::Number(0.0)),
+            may("most", Takes::Whole(0, 100_000), Absent::Whole(100_000)),
+        ],
+    },
+];
+
+const FLEET: &[FieldKind] = &[
+    may(
+        "flow_kb_per_s",
+        Takes::Number(0.1, 1e9),
+        Absent::Number(3_600.0),
+    ),
+    may("fill_pace", Takes::Number(0.1, 100.0), Absent::Number(1.75)),
+    may(
+        "notes",
+        Takes::Word(&["all", "hits", "none"]),
+        Absent::Text("hits"),
+    ),
+    may("joins", Takes::Flag, Absent::Flag(true)),
+    may("straight", Takes::Flag, Absent::Flag(true)),
+    may("link_told", Takes::Flag, Absent::Flag(false)),
+    may("max_hand_offs", Takes::Whole(1, 100), Absent::Whole(6)),
+    may("withdraw", Takes::Flag, Absent::Flag(true)),
+    may("longest_away_ms", MILLIS, Absent::Number(2_000.0)),
+    may("list_delay_ms", MILLIS, Absent::Number(300.0)),
+    may("purge_delay_ms", MILLIS, Absent::Number(200.0)),
+    may("purge_grace_ms", MILLIS, Absent::Number(500.0)),
+    may("purge_done_ms", MILLIS, Absent::Number(6_000.0)),
+    may("fill_within_ms", MILLIS, Absent::Number(2_500.0)),
+    may("noticed_ms", MILLIS, Absent::Number(1_000.0)),
+    may("fallen_ms", MILLIS, Absent::Number(5_000.0)),
+    may("hop_ms", MILLIS, Absent::Number(1.0)),
+    may("cold_from", SHARE, Absent::Number(0.25)),
+    may("cold_ms", MILLIS, Absent::Number(14_000.0)),
+    may(
+        "cold_multiple",
+        Takes::Number(0.1, 1_000.0),
+        Absent::Number(4.0),
+    ),
+    may("parent_cold_from", SHARE, Absent::Number(0.1)),
+    may("parent_cold_ms", MILLIS, Absent::Number(20_000.0)),
+    may(
+        "parent_cold_multiple",
+        Takes::Number(0.1, 1_000.0),
+        Absent::Number(2.0),
+    ),
+    may("cold_within_ms", MILLIS, Absent::Number(1_000.0)),
+];
+
+/// What clients of one stream ask for.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub track: TrackId,
+    pub zone: Option<ZoneId>,
+    pub per_s: f64,
+    pub objects: u64,
+    pub zipf: f64,
+    pub median_kb: f64,
+    pub spread: f64,
+    pub most_kb: f64,
+    pub parts: u32,
+    pub local: f64,
+    pub once: f64,
+    pub from: Moment,
+    pub until: Moment,
+    pub told: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Burst {
+    pub track: TrackId,
+    pub from: Moment,
+    pub until: Moment,
+    pub times: f64,
+}
+
+/// Dispatchers of this share are killed, and start again from nothing after the span.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Kill {
+    pub at: Moment,
+    pub share: f64,
+    pub away: Span,
+}
+
+/// All that one day of a fleet is drawn from.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub name: String,
+    pub length: Span,
+    pub counted_from: Moment,
+    pub shape: Shape,
+    /// Dispatchers by zone.
+    pub seats: Vec<u32>,
+    pub track_names: Vec<String>,
+    pub importance: Vec<f64>,
+    pub limits: Vec<Span>,
+    pub loads: Vec<Load>,
+    pub bursts: Vec<Burst>,
+    pub script: Vec<Cue>,
+    pub kills: Vec<Kill>,
+    pub retries: u32,
+    pub away: Span,
+    pub hop: Span,
+    pub list_delay: Span,
+    pub purge_delay: Span,
+    pub purge_grace: Span,
+    pub terms: Terms,
+}
+
+fn millis(section: &Section, field: &str) -> Span {
+    Span::from_secs_f64(section.number(field) / 1e3)
+}
+
+fn at_second(section: &Section, field: &str) -> Moment {
+    Moment(0) + Span::from_secs_f64(section.number(field))
+}
+
+fn some(span: Span) -> Option<Span> {
+    Some(span).filter(|&span| span > Span::ZERO)
+}
+
+impl Scenario {
+    /// Reads a script from disk.
+    pub fn load(path: &str) -> Result<Scenario, Box<Wrong>> {
+        Scenario::from_sheet(&trailproxy_operator::read_file(path, KINDS)?)
+    }
+
+    pub fn from_sheet(sheet: &Sheet) -> Result<Scenario, Box<Wrong>> {
+        let defaults = trailproxy_operator::read(
+            "defaults",
+            "fleet()".into(),
+            &KINDS[1..2],
+            Default::default(),
+        )?;
+        let fleet = sheet.one("fleet").or(defaults.one("fleet"));
+        let (Some(head), Some(fleet)) = (sheet.one("scenario"), fleet) else {
+            unreachable!("the reader asks for a scenario, and the defaults hold a fleet");
+        };
+        let zones: Vec<Zone> = sheet.all("zone").map(zone).collect();
+        let zone_at = |name: &str| sheet.all("zone").position(|zone| zone.text("name") == name);
+        let zone_id = |name: &str| ZoneId(zone_at(name).unwrap_or(0) as u16);
+        let track_at = |name: &str| {
+            sheet
+                .all("track")
+                .position(|track| track.text("name") == name)
+        };
+        let track_id = |name: &str| TrackId(track_at(name).unwrap_or(0) as u16);
+        let mut hosts: Vec<HostShape> = Vec::new();
+        for section in sheet.all("hosts") {
+            let role = match section.text("role") {
+                "cache" => Role::Cache,
+                "parent" => Role::Parent,
+                _ => Role::Origin,
+            };
+            if role == Role::Origin
+                && (section.whole("count") > 1 || hosts.iter().any(|h| h.role == role))
+            {
+                return Err(section.wrong("role", "one origin in all"));
+            }
+            let zone = zone_id(section.text("zone"));
+            for _ in 0..section.whole("count") {
+                let nth = hosts
+                    .iter()
+                    .filter(|h| h.role == role && h.zone == zone)
+                    .count();
+                let name = format!("{}/{}/{nth}", section.text("zone"), section.text("role"));
+                hosts.push(HostShape {
+                    id: HostId::of_name(&name),
+                    name,
+                    role,
+                    zone,
+                    cell: CellId(section.whole("cell") as u16),
+                    size: section.number("size"),
+                    room_kb: section.number("room_kb"),
+                    first_byte: millis(section, "first_byte_ms"),
+                    places: section.whole("places") as usize,
+                });
+            }
+        }
+        if !hosts.iter().any(|host| host.role == Role::Cache) {
+            let first = sheet.one("hosts").unwrap_or(head);
+            return Err(first.wrong("role", "at least one section of caches"));
+        }
+        let seats: Vec<u32> = sheet
+            .all("zone")
+            .map(|zone| zone.whole("dispatchers") as u32)
+            .collect();
+        if seats.iter().sum::<u32>() == 0 {
+            let first = sheet.one("zone").unwrap_or(head);
+            return Err(first.wrong(
+                "dispatchers",
+                "at least one dispatcher in all zones together",
+            ));
+        }
+        for (section, seats) in sheet.all("zone").zip(&seats) {
+            let zone = zone_id(section.text("name"));
+            let caches = hosts
+                .iter()
+                .any(|host| host.role == Role::Cache && host.zone == zone);
+            if *seats > 0 && !caches {
+                return Err(section.wrong("dispatchers", "none in a zone that has no cache"));
+            }
+        }
+        let tracks: Vec<Track> = sheet.all("track").map(track).collect();
+        for section in sheet.all("track") {
+            if section.number("due_ms") > section.number("limit_ms") {
+                return Err(section.wrong("due_ms", "a due time no longer than limit_ms"));
+            }
+        }
+        let shape = Shape {
+            zones,
+            hosts,
+            tracks: tracks.clone(),
+            flow_kb_per_s: fleet.number("flow_kb_per_s"),
+            fill_kb_per_s: fleet.number("flow_kb_per_s") * fleet.number("fill_pace"),
+            cold_cache: cold(fleet, "cold_from", "cold_ms", "cold_multiple"),
+            cold_parent: cold(
+                fleet,
+                "parent_cold_from",
+                "parent_cold_ms",
+                "parent_cold_multiple",
+            ),
+            purge_done: millis(fleet, "purge_done_ms"),
+            fill_within: millis(fleet, "fill_within_ms"),
+            noticed_after: millis(fleet, "noticed_ms"),
+            fallen_for: millis(fleet, "fallen_ms"),
+        };
+        let has = |role: Role| {
+            shape
+                .hosts
+                .iter()
+                .any(|host| host.role == role)
+                .then(|| kind_of(role))
+        };
+        let terms = Terms {
+            zone: ZoneId(0),
+            dispatchers: seats.iter().sum(),
+            seats: seats.clone(),
+            parent_kind: has(Role::Parent),
+            origin_kind: has(Role::Origin),
+            tracks,
+            flow_kb_per_s: shape.flow_kb_per_s,
+            link_kb_per_s: None,
+            link_told: fleet.flag("link_told"),
+            sizes_tell: true,
+            joins: fleet.flag("joins"),
+            straight: fleet.flag("straight"),
+            notes: match fleet.text("notes") {
+                "all" => NoteLevel::All,
+                "hits" => NoteLevel::Hits,
+                _ => NoteLevel::None,
+            },
+            max_hand_offs: fleet.whole("max_hand_offs") as usize,
+            may_withdraw: fleet.flag("withdraw"),
+            longest_away: some(millis(fleet, "longest_away_ms")),
+            list_on_request: false,
+            cold_cache: shape.cold_cache,
+            cold_parent: shape.cold_parent,
+            purge_done: shape.purge_done,
+        };
+        let mut scenario = Scenario {
+            name: head.text("name").into(),
+            length: Span::from_secs_f64(head.number("seconds")),
+            counted_from: at_second(head, "from_s"),
+            seats,
+            track_names: sheet
+                .all("track")
+                .map(|track| track.text("name").into())
+                .collect(),
+            importance: sheet
+                .all("track")
+                .map(|track| track.number("importance"))
+                .collect(),
+            limits: sheet
+                .all("track")
+                .map(|track| millis(track, "limit_ms"))
+                .collect(),
+            loads: Vec::new(),
+            bursts: Vec::new(),
+            script: Vec::new(),
+            kills: Vec::new(),
+            retries: sheet
+                .one("clients")
+                .map_or(1, |clients| clients.whole("retries") as u32),
+            away: sheet
+                .one("clients")
+                .map_or(Span::from_millis(300), |clients| millis(clients, "away_ms")),
+            hop: millis(fleet, "hop_ms"),
+            list_delay: millis(fleet, "list_delay_ms"),
+            purge_delay: millis(fleet, "purge_delay_ms"),
+            purge_grace: millis(fleet, "purge_grace_ms"),
+            shape,
+            terms,
+        };
+        for section in sheet.all("stream") {
+            scenario.loads.push(Load {
+                track: track_id(section.text("track")),
+                zone: Some(section.text("zone"))
+                    .filter(|name| !name.is_empty())
+                    .map(zone_id),
+                per_s: section.number("per_s"),
+                objects: section.whole("objects") as u64,
+                zipf: section.number("zipf"),
+                median_kb: section.number("median_kb"),
+                spread: section.number("spread"),
+                most_kb: section.number("most_kb"),
+                parts: section.whole("parts") as u32,
+                local: section.number("local"),
+                once: section.number("once"),
+                from: at_second(section, "from_s"),
+                until: at_second(section, "until_s"),
+                told: section.flag("told"),
+            });
+            let seats = scenario.loads.last().and_then(|load| load.zone);
+            if seats.is_some_and(|zone| scenario.seats[usize::from(zone.0)] == 0) {
+                return Err(section.wrong("zone", "a zone that has dispatchers"));
+            }
+        }
+        for section in sheet.all("burst") {
+            let from = at_second(section, "at_s");
+            scenario.bursts.push(Burst {
+                track: track_id(section.text("track")),
+                from,
+                until: from + Span::from_secs_f64(section.number("for_s")),
+                times: section.number("times"),
+            });
+        }
+        for section in sheet.all("trouble") {
+            scenario.trouble(section, &zone_at)?;
+        }
+        Ok(scenario)
+    }
+
+    /// Turns one section into what happens to each host that its target names.
+    fn trouble(
+        &mut self,
+        section: &Section,
+        zone_at: &dyn Fn(&str) -> Option<usize>,
+    ) -> Result<(), Box<Wrong>> {
+        let (kind, target, by) = (
+            section.text("kind"),
+            section.text("target"),
+            section.number("by"),
+        );
+        let (at, span) = (
+            at_second(section, "at_s"),
+            Span::from_secs_f64(section.number("for_s")),
+        );
+        let one = |trouble| vec![Cue { at, trouble }];
+        let cues = match kind {
+            "link" => {
+                let Some(zone) = zone_at(target) else {
+                    return Err(section.wrong("target", "the name of a zone, for a link"));
+                };
+                one(Trouble::Link(ZoneId(zone as u16), by.max(1e-3), span))
+            }
+            "late_list" => one(Trouble::LateList(Span::from_secs_f64(by), span)),
+            "purge" => {
+                let Ok(group) = target.parse::<u32>() else {
+                    return Err(section.wrong("target", "the number of a group, for a purge"));
+                };
+                one(Trouble::Purge(None, GroupId(group)))
+            }
+            "dispatchers" => {
+                if !(0.0..=1.0).contains(&by) {
+                    return Err(section.wrong("by", "a share from 0 to 1, for dispatchers"));
+                }
+                self.kills.push(Kill {
+                    at,
+                    share: by,
+                    away: span,
+                });
+                Vec::new()
+            }
+            _ => {
+                let named = |host: &&HostShape| !target.is_empty() && host.name.starts_with(target);
+                let most = section.whole("most") as usize;
+                let hosts: Vec<&HostShape> =
+                    self.shape.hosts.iter().filter(named).take(most).collect();
+                if hosts.is_empty() {
+                    let names = self
+                        .shape
+                        .hosts
+                        .iter()
+                        .map(|host| host.name.as_str())
+                        .take(6);
+                    let wanted = format!(
+                        "the beginning of a host's name, as {}",
+                        names.collect::<Vec<_>>().join(", ")
+                    );
+                    return Err(section.wrong("target", wanted));
+                }
+                if matches!(kind, "garbage" | "resets" | "ageing") && by > 1.0 {
+                    return Err(section.wrong("by", format!("a share from 0 to 1, for {kind}")));
+                }
+                let step = section.number("step_s");
+                let cue = |(nth, host): (usize, &HostShape)| {
+                    let trouble = match kind {
+                        "crash" => Trouble::Crash(host.id, span),
+                        "silence" => Trouble::Silence(host.id, span),
+                        "slow" => Trouble::Slow(host.id, by.max(1.0), span),
+                        "stall" => Trouble::Stall(host.id, span),
+                        "garbage" => Trouble::Garbage(host.id, by, span),
+                        "resets" => Trouble::Resets(host.id, by, span),
+                        "ageing" => Trouble::Ageing(host.id, by, span),
+                        "roll" => Trouble::Roll(host.id, span),
+                        _ => Trouble::Replace(
+                            host.id,
+                            HostId::of_name(&format!("{}+", host.name)),
+                            span,
+                        ),
+                    };
+                    Cue {
+                        at: at + Span::from_secs_f64(step * nth as f64),
+                        trouble,
+                    }
+                };
+                hosts.into_iter().enumerate().map(cue).collect()
+            }
+        };
+        self.script.extend(cues);
+        Ok(())
+    }
+
+    /// What a dispatcher in a zone is told when it starts.
+    pub fn terms(&self, zone: ZoneId) -> Terms {
+        let link = self.shape.zones[usize::from(zone.0)].link_kb_per_s;
+        let link_kb_per_s = Some(link).filter(|&kb| kb > 0.0);
+        Terms {
+            zone,
+            link_kb_per_s,
+            ..self.terms.clone()
+        }
+    }
+
+    /// Hosts by name, for reports.
+    pub fn host_names(&self) -> BTreeMap<HostId, String> {
+        self.shape
+            .hosts
+            .iter()
+            .map(|host| (host.id, host.name.clone()))
+            .collect()
+    }
+
+    pub fn rule_bounds(&self) -> crate::rules::Bounds {
+        crate::rules::Bounds {
+            tracks: self.shape.tracks.clone(),
+            cold_cache: self.shape.cold_cache,
+            cold_parent: self.shape.cold_parent,
+            parent_kind: kind_of(Role::Parent),
+            origin_kind: kind_of(Role::Origin),
+            flow_kb_per_s: self.shape.flow_kb_per_s,
+            drain_within: Span::from_secs(2),
+            purge_grace: self.purge_grace,
+            slack: Span::from_millis(60),
+            cold_slack: 1.1,
+        }
+    }
+}
+
+fn cold(fleet: &Section, from: &str, warm: &str, multiple: &str) -> Cold {
+    Cold {
+        from: fleet.number(from),
+        warm_after: millis(fleet, warm),
+        fall_multiple: fleet.number(multiple),
+        fall_after: millis(fleet, "cold_within_ms"),
+    }
+}
+
+fn zone(section: &Section) -> Zone {
+    Zone {
+        name: section.text("name").into(),
+        link_kb_per_s: section.number("link_kb_per_s"),
+        distance: millis(section, "distance_ms"),
+    }
+}
+
+fn track(section: &Section) -> Track {
+    Track {
+        due: millis(section, "due_ms"),
+        due_stretch: section.number("stretch"),
+        effect: match section.text("effect") {
+            "retriable" => Effect::Retriable,
+            "binding" => Effect::Binding,
+            _ => Effect::Fingerprinted {
+                group: match section.text("group") {
+                    "all" => RepeatGroup::All,
+                    "zone" => RepeatGroup::Zone,
+                    _ => RepeatGroup::Cell,
+                },
+                window: millis(section, "window_ms"),
+            },
+        },
+        fresh: some(millis(section, "fresh_ms")),
+        grace: millis(section, "grace_ms"),
+        written: section.flag("written"),
+    }
+}
--- /dev/null
+++ b/crates/operator/src/decide/mod.rs
@@ -0,0 +1,396 @@
+//! What fits a section: names, types, ranges, defaults and references. No file is read here.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Where something stands: the file as it was named, line and column from 1.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.file, self.line, self.column)
+    }
+}
+
+/// What does not fit: where, in which section and field, what was found and what is accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wrong {
+    pub place: Place,
+    pub section: String,
+    pub field: Option<String>,
+    pub found: String,
+    pub wanted: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.place)?;
+        if !self.section.is_empty() {
+            write!(f, "section {}", self.section)?;
+            if let Some(field) = &self.field {
+                write!(f, ", field {field}")?;
+            }
+            write!(f, ": ")?;
+        }
+        write!(f, "found {}, accepted: {}", self.found, self.wanted)
+    }
+}
+
+impl std::error::Error for Wrong {}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Flag(bool),
+    Whole(i64),
+    Number(f64),
+    Text(String),
+    List(Vec<Value>),
+    /// Anything that no field takes, by its type's name.
+    Other(String),
+}
+
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Value::Flag(flag) => f.write_str(if *flag { "True" } else { "False" }),
+            Value::Whole(n) => write!(f, "{n}"),
+            Value::Number(n) => write!(f, "{n:?}"),
+            Value::Text(text) => write!(f, "{text:?}"),
+            Value::List(items) => {
+                f.write_str("[")?;
+                for (i, item) in items.iter().enumerate() {
+                    write!(f, "{}{item}", if i == 0 { "" } else { ", " })?;
+                }
+                f.write_str("]")
+            }
+            Value::Other(kind) => write!(f, "a value of type {kind}"),
+        }
+    }
+}
+
+/// What a field takes. Ranges hold both ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shape {
+    Flag,
+    Whole(i64, i64),
+    Number(f64, f64),
+    /// A name: 1 to 64 letters, digits, `-`, `_`, `.` or `/`.
+    Name,
+    /// One of these words.
+    Word(&'static [&'static str]),
+    /// A list of one number for each of several things.
+    Numbers(f64, f64),
+    Names,
+    /// The name of a section of this kind that stands in the same file.
+    Of(&'static str),
+}
+
+impl fmt::Display for Shape {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Shape::Flag => f.write_str("True or False"),
+            Shape::Whole(least, most) => write!(f, "a whole number from {least} to {most}"),
+            Shape::Number(least, most) => write!(f, "a number from {least} to {most}"),
+            Shape::Name => f.write_str("a name of 1 to 64 letters, digits, '-', '_', '.' or '/'"),
+            Shape::Word(words) => write!(f, "one of {}", words.join(", ")),
+            Shape::Numbers(least, most) => write!(f, "a list of numbers from {least} to {most}"),
+            Shape::Names => f.write_str("a list of names"),
+            Shape::Of(kind) => write!(f, "the name of a {kind}"),
+        }
+    }
+}
+
+impl Shape {
+    fn takes(&self, value: &Value) -> bool {
+        match (self, value) {
+            (Shape::Flag, Value::Flag(_)) => true,
+            (Shape::Whole(least, most), Value::Whole(n)) => (least..=most).contains(&n),
+            (Shape::Number(least, most), value) => value
+                .number()
+                .is_some_and(|n| n.is_finite() && (*least..=*most).contains(&n)),
+            (Shape::Name | Shape::Of(_), Value::Text(text)) => is_name(text),
+            (Shape::Word(words), Value::Text(text)) => words.contains(&text.as_str()),
+            (Shape::Numbers(least, most), Value::List(items)) => items
+                .iter()
+                .all(|item| Shape::Number(*least, *most).takes(item)),
+            (Shape::Names, Value::List(items)) => items.iter().all(|item| Shape::Name.takes(item)),
+            _ => false,
+        }
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let fits = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
+    (1..=64).contains(&text.len()) && text.chars().all(fits)
+}
+
+impl Value {
+    pub fn number(&self) -> Option<f64> {
+        match self {
+            Value::Whole(n) => Some(*n as f64),
+            Value::Number(n) => Some(*n),
+            _ => None,
+        }
+    }
+}
+
+/// One field of a kind of section, with what holds where it is not given; `None`: it must be given.
+#[derive(Clone, Copy, Debug)]
+pub struct FieldKind {
+    pub name: &'static str,
+    pub shape: Shape,
+    pub absent: Option<Absent>,
+}
+
+/// What holds where a field is not given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Absent {
+    Flag(bool),
+    Whole(i64),
+    Number(f64),
+    Text(&'static str),
+    /// The empty list.
+    Empty,
+}
+
+/// A kind of section.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub name: &'static str,
+    /// How many of it a file may hold.
+    pub most: usize,
+    pub needed: bool,
+    pub fields: &'static [FieldKind],
+}
+
+pub const fn must(name: &'static str, shape: Shape) -> FieldKind {
+    FieldKind {
+        name,
+        shape,
+        absent: None,
+    }
+}
+
+pub const fn may(name: &'static str, shape: Shape, absent: Absent) -> FieldKind {
+    FieldKind {
+        name,
+        shape,
+        absent: Some(absent),
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Field {
+    pub value: Value,
+    pub place: Place,
+}
+
+/// One section as it stands in the file; after [`check`], with every field of its kind.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Section {
+    pub kind: String,
+    pub place: Place,
+    pub fields: BTreeMap<String, Field>,
+}
+
+impl Section {
+    /// A complaint about one field, at its place.
+    pub fn wrong(&self, field: &str, wanted: impl Into<String>) -> Box<Wrong> {
+        let at = self.fields.get(field);
+        Box::new(Wrong {
+            place: at.map_or(&self.place, |field| &field.place).clone(),
+            section: self.kind.clone(),
+            field: Some(field.into()),
+            found: at.map_or("nothing".into(), |field| field.value.to_string()),
+            wanted: wanted.into(),
+        })
+    }
+
+    fn value(&self, field: &str) -> Option<&Value> {
+        self.fields.get(field).map(|field| &field.value)
+    }
+
+    /// The number of a checked field; 0 for one that its kind does not have.
+    pub fn number(&self, field: &str) -> f64 {
+        self.value(field).and_then(Value::number).unwrap_or(0.0)
+    }
+
+    pub fn whole(&self, field: &str) -> i64 {
+        match self.value(field) {
+            Some(Value::Whole(n)) => *n,
+            _ => 0,
+        }
+    }
+
+    pub fn flag(&self, field: &str) -> bool {
+        self.value(field) == Some(&Value::Flag(true))
+    }
+
+    pub fn text(&self, field: &str) -> &str {
+        match self.value(field) {
+            Some(Value::Text(text)) => text,
+            _ => "",
+        }
+    }
+
+    pub fn numbers(&self, field: &str) -> Vec<f64> {
+        match self.value(field) {
+            Some(Value::List(items)) => items.iter().filter_map(Value::number).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    pub fn names(&self, field: &str) -> Vec<&str> {
+        let Some(Value::List(items)) = self.value(field) else {
+            return Vec::new();
+        };
+        let mut names = Vec::new();
+        for item in items {
+            if let Value::Text(text) = item {
+                names.push(text.as_str());
+            }
+        }
+        names
+    }
+}
+
+/// All sections of a file, in their order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sheet {
+    pub file: String,
+    pub sections: Vec<Section>,
+}
+
+impl Sheet {
+    pub fn all<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = &'a Section> {
+        self.sections
+            .iter()
+            .filter(move |section| section.kind == kind)
+    }
+
+    pub fn one<'a>(&'a self, kind: &'a str) -> Option<&'a Section> {
+        self.all(kind).next()
+    }
+}
+
+/// Checks each section against its kind and puts in what is not given.
+pub fn check(mut sheet: Sheet, kinds: &[Kind]) -> Result<Sheet, Box<Wrong>> {
+    for section in &mut sheet.sections {
+        let Some(kind) = kinds.iter().find(|kind| kind.name == section.kind) else {
+            let names: Vec<_> = kinds.iter().map(|kind| kind.name).collect();
+            return Err(Box::new(Wrong {
+                place: section.place.clone(),
+                section: String::new(),
+                field: None,
+                found: format!("section {}", section.kind),
+                wanted: format!("one of {}", names.join(", ")),
+            }));
+        };
+        fill(section, kind)?;
+    }
+    for kind in kinds {
+        let all: Vec<_> = sheet.all(kind.name).collect();
+        if let Some(over) = all.get(kind.most) {
+            return Err(Box::new(Wrong {
+                place: over.place.clone(),
+                section: kind.name.into(),
+                field: None,
+                found: format!("section {} of its kind", kind.most + 1),
+                wanted: format!("{} at most", kind.most),
+            }));
+        }
+        if kind.needed && all.is_empty() {
+            return Err(Box::new(Wrong {
+                place: Place {
+                    file: sheet.file.clone(),
+                    line: 1,
+                    column: 1,
+                },
+                section: kind.name.into(),
+                field: None,
+                found: "no such section".into(),
+                wanted: "one".into(),
+            }));
+        }
+    }
+    references(&sheet, kinds)?;
+    Ok(sheet)
+}
+
+fn fill(section: &mut Section, kind: &Kind) -> Result<(), Box<Wrong>> {
+    let known = |name: &str| kind.fields.iter().any(|field| field.name == name);
+    if let Some((name, field)) = section.fields.iter().find(|(name, _)| !known(name)) {
+        let names: Vec<_> = kind.fields.iter().map(|field| field.name).collect();
+        return Err(Box::new(Wrong {
+            place: field.place.clone(),
+            section: kind.name.into(),
+            field: None,
+            found: format!("field {name}"),
+            wanted: format!("one of {}", names.join(", ")),
+        }));
+    }
+    for field in kind.fields {
+        match (section.fields.get(field.name), field.absent) {
+            (Some(given), _) if !field.shape.takes(&given.value) => {
+                return Err(section.wrong(field.name, field.shape.to_string()));
+            }
+            (Some(_), _) => {}
+            (None, None) => return Err(section.wrong(field.name, field.shape.to_string())),
+            (None, Some(absent)) => {
+                let value = match absent {
+                    Absent::Flag(flag) => Value::Flag(flag),
+                    Absent::Whole(n) => Value::Whole(n),
+                    Absent::Number(n) => Value::Number(n),
+                    Absent::Text(text) => Value::Text(text.into()),
+                    Absent::Empty => Value::List(Vec::new()),
+                };
+                let place = section.place.clone();
+                section
+                    .fields
+                    .insert(field.name.into(), Field { value, place });
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Names are given once in a kind, and what names a section of a kind finds one.
+fn references(sheet: &Sheet, kinds: &[Kind]) -> Result<(), Box<Wrong>> {
+    let named = |kind: &'static str| {
+        let all = sheet
+            .sections
+            .iter()
+            .filter(move |section| section.kind == kind);
+        all.map(|section| section.text("name")).collect::<Vec<_>>()
+    };
+    for section in &sheet.sections {
+        let Some(kind) = kinds.iter().find(|kind| kind.name == section.kind) else {
+            continue;
+        };
+        for field in kind.fields {
+            let text = section.text(field.name);
+            let Shape::Of(other) = field.shape else {
+                continue;
+            };
+            // An optional reference that is not given is empty.
+            let names = named(other);
+            let left_out = text.is_empty() && field.absent.is_some();
+            if !left_out && !names.contains(&text) {
+                let wanted = format!("the name of a {other}: {}", names.join(", "));
+                return Err(section.wrong(field.name, wanted));
+            }
+        }
+        let name = section.text("name");
+        let twin = |other: &&Section| other.kind == section.kind && other.text("name") == name;
+        let second = sheet.sections.iter().filter(twin).nth(1);
+        if let Some(second) = second.filter(|_| !name.is_empty()) {
+            return Err(second.wrong("name", "a name that no other section of this kind has"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trailproxy-cli/src/lab.rs
@@ -0,0 +1,228 @@
+//! `trailproxy lab`: days in the model and on loopback, compared, hunted and held against each other.
+
+use crate::End;
+use crate::out;
+use clap::{Args, Subcommand};
+use serde_json::json;
+use trailproxy_lab::decide::baseline::Policy;
+use trailproxy_lab::experiment;
+use trailproxy_lab::report;
+use trailproxy_lab::scenario::Scenario;
+use trailproxy_lab::tally::Summary;
+use trailproxy_operator::decide::{Absent, Kind, Shape, may};
+use trailproxy_operator::{Sheet, read_file};
+
+/// What the laboratory does where the command line does not say.
+pub const KIND: Kind = Kind {
+    name: "lab",
+    most: 1,
+    needed: false,
+    fields: &[
+        may("days", Shape::Whole(1, 10_000), Absent::Whole(1)),
+        may("seed", Shape::Whole(0, i64::MAX), Absent::Whole(1)),
+    ],
+};
+
+#[derive(Subcommand)]
+pub enum Task {
+    /// Play a scenario in virtual time.
+    Model {
+        scenario: String,
+        /// Who decides: design, random, hash, no-ramp, least-out or oracle.
+        #[arg(long, default_value = "design", value_parser = policy)]
+        policy: Policy,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Compare two scenarios, or two policies on one scenario, on the same days.
+    Compare {
+        /// A scenario's file, or with --on a policy.
+        a: String,
+        b: String,
+        /// The scenario on which two policies are compared.
+        #[arg(long)]
+        on: Option<String>,
+        #[command(flatten)]
+        how: How,
+    },
+}
+
+#[derive(Args)]
+pub struct How {
+    /// The seed of the first day; the next days have the next numbers.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// How many days.
+    #[arg(long)]
+    days: Option<u64>,
+    /// Folder for summary.json and report.html.
+    #[arg(long)]
+    out: Option<String>,
+    /// An operator's file whose section `lab` says what the command line leaves open.
+    #[arg(long)]
+    file: Option<String>,
+    /// Log lines as JSON, on standard error.
+    #[arg(long)]
+    json: bool,
+}
+
+fn policy(name: &str) -> Result<Policy, String> {
+    let names: Vec<_> = Policy::ALL.iter().map(|known| known.0).collect();
+    Policy::by_name(name).ok_or_else(|| format!("accepted: {}", names.join(", ")))
+}
+
+/// What holds once command line, file and defaults are put together.
+struct Plan {
+    seed: u64,
+    days: u64,
+    out: Option<String>,
+    log: slog::Logger,
+}
+
+impl How {
+    fn plan(&self) -> Result<Plan, String> {
+        let file = self
+            .file
+            .as_ref()
+            .map(|file| read_file(file, &[KIND]))
+            .transpose();
+        let file = file.map_err(|wrong| wrong.to_string())?;
+        let told = |field: &str| {
+            Some(
+                file.as_ref()
+                    .and_then(|sheet: &Sheet| sheet.one("lab"))?
+                    .whole(field) as u64,
+            )
+        };
+        Ok(Plan {
+            seed: self.seed.or(told("seed")).unwrap_or(1),
+            days: self.days.or(told("days")).unwrap_or(1).max(1),
+            out: self.out.clone(),
+            log: logger(self.json),
+        })
+    }
+}
+
+fn logger(json: bool) -> slog::Logger {
+    use slog::Drain;
+    if !json {
+        return slog::Logger::root(slog::Discard, slog::o!());
+    }
+    let drain = slog_json::Json::default(std::io::stderr()).map(slog::Fuse);
+    slog::Logger::root(std::sync::Mutex::new(drain).map(slog::Fuse), slog::o!())
+}
+
+pub fn run(task: Task) -> End {
+    let done = match task {
+        Task::Model {
+            scenario,
+            policy,
+            how,
+        } => model(&scenario, policy, &how),
+        Task::Compare { a, b, on, how } => compare(&a, &b, on.as_deref(), &how),
+    };
+    done.unwrap_or_else(End::Refused)
+}
+
+fn load(path: &str) -> Result<Scenario, String> {
+    Scenario::load(path).map_err(|wrong| wrong.to_string())
+}
+
+/// The end that a run's rules call for; what was broken is told on standard error.
+fn judged(summaries: &[&Summary]) -> End {
+    let broken: Vec<&String> = summaries
+        .iter()
+        .flat_map(|summary| &summary.rules_broken)
+        .collect();
+    broken
+        .iter()
+        .take(20)
+        .for_each(|breach| eprintln!("trailproxy: {breach}"));
+    if broken.is_empty() {
+        End::Well
+    } else {
+        End::Broken
+    }
+}
+
+fn model(path: &str, policy: Policy, how: &How) -> Result<End, String> {
+    let (plan, scenario) = (how.plan()?, load(path)?);
+    let bar = out::progress(plan.days, &scenario.name);
+    let days = experiment::days(&scenario, policy, plan.seed, plan.days, |day| {
+        let summary = &day.summary;
+        slog::info!(plan.log, "day"; "seed" => summary.seed, "service" => summary.service,
+            "accesses" => summary.accesses, "rule_breaches" => summary.rule_breaches);
+        bar.inc(1);
+    });
+    bar.finish_and_clear();
+    let summaries: Vec<Summary> = days.iter().map(|day| day.summary.clone()).collect();
+    let all = experiment::together(&summaries).ok_or("no day was played")?;
+    let text = serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?;
+    println!("{text}");
+    if let Some(folder) = &plan.out {
+        out::write(folder, "summary.json", &text)?;
+        let last = days.last().ok_or("no day was played")?;
+        let page = report::day(&scenario, &all, &last.tally).map_err(|e| e.to_string())?;
+        out::write(folder, "report.html", &page)?;
+    }
+    Ok(judged(&[&all]))
+}
+
+fn compare(a: &str, b: &str, on: Option<&str>, how: &How) -> Result<End, String> {
+    let plan = how.plan()?;
+    let sides = match on {
+        Some(path) => {
+            let scenario = load(path)?;
+            [(scenario.clone(), policy(a)?), (scenario, policy(b)?)]
+        }
+        None => [(load(a)?, Policy::Design), (load(b)?, Policy::Design)],
+    };
+    let bar = out::progress(plan.days * 2, "days");
+    let played = sides.map(|(scenario, policy)| {
+        let days = experiment::days(&scenario, policy, plan.seed, plan.days, |_| bar.inc(1));
+        days.into_iter()
+            .map(|day| day.summary)
+            .collect::<Vec<Summary>>()
+    });
+    bar.finish_and_clear();
+    let differences = experiment::compare(&played[0], &played[1]);
+    let both = played
+        .iter()
+        .map(|days| experiment::together(days))
+        .collect::<Option<Vec<_>>>();
+    let both = both.ok_or("no day was played")?;
+    let report = json!({"a": a, "b": b, "on": on, "seed": plan.seed, "days": plan.days,
+        "differences": differences, "summaries": both});
+    let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+    println!(
+        "{:<22} {:>14} {:>14} {:>12} {:>27}  verdict",
+        "figure",
+        a_name(a),
+        a_name(b),
+        "b - a",
+        "95% interval"
+    );
+    for d in &differences {
+        println!(
+            "{:<22} {:>14.4} {:>14.4} {:>12.4} {:>27}  {}",
+            d.figure,
+            d.a.mean,
+            d.b.mean,
+            d.b_less_a.mean,
+            format!("{:.4} to {:.4}", d.b_less_a.low, d.b_less_a.high),
+            d.verdict
+        );
+    }
+    if let Some(folder) = &plan.out {
+        out::write(folder, "summary.json", &text)?;
+        let page = report::comparison(a, b, &differences).map_err(|e| e.to_string())?;
+        out::write(folder, "report.html", &page)?;
+    }
+    Ok(judged(&both.iter().collect::<Vec<_>>()))
+}
+
+/// The end of a path, short enough for a column.
+fn a_name(path: &str) -> &str {
+    let name = path.rsplit('/').next().unwrap_or(path);
+    name.get(..14).unwrap_or(name)
+}
--- /dev/null
+++ b/crates/trailproxy-cli/src/main.rs
@@ -0,0 +1,80 @@
+//! `trailproxy`: checks of an operator's file, and the laboratory.
+
+mod lab;
+mod out;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+use trailproxy_lab::scenario;
+use trailproxy_operator::{Kind, read_file};
+
+/// Decides where objects are served, kept and filled from: the tools beside the dispatcher.
+#[derive(Parser)]
+#[command(version, about, max_term_width = 110)]
+struct Line {
+    #[command(subcommand)]
+    task: Task,
+}
+
+#[derive(Subcommand)]
+enum Task {
+    /// Check an operator's file or a scenario: 0 where all of it fits, 1 with the place of what does not.
+    Check { file: String },
+    /// The laboratory: a fleet in virtual time and on loopback.
+    #[command(subcommand)]
+    Lab(lab::Task),
+}
+
+/// How a task ended; the numbers are the exit codes.
+pub enum End {
+    Well,
+    /// Bad input: one plain message.
+    Refused(String),
+    /// A rule was broken or a promise missed.
+    Broken,
+}
+
+/// Sections of the operator's own file.
+const OPERATOR: &[Kind] = &[lab::KIND];
+
+fn main() -> ExitCode {
+    let end = match Line::parse().task {
+        Task::Check { file } => check(&file),
+        Task::Lab(task) => lab::run(task),
+    };
+    match end {
+        End::Well => ExitCode::SUCCESS,
+        End::Refused(why) => {
+            eprintln!("trailproxy: {why}");
+            ExitCode::from(1)
+        }
+        End::Broken => ExitCode::from(3),
+    }
+}
+
+/// A file with a scenario section is held against a scenario's kinds, any other against the operator's.
+fn check(file: &str) -> End {
+    let all: Vec<Kind> = OPERATOR
+        .iter()
+        .chain(scenario::KINDS)
+        .map(|kind| Kind {
+            needed: false,
+            ..*kind
+        })
+        .collect();
+    let sheet = match read_file(file, &all) {
+        Ok(sheet) => sheet,
+        Err(wrong) => return End::Refused(wrong.to_string()),
+    };
+    let checked = match sheet.one("scenario") {
+        Some(_) => scenario::Scenario::load(file).map(|_| ()),
+        None => read_file(file, OPERATOR).map(|_| ()),
+    };
+    match checked {
+        Ok(()) => {
+            println!("{file}: {} sections, all fit", sheet.sections.len());
+            End::Well
+        }
+        Err(wrong) => End::Refused(wrong.to_string()),
+    }
+}
--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -70,15 +70,6 @@
     pub change: Change,
 }
 
-/// The same number for a host in every dispatcher and after every restart, whatever its address.
-pub fn host_id(name: &str) -> HostId {
-    let mut hash = 0xcbf2_9ce4_8422_2325u64;
-    for byte in name.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    HostId(hash)
-}
-
 /// An object by its 16 hex digits.
 pub fn object_id(text: &str) -> Option<ObjectId> {
     let hex = text.len() <= 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
@@ -143,7 +134,7 @@
     let cell = json.get("cell").and_then(Value::as_u64).unwrap_or(0);
     let size = json.get("size").and_then(Value::as_f64).unwrap_or(1.0);
     let entry = HostEntry {
-        host: host_id(name),
+        host: HostId::of_name(name),
         cell: CellId(u16::try_from(cell).unwrap_or(u16::MAX)),
         zone: zone.copied().unwrap_or(ZoneId(u16::MAX)),
         kind: kind.copied().unwrap_or(KindId(u8::MAX)),
--- a/src/units.rs
+++ b/src/units.rs
@@ -120,3 +120,20 @@
     /// Names a wake-up that was asked for.
     WakeId(u32);
 }
+
+impl HostId {
+    /// The same number for a host in every dispatcher and after every restart, whatever its address.
+    ///
+    /// ```
+    /// use trailproxy::units::HostId;
+    /// assert_eq!(HostId::of_name("cache-a"), HostId::of_name("cache-a"));
+    /// assert_ne!(HostId::of_name("cache-a"), HostId::of_name("cache-b"));
+    /// ```
+    pub fn of_name(name: &str) -> HostId {
+        let mut hash = 0xcbf2_9ce4_8422_2325u64;
+        for byte in name.bytes() {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+        HostId(hash)
+    }
+}
