The laboratory on loopback: the same fleet and clients around real dispatchers

Need: a model is to be trusted once its prediction matches a run on sockets, and what sockets break is seen there only.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -166,3 +166,60 @@
         .map(|&(name, of)| difference(name, &values(a, of), &values(b, of)))
         .collect()
 }
+
+/// The model held against loopback runs of the same days.
+#[derive(Clone, Debug, Serialize)]
+pub struct Validation {
+    pub scenario: String,
+    pub days: usize,
+    pub model: Estimate,
+    pub loopback: Estimate,
+    pub apart: Estimate,
+    /// What the model says of its own error: the spread of one day, as it predicts it from day to day, and a floor
+    /// for what both worlds leave to chance.
+    pub stated_error: f64,
+    pub agree: bool,
+    pub verdict: String,
+    pub summaries: Vec<(Summary, Summary)>,
+}
+
+/// Below this, the two worlds differ by the way of the clock alone.
+const FLOOR: f64 = 0.01;
+
+/// Compares service day by day. The worlds agree where the mean difference lies within the model's stated error.
+pub fn validate(pairs: &[(Summary, Summary)]) -> Validation {
+    let services = |of: fn(&(Summary, Summary)) -> &Summary| {
+        pairs.iter().map(|p| of(p).service).collect::<Vec<f64>>()
+    };
+    let (model, real) = (services(|pair| &pair.0), services(|pair| &pair.1));
+    let apart: Vec<f64> = model
+        .iter()
+        .zip(&real)
+        .map(|(model, real)| real - model)
+        .collect();
+    let (model, loopback, apart) = (estimate(&model), estimate(&real), estimate(&apart));
+    let stated_error = FLOOR + (model.high - model.low) / 2.0;
+    let agree = apart.mean.abs() <= stated_error;
+    let verdict = format!(
+        "{}: loopback less model {:+.4} ({:+.4} to {:+.4}), stated error {stated_error:.4}",
+        if agree { "agree" } else { "apart" },
+        apart.mean,
+        apart.low,
+        apart.high
+    );
+    let scenario = pairs
+        .first()
+        .map_or(String::new(), |pair| pair.0.scenario.clone());
+    let (days, summaries) = (pairs.len(), pairs.to_vec());
+    Validation {
+        scenario,
+        days,
+        model,
+        loopback,
+        apart,
+        stated_error,
+        agree,
+        verdict,
+        summaries,
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod decide;
 pub mod experiment;
+pub mod loopback;
 pub mod model;
 pub mod report;
 pub mod rules;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -46,6 +46,9 @@
         object: Option<ObjectId>,
         group: GroupId,
     },
+    /// A process begins or ends: from now on its address takes connections, or refuses them.
+    Up(HostId),
+    Down(HostId),
     /// A cold host was asked for so much by another that fills from it.
     Given {
         host: HostId,
@@ -251,6 +254,16 @@
         self.servers.iter().map(Server::entry).collect()
     }
 
+    /// The place of a host among those of the shape; one that replaces another has its place.
+    pub fn place(&self, host: HostId) -> Option<usize> {
+        self.places.get(&host).copied()
+    }
+
+    /// The host at a place.
+    pub fn at(&self, place: usize) -> &HostShape {
+        &self.servers[place].shape
+    }
+
     /// How much later than usual the list is told now.
     pub fn list_delay(&self, now: Moment) -> Span {
         if now < self.late_list.1 {
@@ -1023,6 +1036,7 @@
         serving
             .into_iter()
             .for_each(|id| self.fetch_fails(id, Note::SourceLost));
+        self.said.push(Said::Down(id));
         self.timer(self.now + away, Timer::Up(id, life));
         self.timer(self.now + self.shape.noticed_after, Timer::List(id));
     }
@@ -1038,6 +1052,7 @@
         (server.up, server.draining, server.started) = (true, false, Some(self.now));
         server.life += 1;
         let life = server.life;
+        self.said.push(Said::Up(id));
         self.pace(id);
         self.timer(self.now, Timer::List(id));
         self.timer(self.now + COLD_STEP, Timer::Warm(id, life));
@@ -1183,6 +1198,7 @@
                     };
                     self.said.push(Said::Listed(gone));
                     self.servers[at].shape.id = new;
+                    self.servers[at].shape.name.push('+');
                     self.places.insert(new, at);
                     let life = self.servers[at].life;
                     self.timer(now + away, Timer::Up(new, life));
--- a/crates/standins/src/shape.rs
+++ b/crates/standins/src/shape.rs
@@ -1,8 +1,11 @@
 //! What a fleet is made of, and what is to happen to it.
 
-use trailproxy::interface::{Cold, Track};
+use trailproxy::interface::{Cold, Note, NoteLevel, Track};
 use trailproxy::units::*;
 
+/// A day begins at this point in time, so that copies may be older than the day.
+pub const DAWN: Moment = Moment(1_000_000_000);
+
 #[derive(Clone, Debug)]
 pub struct Zone {
     pub name: String,
@@ -97,3 +100,13 @@
     pub at: Moment,
     pub trouble: Trouble,
 }
+
+/// What of a note is told at this level.
+pub fn told(level: NoteLevel, note: Note) -> Note {
+    let hit = matches!(note, Note::Hit | Note::Stale);
+    match level {
+        NoteLevel::All => note,
+        NoteLevel::Hits if hit || note == Note::Filled => note,
+        NoteLevel::Hits | NoteLevel::None => Note::Untold,
+    }
+}
--- a/crates/trailproxy-cli/src/lab.rs
+++ b/crates/trailproxy-cli/src/lab.rs
@@ -4,8 +4,11 @@
 use crate::out;
 use clap::{Args, Subcommand};
 use serde_json::json;
+use std::path::PathBuf;
 use trailproxy_lab::decide::baseline::Policy;
 use trailproxy_lab::experiment;
+use trailproxy_lab::loopback::{self, Place};
+use trailproxy_lab::model::{self, Day};
 use trailproxy_lab::report;
 use trailproxy_lab::scenario::Scenario;
 use trailproxy_lab::tally::Summary;
@@ -34,6 +37,23 @@
         #[command(flatten)]
         how: How,
     },
+    /// Play a scenario on loopback: stand-ins of all servers around real dispatchers.
+    Loopback {
+        scenario: String,
+        /// The dispatcher's program; by default the one beside this one.
+        #[arg(long)]
+        daemon: Option<String>,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Hold the model's prediction against loopback runs of the same days.
+    Validate {
+        scenario: String,
+        #[arg(long)]
+        daemon: Option<String>,
+        #[command(flatten)]
+        how: How,
+    },
     /// Compare two scenarios, or two policies on one scenario, on the same days.
     Compare {
         /// A scenario's file, or with --on a policy.
@@ -118,7 +138,17 @@
             scenario,
             policy,
             how,
-        } => model(&scenario, policy, &how),
+        } => in_model(&scenario, policy, &how),
+        Task::Loopback {
+            scenario,
+            daemon,
+            how,
+        } => loopback(&scenario, daemon, &how),
+        Task::Validate {
+            scenario,
+            daemon,
+            how,
+        } => validate(&scenario, daemon, &how),
         Task::Compare { a, b, on, how } => compare(&a, &b, on.as_deref(), &how),
     };
     done.unwrap_or_else(End::Refused)
@@ -145,7 +175,7 @@
     }
 }
 
-fn model(path: &str, policy: Policy, how: &How) -> Result<End, String> {
+fn in_model(path: &str, policy: Policy, how: &How) -> Result<End, String> {
     let (plan, scenario) = (how.plan()?, load(path)?);
     let bar = out::progress(plan.days, &scenario.name);
     let days = experiment::days(&scenario, policy, plan.seed, plan.days, |day| {
@@ -155,6 +185,11 @@
         bar.inc(1);
     });
     bar.finish_and_clear();
+    finish(&plan, &scenario, &days)
+}
+
+/// Prints the summary of all days, writes the pages and judges.
+fn finish(plan: &Plan, scenario: &Scenario, days: &[Day]) -> Result<End, String> {
     let summaries: Vec<Summary> = days.iter().map(|day| day.summary.clone()).collect();
     let all = experiment::together(&summaries).ok_or("no day was played")?;
     let text = serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?;
@@ -162,12 +197,83 @@
     if let Some(folder) = &plan.out {
         out::write(folder, "summary.json", &text)?;
         let last = days.last().ok_or("no day was played")?;
-        let page = report::day(&scenario, &all, &last.tally).map_err(|e| e.to_string())?;
+        let page = report::day(scenario, &all, &last.tally).map_err(|e| e.to_string())?;
         out::write(folder, "report.html", &page)?;
     }
     Ok(judged(&[&all]))
 }
 
+/// Where the dispatcher's program is, and a folder of this process for what a run writes.
+fn place(daemon: Option<String>) -> Result<Place, String> {
+    let beside = || Some(std::env::current_exe().ok()?.parent()?.join("trailproxyd"));
+    let daemon = daemon
+        .map(PathBuf::from)
+        .or_else(beside)
+        .ok_or("no program of a dispatcher is named")?;
+    if !daemon.is_file() {
+        return Err(format!(
+            "{} is not there; --daemon names the dispatcher's program",
+            daemon.display()
+        ));
+    }
+    let folder = std::env::temp_dir().join(format!("trailproxy-lab-{}", std::process::id()));
+    Ok(Place {
+        daemon,
+        folder,
+        descriptors: 1_024,
+        memory_mb: 192,
+    })
+}
+
+fn loopback(path: &str, daemon: Option<String>, how: &How) -> Result<End, String> {
+    let (plan, scenario, place) = (how.plan()?, load(path)?, place(daemon)?);
+    let bar = out::progress(plan.days, &scenario.name);
+    let mut days = Vec::new();
+    for seed in experiment::seeds(plan.seed, plan.days) {
+        days.push(loopback::run(&scenario, &place, seed).map_err(|e| e.to_string())?);
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    let _ = std::fs::remove_dir_all(&place.folder);
+    finish(&plan, &scenario, &days)
+}
+
+fn validate(path: &str, daemon: Option<String>, how: &How) -> Result<End, String> {
+    let (plan, scenario, place) = (how.plan()?, load(path)?, place(daemon)?);
+    let bar = out::progress(plan.days, &scenario.name);
+    let mut pairs = Vec::new();
+    for seed in experiment::seeds(plan.seed, plan.days) {
+        let real = loopback::run(&scenario, &place, seed).map_err(|e| e.to_string())?;
+        pairs.push((
+            model::run(&scenario, Policy::Design, seed).summary,
+            real.summary,
+        ));
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    let _ = std::fs::remove_dir_all(&place.folder);
+    let report = experiment::validate(&pairs);
+    println!("{:<10} {:>10} {:>10}", "seed", "model", "loopback");
+    for (model, real) in &pairs {
+        println!(
+            "{:<10} {:>10.4} {:>10.4}",
+            model.seed, model.service, real.service
+        );
+    }
+    println!("{}", report.verdict);
+    if let Some(folder) = &plan.out {
+        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+        out::write(folder, "summary.json", &text)?;
+    }
+    let rules = judged(
+        &pairs
+            .iter()
+            .flat_map(|pair| [&pair.0, &pair.1])
+            .collect::<Vec<_>>(),
+    );
+    Ok(if report.agree { rules } else { End::Broken })
+}
+
 fn compare(a: &str, b: &str, on: Option<&str>, how: &How) -> Result<End, String> {
     let plan = how.plan()?;
     let sides = match on {
