--- a/crates/lab/src/decide/baseline.rs
+++ b/crates/lab/src/decide/baseline.rs
@@ -14,6 +14,8 @@
     fn settle(&mut self, now: Moment) -> Vec<Action>;
     /// The true pace of each host, as far as it is told: only the oracle looks at it.
     fn truth(&mut self, _now: Moment, _paces: &[(HostId, f64)]) {}
+    /// How many hosts it keeps something of.
+    fn hosts_kept(&self) -> usize;
 }
 
 impl Decider for Dispatcher {
@@ -24,6 +26,10 @@
     fn settle(&mut self, now: Moment) -> Vec<Action> {
         Dispatcher::settle(self, now)
     }
+
+    fn hosts_kept(&self) -> usize {
+        Dispatcher::hosts_kept(self)
+    }
 }
 
 /// Who is to decide in a run.
@@ -551,6 +557,10 @@
         std::mem::take(&mut self.actions)
     }
 
+    fn hosts_kept(&self) -> usize {
+        self.hosts.len()
+    }
+
     fn truth(&mut self, _now: Moment, paces: &[(HostId, f64)]) {
         for (id, pace) in paces {
             self.hosts
--- a/crates/lab/src/decide/mod.rs
+++ b/crates/lab/src/decide/mod.rs
@@ -3,5 +3,6 @@
 //! None of it does I/O or reads a clock.
 
 pub mod baseline;
+pub mod hunt;
 pub mod ramp;
 pub mod shrink;
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,12 +1,16 @@
 //! Several days of one thing, and two things on the same days: means with error bars.
 
 use crate::decide::baseline::Policy;
+use crate::decide::hunt::{Hunt, Score, Strike, Targets};
 use crate::model::{self, Day};
-use crate::scenario::Scenario;
+use crate::scenario::{self, Scenario};
 use crate::tally::Summary;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use serde::Serialize;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::collections::BTreeMap;
+use trailproxy_operator::Wrong;
 
 /// A mean and the 95% interval that it lies in, by Student's t over days.
 #[derive(Clone, Copy, Debug, Serialize, PartialEq)]
@@ -223,3 +227,84 @@
         summaries,
     }
 }
+
+/// A day that was found, as a scenario's text.
+pub struct Found {
+    pub text: String,
+    pub strikes: usize,
+    pub design: Summary,
+    pub oracle: Summary,
+}
+
+/// What a scenario's day may be struck by.
+fn targets(scenario: &Scenario) -> Targets {
+    use trailproxy_standins::shape::Role;
+    let names = |role: Role| {
+        let hosts = scenario
+            .shape
+            .hosts
+            .iter()
+            .filter(move |host| host.role == role);
+        let mut names: Vec<String> = hosts.map(|host| host.name.clone()).collect();
+        // The whole set is a target as each of its hosts is.
+        let sets: Vec<String> = names
+            .iter()
+            .filter_map(|name| Some(name.rsplit_once('/')?.0.to_owned()))
+            .collect();
+        names.extend(sets);
+        names.dedup();
+        names
+    };
+    let linked = scenario
+        .shape
+        .zones
+        .iter()
+        .filter(|zone| zone.link_kb_per_s > 0.0);
+    Targets {
+        caches: names(Role::Cache),
+        parents: names(Role::Parent),
+        origin: names(Role::Origin).first().cloned(),
+        zones: linked.map(|zone| zone.name.clone()).collect(),
+        length: (scenario.length.as_secs_f64() * 10.0) as u32,
+    }
+}
+
+/// Looks for the day on which the design loses most against the oracle. `base` is a scenario's text, to which troubles
+/// are added.
+pub fn hunt(
+    file: &str,
+    base: &str,
+    days: usize,
+    seed: u64,
+    mut each: impl FnMut(f64),
+) -> Result<Option<Found>, Box<Wrong>> {
+    let read = |strikes: &[Strike]| {
+        let lines: String = strikes.iter().map(|strike| format!("{strike}\n")).collect();
+        let text = format!("{base}\n# Found by a search.\n{lines}");
+        let sheet =
+            trailproxy_operator::read(file, text.clone(), scenario::KINDS, Default::default())?;
+        Ok::<_, Box<Wrong>>((text, Scenario::from_sheet(&sheet)?))
+    };
+    let (_, plain) = read(&[])?;
+    let mut hunt = Hunt::new(targets(&plain), days, StdRng::seed_from_u64(seed));
+    while let Some(strikes) = hunt.to_try() {
+        let (_, scenario) = read(&strikes)?;
+        let design = model::run(&scenario, Policy::Design, seed).summary;
+        let oracle = model::run(&scenario, Policy::Oracle, seed).summary;
+        let (loss, rules_broken) = (oracle.service - design.service, design.rule_breaches > 0);
+        each(loss);
+        hunt.tried(Score { loss, rules_broken });
+    }
+    let Some(strikes) = hunt.found() else {
+        return Ok(None);
+    };
+    let (text, scenario) = read(&strikes)?;
+    let design = model::run(&scenario, Policy::Design, seed).summary;
+    let oracle = model::run(&scenario, Policy::Oracle, seed).summary;
+    Ok(Some(Found {
+        text,
+        strikes: strikes.len(),
+        design,
+        oracle,
+    }))
+}
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -384,14 +384,15 @@
             breaches,
             tally: std::mem::replace(&mut books.tally, empty),
             left_over: 0,
+            most_kept: 0,
         }
     }
 
     /// Kills a share of the dispatchers, and starts them again.
     async fn kills(self: Rc<Run>, kill: crate::scenario::Kill) {
         sleep_until(self.clock.instant(kill.at)).await;
-        for seat in &self.seats {
-            if !seat.up.get() || !self.chance.borrow_mut().random_bool(kill.share) {
+        for (nth, seat) in self.seats.iter().enumerate() {
+            if !seat.up.get() || !kill.strikes(self.seed, nth) {
                 continue;
             }
             seat.kill();
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -5,7 +5,7 @@
 
 use crate::decide::baseline::{Decider, Policy};
 use crate::rules::{Breach, Checker, Final};
-use crate::scenario::Scenario;
+use crate::scenario::{Kill, Scenario};
 use crate::tally::{Cause, Summary, Tally};
 use crate::traffic::{Stream, Wish, group_of, mix};
 use rand::rngs::StdRng;
@@ -32,6 +32,8 @@
     pub breaches: Vec<Breach>,
     /// What was still held at the end: accesses, hand-offs and fetches.
     pub left_over: usize,
+    /// The most hosts that one dispatcher kept something of.
+    pub most_kept: usize,
 }
 
 enum Ev {
@@ -48,7 +50,7 @@
     Final(AccessId, Final, Option<Span>, Option<Moment>),
     Overdue(AccessId),
     Retry(u64),
-    Kill(f64, Span),
+    Kill(Kill),
     Start(usize),
     Truth,
     Tick,
@@ -106,6 +108,7 @@
     chance: StdRng,
     checker: Checker,
     tally: Tally,
+    most_kept: usize,
     purged: Vec<(Option<ObjectId>, GroupId, Moment)>,
 }
 
@@ -145,6 +148,7 @@
             chance: StdRng::seed_from_u64(mix(seed, 3)),
             checker: Checker::new(scenario.rule_bounds()),
             tally: Tally::new(&scenario.importance, scenario.counted_from, scenario.length),
+            most_kept: 0,
             purged: Vec::new(),
         }
     }
@@ -165,8 +169,8 @@
         for nth in 0..self.streams.len() {
             self.next_wish(nth);
         }
-        for kill in &self.scenario.kills {
-            self.file(kill.at, Ev::Kill(kill.share, kill.away));
+        for &kill in &self.scenario.kills {
+            self.file(kill.at, Ev::Kill(kill));
         }
         if self.policy == Policy::Oracle {
             self.file(DAWN, Ev::Truth);
@@ -218,6 +222,7 @@
             breaches: self.checker.breaches().to_vec(),
             left_over: self.open.len() + self.out.len() + self.fleet.under_way(),
             summary,
+            most_kept: self.most_kept,
             tally: self.tally,
         }
     }
@@ -307,7 +312,7 @@
             }
             Ev::Final(id, how, away, minted) => self.final_answer(id, how, away, minted),
             Ev::Overdue(id) => self.overdue(id),
-            Ev::Kill(share, away) => self.kill(share, away),
+            Ev::Kill(kill) => self.kill(kill),
             Ev::Start(seat) => self.start(seat),
             Ev::Truth => {
                 let hosts = self.scenario.shape.hosts.iter().map(|host| host.id);
@@ -687,9 +692,9 @@
     }
 
     /// Dispatchers die without a word; what they had out is abandoned with their connections.
-    fn kill(&mut self, share: f64, away: Span) {
+    fn kill(&mut self, kill: Kill) {
         for seat in 0..self.seats.len() {
-            if self.seats[seat].decider.is_none() || !self.chance.random_bool(share) {
+            if self.seats[seat].decider.is_none() || !kill.strikes(self.seed, seat) {
                 continue;
             }
             self.seats[seat].decider = None;
@@ -711,7 +716,7 @@
                 .map(|(&id, _)| id)
                 .collect();
             lost.into_iter().for_each(|id| self.lost(id));
-            self.file(self.now + away + START, Ev::Start(seat));
+            self.file(self.now + kill.away + START, Ev::Start(seat));
         }
     }
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -248,6 +248,14 @@
     pub away: Span,
 }
 
+impl Kill {
+    /// Whether it strikes a dispatcher: the same ones on the same day, whoever decides there.
+    pub fn strikes(&self, seed: u64, seat: usize) -> bool {
+        let drawn = crate::traffic::mix(crate::traffic::mix(seed, self.at.0), seat as u64) % 10_000;
+        (drawn as f64) < self.share * 10_000.0
+    }
+}
+
 /// All that one day of a fleet is drawn from.
 #[derive(Clone, Debug)]
 pub struct Scenario {
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -1,9 +1,11 @@
 //! Days in the model: they repeat exactly, keep the rules, end clean, and show what goes wrong.
 
+use trailproxy::units::*;
 use trailproxy_lab::decide::baseline::Policy;
 use trailproxy_lab::model::{Day, run};
 use trailproxy_lab::scenario::{KINDS, Scenario};
 use trailproxy_operator::{Bounds, read};
+use trailproxy_standins::shape::{Cue, DAWN, Trouble};
 
 /// A small fleet, with more sections behind it.
 fn scenario(more: &str) -> Scenario {
@@ -135,3 +137,31 @@
     kept(&day);
     assert!(day.summary.service > 0.9, "{}", day.summary.service);
 }
+
+#[test]
+fn ten_thousand_replaced_hosts_leave_no_trace() {
+    let text = "scenario(name = \"long\", seconds = 86400)
+zone(name = \"hub\")
+zone(name = \"depot\", link_kb_per_s = 36000, dispatchers = 1)
+hosts(role = \"cache\", zone = \"depot\", count = 20, size = 8, room_kb = 20000)
+hosts(role = \"parent\", zone = \"hub\", count = 2, size = 12)
+hosts(role = \"origin\", zone = \"hub\", size = 10)
+track(name = \"label\", fresh_ms = 20000, grace_ms = 60000)
+stream(track = \"label\", per_s = 0.5, objects = 500, median_kb = 25)";
+    let sheet = read("t.star", text.into(), KINDS, Bounds::default()).expect("it fits");
+    let mut scenario = Scenario::from_sheet(&sheet).expect("a scenario");
+    let mut names: Vec<String> = (0..20).map(|n| format!("depot/cache/{n}")).collect();
+    for nth in 0..10_000u64 {
+        let name = &mut names[nth as usize % 20];
+        let old = HostId::of_name(name);
+        name.push('+');
+        let trouble = Trouble::Replace(old, HostId::of_name(name), Span::from_secs(1));
+        let at = DAWN + Span::from_millis(8_600 * (nth + 1));
+        scenario.script.push(Cue { at, trouble });
+    }
+    let day = run(&scenario, Policy::Design, 1);
+    kept(&day);
+    assert!(day.summary.service > 0.95, "{}", day.summary.service);
+    // 23 hosts are listed; 60 s hold seven that have gone.
+    assert!(day.most_kept <= 23 + 10, "{} kept", day.most_kept);
+}
--- a/crates/trailproxy-cli/src/lab.rs
+++ b/crates/trailproxy-cli/src/lab.rs
@@ -54,6 +54,16 @@
         #[command(flatten)]
         how: How,
     },
+    /// Look for the day on which the design loses most against one who sees the true state, or breaks a rule.
+    Hunt {
+        /// What the days are built on; troubles are added to it.
+        scenario: String,
+        /// How many days are played at most.
+        #[arg(long, default_value_t = 200)]
+        tries: usize,
+        #[command(flatten)]
+        how: How,
+    },
     /// Compare two scenarios, or two policies on one scenario, on the same days.
     Compare {
         /// A scenario's file, or with --on a policy.
@@ -149,6 +159,11 @@
             daemon,
             how,
         } => validate(&scenario, daemon, &how),
+        Task::Hunt {
+            scenario,
+            tries,
+            how,
+        } => hunt(&scenario, tries, &how),
         Task::Compare { a, b, on, how } => compare(&a, &b, on.as_deref(), &how),
     };
     done.unwrap_or_else(End::Refused)
@@ -274,6 +289,38 @@
     Ok(if report.agree { rules } else { End::Broken })
 }
 
+fn hunt(path: &str, tries: usize, how: &How) -> Result<End, String> {
+    let plan = how.plan()?;
+    let base = std::fs::read_to_string(path).map_err(|e| format!("{path} can't be read: {e}"))?;
+    let bar = out::progress(tries as u64, "days");
+    let mut worst = f64::MIN;
+    let found = experiment::hunt(path, &base, tries, plan.seed, |loss| {
+        worst = worst.max(loss);
+        bar.set_message(format!("worst {worst:.3}"));
+        bar.inc(1);
+    });
+    bar.finish_and_clear();
+    let Some(found) = found.map_err(|wrong| wrong.to_string())? else {
+        return Err("no day was played".into());
+    };
+    let (design, oracle) = (&found.design, &found.oracle);
+    let troubles: Vec<&str> = found.text.lines().rev().take(found.strikes).collect();
+    println!(
+        "design {:.4}, oracle {:.4}, loss {:.4}",
+        design.service,
+        oracle.service,
+        oracle.service - design.service
+    );
+    troubles.iter().rev().for_each(|line| println!("{line}"));
+    if let Some(folder) = &plan.out {
+        out::write(folder, "found.star", &found.text)?;
+        let report = json!({"design": design, "oracle": oracle, "troubles": troubles});
+        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+        out::write(folder, "summary.json", &text)?;
+    }
+    Ok(judged(&[design]))
+}
+
 fn compare(a: &str, b: &str, on: Option<&str>, how: &How) -> Result<End, String> {
     let plan = how.plan()?;
     let sides = match on {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,6 +50,8 @@
 /// How long an access waits before it goes to the origin again, and a client that was rejected.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
 const COME_BACK: Span = Span::from_millis(500);
+/// What was known of a host is forgotten so long after it left the list; a late list may name it once more.
+const FORGET: Span = Span::from_secs(60);
 /// So many objects seen are remembered, before all are forgotten.
 const SEEN: usize = 50_000;
 /// How much faster than an answer a fill runs at least: a fuller link delays answers; up to which
@@ -224,6 +226,8 @@
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
     out: u32,
+    /// When it last left the list.
+    left: Moment,
     /// What is left of what it may be given while it is cold, and when that was reckoned.
     allowance: (f64, Moment),
 }
@@ -233,6 +237,12 @@
         self.entry.state == HostState::Ready
     }
 
+    fn list_as(&mut self, now: Moment, state: HostState) {
+        let leaves = state == HostState::Gone && self.entry.state != HostState::Gone;
+        self.left = if leaves { now } else { self.left };
+        self.entry.state = state;
+    }
+
     fn sick(&self) -> bool {
         matches!(self.breaker.phase, Phase::Open(_) | Phase::Trial)
     }
@@ -389,6 +399,11 @@
         }
     }
 
+    /// How many hosts it keeps something of, for a check that the table stays bounded.
+    pub fn hosts_kept(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Takes one event; nothing goes out before [`Dispatcher::settle`].
     pub fn take(&mut self, now: Moment, event: Event) {
         match event {
@@ -419,7 +434,7 @@
         }
         if form == ListForm::Whole {
             let all = self.hosts.values_mut();
-            all.for_each(|host| host.entry.state = HostState::Gone);
+            all.for_each(|host| host.list_as(now, HostState::Gone));
         }
         let mean = self.mean_send();
         let (all, own) = (f64::from(self.terms.dispatchers.max(1)), self.own_seats);
@@ -440,8 +455,10 @@
                 heard: Moment::default(),
                 slowness: (1.0, Moment::default()),
                 out: 0,
+                left: now,
                 allowance: (0.0, now),
             });
+            host.list_as(now, entry.state);
             host.entry = entry;
             if before != Some(entry.started) {
                 // A fresh process: what its predecessor did is no fault of it. Each dispatcher begins
@@ -450,6 +467,12 @@
                 host.allowance = (-self.chance.f64() * host.cost(now, mean), now);
             }
         }
+        let tries = self.accesses.values().flat_map(|access| &access.tries);
+        let named: BTreeSet<_> = tries.flat_map(|t| [t.plan.host, t.plan.source]).collect();
+        let lately =
+            |host: &Host| host.entry.state != HostState::Gone || now.since(host.left) < FORGET;
+        self.hosts
+            .retain(|id, host| lately(host) || named.contains(id));
         let ready = self.hosts.values().filter(|host| host.ready());
         let of = |role| ready.clone().filter(move |host| host.role == role);
         let zone = self.terms.zone;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -804,3 +804,35 @@
     let oldest = |id| stage.last(id).fill.expect("a fill").oldest;
     assert_eq!((oldest(purged), oldest(other)), (Some(ms(100)), None));
 }
+
+#[test]
+fn a_host_long_gone_is_forgotten_unless_an_access_names_it() {
+    let mut stage = Stage::new(terms());
+    let listed = stage.dispatcher.hosts_kept();
+    let id = stage.arrive(READS, 1);
+    let open = stage.last(id).host;
+    for n in 0..1_000 {
+        let fresh = HostEntry {
+            host: HostId(1_000 + n),
+            ..entry(CACHES[0])
+        };
+        let gone = HostEntry {
+            state: HostState::Gone,
+            ..fresh
+        };
+        stage.list(ListForm::Changes, vec![fresh]);
+        stage.list(ListForm::Changes, vec![gone]);
+        stage.pass(ms(500));
+    }
+    assert!(stage.dispatcher.hosts_kept() <= listed + 125);
+    let gone = HostEntry {
+        state: HostState::Gone,
+        ..entry(open)
+    };
+    stage.list(ListForm::Changes, vec![gone]);
+    stage.pass(Span::from_secs(100));
+    stage.list(ListForm::Changes, Vec::new());
+    stage.answer(id, Ending::Lost, Note::Untold, ms(10));
+    stage.list(ListForm::Changes, Vec::new());
+    assert_eq!(stage.dispatcher.hosts_kept(), listed - 1);
+}
