--- a/src/logic.rs
+++ b/src/logic.rs
@@ -851,11 +851,8 @@
         let first = sources.first().copied().or(self.origin.filter(has_room))?;
         // Past a late parent for a clearly quicker one only: were all slow, the origin would be why.
         let slowness = |id: &HostId| self.hosts[id].slowness(now);
-        let quicker = |id: &HostId| slowness(id) * CONTRAST <= slowness(&first);
-        sources.retain(quicker);
+        sources.retain(|id| slowness(id) * CONTRAST <= slowness(&first));
         sources.insert(0, first);
-        // Late parents are asked little, so that no breaker opens there: past them all as past open ones.
-        sources.extend(self.origin.filter(has_room).filter(quicker));
         let alone = Span::from_secs_f64(access.send) + FILL_WAIT;
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
         // What a parent holds comes no later for a sick origin behind it.
