--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -4,7 +4,8 @@
 use trailproxy_lab::decide::baseline::Policy;
 use trailproxy_lab::model::{Day, run};
 use trailproxy_lab::scenario::{KINDS, Scenario};
-use trailproxy_operator::{Bounds, read};
+use trailproxy_operator::decide::FieldKind;
+use trailproxy_operator::{Bounds, Kind, Shape, read};
 use trailproxy_standins::shape::{Cue, DAWN, Trouble};
 
 /// A small fleet, with more sections behind it.
@@ -165,3 +166,157 @@
     // 23 hosts are listed; 60 s hold seven that have gone.
     assert!(day.most_kept <= 23 + 10, "{} kept", day.most_kept);
 }
+
+/// A value that no field takes, and where it makes no sense either, the ends of its range.
+fn wrong_values(shape: Shape) -> Vec<String> {
+    let mut values = vec!["{}".to_owned(), "None".to_owned()];
+    match shape {
+        Shape::Whole(least, most) => values.extend([
+            (least - 1).to_string(),
+            (most + 1).to_string(),
+            "1.5".into(),
+        ]),
+        Shape::Number(least, most) => {
+            values.extend([
+                format!("{:?}", least - 1.0),
+                format!("{:?}", most * 2.0 + 1.0),
+                "\"1\"".into(),
+            ]);
+        }
+        Shape::Word(_) | Shape::Of(_) => values.push("\"no-such-thing\"".into()),
+        Shape::Name => values.push("\"two words\"".into()),
+        _ => values.push("7".into()),
+    }
+    values
+}
+
+#[test]
+fn a_scenario_wrong_in_every_field_by_turns_is_refused_at_that_field() {
+    let mut tried = 0;
+    for kind in KINDS {
+        for field in kind.fields {
+            for value in wrong_values(field.shape) {
+                let given = |other: &&FieldKind| other.name != field.name && other.absent.is_none();
+                let others: String = kind
+                    .fields
+                    .iter()
+                    .filter(given)
+                    .map(|other| match other.shape {
+                        Shape::Word(words) => format!("{} = \"{}\", ", other.name, words[0]),
+                        Shape::Number(least, _) => format!("{} = {least:?}, ", other.name),
+                        _ => format!("{} = \"hub\", ", other.name),
+                    })
+                    .collect();
+                // Names are looked up last and in turn: another one that must be given is missed first.
+                let looked_up =
+                    matches!(field.shape, Shape::Of(_)) && value.contains("no-such-thing");
+                let earlier = |f: &&FieldKind| {
+                    f.name != field.name && f.absent.is_none() && matches!(f.shape, Shape::Of(_))
+                };
+                if looked_up && kind.fields.iter().any(|f| earlier(&f)) {
+                    continue;
+                }
+                // In a file of its own kind: what other sections it needs is looked at later.
+                let kinds = [Kind {
+                    needed: false,
+                    ..*kind
+                }];
+                let text = format!("\n{}(\n  {others}\n  {} = {value})", kind.name, field.name);
+                let wrong =
+                    read("t.star", text.clone(), &kinds, Bounds::default()).expect_err(&text);
+                assert_eq!(
+                    (wrong.section.as_str(), wrong.field.as_deref()),
+                    (kind.name, Some(field.name)),
+                    "{text}"
+                );
+                assert_eq!((wrong.place.line, wrong.place.column), (4, 3), "{text}");
+                assert!(!wrong.wanted.is_empty() && !wrong.found.is_empty());
+                tried += 1;
+            }
+        }
+    }
+    assert!(tried > 250, "{tried} wrong values");
+}
+
+#[test]
+fn what_fits_by_itself_and_not_together_is_refused_too() {
+    let base = "scenario(name = \"t\", seconds = 5)
+zone(name = \"hub\")
+zone(name = \"depot\", dispatchers = 1)
+hosts(role = \"cache\", zone = \"depot\")
+track(name = \"label\")
+stream(track = \"label\", per_s = 1)\n";
+    let refused = |more: &str, from: &str, to: &str| {
+        let text = base.replace(from, to) + more;
+        let sheet = read("t.star", text, KINDS, Bounds::default());
+        let scenario = sheet.and_then(|sheet| Scenario::from_sheet(&sheet));
+        scenario.expect_err(more).to_string()
+    };
+    let two =
+        "hosts(role = \"origin\", zone = \"hub\")\nhosts(role = \"origin\", zone = \"depot\")";
+    let cases = [
+        (two, "", "", "one origin in all"),
+        (
+            "zone(name = \"far\", dispatchers = 2)",
+            "",
+            "",
+            "none in a zone that has no cache",
+        ),
+        (
+            "stream(track = \"label\", per_s = 1, zone = \"hub\")",
+            "",
+            "",
+            "a zone that has dispatchers",
+        ),
+        (
+            "track(name = \"odd\", due_ms = 500, limit_ms = 400)",
+            "",
+            "",
+            "no longer than limit_ms",
+        ),
+        (
+            "trouble(kind = \"crash\", target = \"depot/cook\", at_s = 1)",
+            "",
+            "",
+            "the beginning of a host's name",
+        ),
+        (
+            "trouble(kind = \"link\", target = \"moon\", at_s = 1)",
+            "",
+            "",
+            "the name of a zone",
+        ),
+        (
+            "trouble(kind = \"purge\", target = \"all\", at_s = 1)",
+            "",
+            "",
+            "the number of a group",
+        ),
+        (
+            "trouble(kind = \"resets\", target = \"depot\", at_s = 1, by = 2)",
+            "",
+            "",
+            "a share from 0 to 1",
+        ),
+        (
+            "",
+            "dispatchers = 1",
+            "dispatchers = 0",
+            "at least one dispatcher",
+        ),
+        (
+            "",
+            "role = \"cache\"",
+            "role = \"parent\"",
+            "none in a zone that has no cache",
+        ),
+    ];
+    for (more, from, to, wanted) in cases {
+        let said = refused(more, from, to);
+        assert!(
+            said.contains(wanted) || said.contains("at least one section of caches"),
+            "{said}"
+        );
+        assert!(said.starts_with("t.star:"), "{said}");
+    }
+}
