--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,8 +47,6 @@
 /// time. Lower blames hosts that are only slow; higher lets a silent one hold on to its accesses.
 const PATIENCE: f64 = 1.5;
 const WAIT_OF_DUE: f64 = 0.6;
-/// So long an origin that served one well is not blamed for fills that hang. Longer sees a sick origin late.
-const WELL_FOR: Span = Span::from_millis(300);
 /// How long an access waits before it goes to the origin again, and a client that was rejected.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
 const COME_BACK: Span = Span::from_millis(500);
@@ -664,7 +662,7 @@
         let others = !self.parents.iter().all(quiet);
         let alone = others && quiet(&source) && self.parents.contains(&source);
         let silent = |id: HostId| self.hosts[&id].heard <= attempt.sent && Some(id) != self.origin;
-        let unwell = |id: &HostId| self.hosts[id].breaker.well + WELL_FOR <= attempt.sent;
+        let unwell = |id: &HostId| self.hosts[id].breaker.well <= attempt.sent;
         if silent(host) {
             self.judge(now, host, Some(Verdict::Bad), &attempt);
         } else if (alone || silent(source)) && !self.origin_hides(&attempt) {
