One writer for the bench's clients and the bare relay; a port opens again without juggling

Cause: on rereading, the bench and the relay each had the same loop that writes a queue out.

Change: standins::client::writer serves both; the arm that opens a host's port again is two plain conditions.

--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -23,6 +23,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::units::ZoneId;
+use trailproxy_standins::client::writer;
 use trailproxyd::msgpack::{self, Fault, Value};
 use trailproxyd::resp;
 
@@ -156,21 +157,10 @@
     for _ in 0..CONNECTIONS {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (read, mut write) = stream.into_split();
-        let (out, mut queue) = tokio::sync::mpsc::unbounded_channel::<Vec<u8>>();
-        spawn_local(async move {
-            while let Some(mut bytes) = queue.recv().await {
-                while let Ok(more) = queue.try_recv() {
-                    bytes.extend(more);
-                }
-                if write.write_all(&bytes).await.is_err() {
-                    break;
-                }
-            }
-        });
+        let (read, write) = stream.into_split();
         let line = Rc::new(Line {
             open: RefCell::default(),
-            out,
+            out: writer(write),
         });
         spawn_local(listen(read, line.clone(), load.clone()));
         lines.push(line);
--- a/crates/lab/src/bin/bare-relay.rs
+++ b/crates/lab/src/bin/bare-relay.rs
@@ -8,12 +8,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::{LocalSet, spawn_local};
 use trailproxy_lab::traffic::mix;
+use trailproxy_standins::client::writer;
 use trailproxyd::held::Held;
 use trailproxyd::msgpack::{self, Fault, Value};
 use trailproxyd::resp;
@@ -67,22 +68,6 @@
     })
 }
 
-/// Whatever is queued goes out in one write.
-fn writer(mut write: OwnedWriteHalf) -> Out {
-    let (out, mut queue): (Out, UnboundedReceiver<Vec<u8>>) = unbounded_channel();
-    spawn_local(async move {
-        while let Some(mut bytes) = queue.recv().await {
-            while let Ok(more) = queue.try_recv() {
-                bytes.extend(more);
-            }
-            if write.write_all(&bytes).await.is_err() {
-                break;
-            }
-        }
-    });
-    out
-}
-
 async fn requests(mut read: OwnedReadHalf, out: Out, hosts: Rc<Vec<Out>>, waiting: Waiting) {
     let mut ring = Ring::new(Held::default());
     loop {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -46,6 +46,22 @@
     extra: Rc<Cell<u64>>,
 }
 
+/// A queue whose bytes go out on a connection, whatever is queued in one write.
+pub fn writer(mut write: OwnedWriteHalf) -> UnboundedSender<Vec<u8>> {
+    let (out, mut queue) = unbounded_channel::<Vec<u8>>();
+    spawn_local(async move {
+        while let Some(mut bytes) = queue.recv().await {
+            while let Ok(more) = queue.try_recv() {
+                bytes.extend(more);
+            }
+            if write.write_all(&bytes).await.is_err() {
+                break;
+            }
+        }
+    });
+    out
+}
+
 /// All connections to one dispatcher.
 pub struct Caller {
     address: SocketAddr,
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -673,8 +673,8 @@
             Said::Up(host) => {
                 let to_fleet = self.to_fleet.clone();
                 let port = self.fleet.place(host).map(|place| &mut self.ports[place]);
-                if let Some((port, Ok(listener))) =
-                    port.map(|port| (port.again(), port)).map(|(l, p)| (p, l))
+                if let Some(port) = port
+                    && let Ok(listener) = port.again()
                 {
                     port.open(listener, host, &to_fleet);
                 }
