--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -220,6 +220,7 @@
         waited,
         link_full,
         proven: true,
+        came_kb: None,
     }))
 }
 
--- a/crates/lab/src/decide/baseline.rs
+++ b/crates/lab/src/decide/baseline.rs
@@ -7,6 +7,7 @@
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
+use trailproxy_zones::{Rules, Zones};
 
 /// Who decides at a dispatcher.
 pub trait Decider {
@@ -16,9 +17,13 @@
     fn truth(&mut self, _now: Moment, _paces: &[(HostId, f64)]) {}
     /// How many hosts it keeps something of.
     fn hosts_kept(&self) -> usize;
+    /// Its account of traffic between zones, where it keeps one.
+    fn zones(&mut self) -> Option<&mut Zones> {
+        None
+    }
 }
 
-impl Decider for Dispatcher {
+impl Decider for Dispatcher<Option<Zones>> {
     fn take(&mut self, now: Moment, event: Event) {
         Dispatcher::take(self, now, event);
     }
@@ -30,6 +35,10 @@
     fn hosts_kept(&self) -> usize {
         Dispatcher::hosts_kept(self)
     }
+
+    fn zones(&mut self) -> Option<&mut Zones> {
+        self.crossings.as_mut()
+    }
 }
 
 /// Who is to decide in a run.
@@ -74,9 +83,13 @@
     }
 
     /// A decider for one dispatcher.
-    pub fn decider(self, terms: Terms, seed: u64) -> Box<dyn Decider> {
+    pub fn decider(self, terms: Terms, rules: Option<&Rules>, seed: u64) -> Box<dyn Decider> {
         match self {
-            Policy::Design => Box::new(Dispatcher::new(terms, seed)),
+            Policy::Design => {
+                // Its points in the budgets are drawn apart from the decisions' own chance.
+                let zones = rules.map(|rules| Zones::new(&terms, rules.clone(), !seed));
+                Box::new(Dispatcher::with(zones, terms, seed))
+            }
             policy => Box::new(Baseline::new(policy, terms, seed)),
         }
     }
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -3,7 +3,7 @@
 //! Load is open: each request is sent at its drawn time whatever became of the ones before, and its latency counts
 //! from then. The dispatchers are processes started here and ended here.
 
-use crate::model::{Day, warm_up};
+use crate::model::{Crossed, Day, warm_up};
 use crate::rules::{Bounds, Checker, Final};
 use crate::scenario::Scenario;
 use crate::tally::{Cause, Tally};
@@ -42,6 +42,13 @@
 
 /// Bodies have this part of the bytes that they stand for.
 const SCALE: f64 = 1.0 / 32.0;
+/// Reports of traffic between zones come every second in a run, so the last one holds what was booked.
+const LAST_REPORT: Duration = Duration::from_millis(1_500);
+
+/// Where bytes are accounted for, bodies are whole.
+fn scale(scenario: &Scenario) -> f64 {
+    if scenario.zones.is_some() { 1.0 } else { SCALE }
+}
 /// All is up before the day begins.
 const LEAD: Duration = Duration::from_millis(1_500);
 /// What is seen at two ends of a socket may differ by this on a busy machine.
@@ -53,6 +60,7 @@
     tally: Tally,
     seen: UnboundedReceiver<(Moment, Seen)>,
     copies: BTreeMap<u64, Moment>,
+    crossed: Crossed,
 }
 
 impl Books {
@@ -86,6 +94,8 @@
                 Seen::Given { host, kb } => self.checker.filled(at, host, kb),
                 Seen::Fell => self.tally.fell += 1,
                 Seen::Moved(moved, crossed) => self.tally.moved(at, moved, crossed),
+                Seen::Crossed(kb) => self.crossed.steps.push(kb),
+                Seen::Whole(kb) => self.crossed.whole = kb,
             }
         }
     }
@@ -148,7 +158,7 @@
             .iter()
             .map(|zone| zone.name.clone())
             .collect(),
-        scale: SCALE,
+        scale: scale(&scenario),
         notes: scenario.terms.notes,
         list_delay: scenario.list_delay,
         purge_delay: scenario.purge_delay,
@@ -185,6 +195,7 @@
             tally,
             seen,
             copies: BTreeMap::new(),
+            crossed: Crossed::default(),
         }),
         chance: RefCell::new(StdRng::seed_from_u64(mix(seed, 3))),
         next: Cell::new(mix(seed, 0x10f) & 0xffff_ffff_0000),
@@ -207,7 +218,7 @@
         drop(free);
         let known: serde_json::Value =
             serde_json::from_str(&stage.known).map_err(io::Error::other)?;
-        let config = json!({
+        let mut config = json!({
             "name": format!("n{nth}"),
             "listen": address.to_string(),
             "seed": format!("{:016x}", mix(mix(seed, nth as u64), 4)),
@@ -216,6 +227,12 @@
             "known": known,
             "settings": settings(scenario, zone),
         });
+        if let Some(sheet) = &scenario.zones_sheet {
+            let operator = place.folder.join("operator.json");
+            let text = serde_json::to_string(sheet).map_err(io::Error::other)?;
+            std::fs::write(&operator, text)?;
+            config["operator"] = json!(operator);
+        }
         let log = place.folder.join(format!("n{nth}.log"));
         let _ = std::fs::remove_file(&log);
         let path = place.folder.join(format!("n{nth}.json"));
@@ -334,6 +351,9 @@
         }
         // What was sent without being owed has come by now.
         sleep(Duration::from_millis(500)).await;
+        if self.scenario.zones.is_some() {
+            sleep(LAST_REPORT).await;
+        }
         Ok(self.end())
     }
 
@@ -378,9 +398,41 @@
             tally: std::mem::replace(&mut books.tally, empty),
             left_over: 0,
             most_kept: 0,
+            crossed: self.crossed(&mut books),
         }
     }
 
+    /// What the links counted, beside what the dispatchers' own reports hold.
+    fn crossed(&self, books: &mut Books) -> Crossed {
+        let mut crossed = std::mem::take(&mut books.crossed);
+        crossed.moved = crossed.steps.last().cloned().unwrap_or_default();
+        let names = self.scenario.names();
+        let nth = |all: &[String], name: &str| {
+            all.iter().position(|known| known == name).unwrap_or(0) as u16
+        };
+        let logs = self
+            .seats
+            .iter()
+            .map(|seat| std::fs::read_to_string(&seat.log).unwrap_or_default());
+        let reports = logs
+            .flat_map(|log| trailproxy_zones_tools::log::of_log(&log).0)
+            .collect();
+        let merged = trailproxy_zones::decide::merge::merge(reports, 1_000_000);
+        for (row, total) in &merged.rows {
+            let key = (
+                ZoneId(nth(&names.zones, &row.to)),
+                TrackId(nth(&names.tracks, &row.track)),
+            );
+            *crossed.booked.entry(key).or_default() += total.kb;
+        }
+        crossed.turned_away = names
+            .tracks
+            .iter()
+            .map(|track| merged.refused.get(track).map_or(0, |total| total.moves))
+            .collect();
+        crossed
+    }
+
     /// Kills a share of the dispatchers, and starts them again.
     async fn kills(self: Rc<Run>, kill: crate::scenario::Kill) {
         sleep_until(self.clock.instant(kill.at)).await;
@@ -484,7 +536,7 @@
             fields.push(("replay", fingerprint.to_owned()));
         }
         let body = if track.written {
-            (wish.kb * 1024.0 * SCALE).clamp(1.0, 48_000.0) as usize
+            (wish.kb * 1024.0 * scale(&self.scenario)).clamp(1.0, 48_000.0) as usize
         } else {
             0
         };
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -15,6 +15,7 @@
 use trailproxy::units::*;
 use trailproxy_standins::fleet::{Answer, Fleet, Pull, Said, Ticket};
 use trailproxy_standins::shape::{DAWN, Role, told};
+use trailproxy_zones::decide::rise::Rise;
 
 /// A dispatcher hears so long after a hand-off was withdrawn that it is over.
 const WITHDRAWN_AFTER: Span = Span::from_millis(5);
@@ -34,8 +35,30 @@
     pub left_over: usize,
     /// The most hosts that one dispatcher kept something of.
     pub most_kept: usize,
+    pub crossed: Crossed,
 }
 
+/// Traffic between zones as the dispatchers' accounts have it, beside what the links themselves counted.
+#[derive(Clone, Debug, Default)]
+pub struct Crossed {
+    /// KB by zone it went into and track, booked by all dispatchers.
+    pub booked: BTreeMap<(ZoneId, TrackId), f64>,
+    /// KB by zone and track that the links moved whole, and all that they moved, by zone.
+    pub whole: Vec<Vec<f64>>,
+    pub moved: Vec<f64>,
+    /// KB into each zone by steps of [`CROSSED_STEP`], as the links counted.
+    pub steps: Vec<Vec<f64>>,
+    /// Rises told: when, by which dispatcher.
+    pub rises: Vec<(Moment, usize, Rise)>,
+    /// Accesses that found no room, by track.
+    pub turned_away: Vec<u64>,
+}
+
+/// How finely the links' counts are kept.
+pub const CROSSED_STEP: Span = trailproxy_standins::loopback::CROSSED_EVERY;
+/// Dispatchers look for rises so often.
+const PASS: Span = Span::from_millis(250);
+
 enum Ev {
     Wish(usize, Wish),
     /// An access reaches a dispatcher.
@@ -54,6 +77,9 @@
     Start(usize),
     Truth,
     Tick,
+    /// Accounts are brought up to now, and links read.
+    Pass,
+    Read,
 }
 
 /// What a client wants, over all its tries.
@@ -109,6 +135,7 @@
     checker: Checker,
     tally: Tally,
     most_kept: usize,
+    crossed: Crossed,
     purged: Vec<(Option<ObjectId>, GroupId, Moment)>,
 }
 
@@ -149,6 +176,7 @@
             checker: Checker::new(scenario.rule_bounds()),
             tally: Tally::new(&scenario.importance, scenario.counted_from, scenario.length),
             most_kept: 0,
+            crossed: Crossed::default(),
             purged: Vec::new(),
         }
     }
@@ -176,6 +204,10 @@
             self.file(DAWN, Ev::Truth);
         }
         self.file(DAWN + Span::from_secs(1), Ev::Tick);
+        if self.scenario.zones.is_some() && self.policy == Policy::Design {
+            self.file(DAWN + PASS, Ev::Pass);
+            self.file(DAWN, Ev::Read);
+        }
     }
 
     fn play(&mut self) {
@@ -205,6 +237,15 @@
 
     fn end(mut self) -> Day {
         self.sample();
+        (0..self.seats.len()).for_each(|seat| self.close_account(seat));
+        let zones = (0..self.scenario.shape.zones.len()).map(|zone| ZoneId(zone as u16));
+        self.crossed.moved = zones
+            .clone()
+            .map(|zone| self.fleet.crossed_kb(zone))
+            .collect();
+        self.crossed.whole = zones
+            .map(|zone| self.fleet.crossed_whole_kb(zone).to_vec())
+            .collect();
         self.checker.finish();
         self.tally.settle_breakers();
         let first = self.scenario.script.iter().map(|cue| cue.at).min();
@@ -223,6 +264,7 @@
             left_over: self.open.len() + self.out.len() + self.fleet.under_way(),
             summary,
             most_kept: self.most_kept,
+            crossed: self.crossed,
             tally: self.tally,
         }
     }
@@ -233,7 +275,8 @@
             mix(self.seed, seat as u64),
             u64::from(self.seats[seat].life) + 4,
         );
-        let mut decider = self.policy.decider(self.scenario.terms(zone), seed);
+        let rules = self.scenario.zones.as_ref();
+        let mut decider = self.policy.decider(self.scenario.terms(zone), rules, seed);
         let entries = self.fleet.list();
         decider.take(
             self.now,
@@ -326,6 +369,20 @@
                 deciders.for_each(|decider| decider.truth(now, &paces));
                 self.file(now + TRUTH_EVERY, Ev::Truth);
             }
+            Ev::Pass => {
+                (0..self.seats.len()).for_each(|seat| self.pass(seat));
+                if now < DAWN + self.scenario.length {
+                    self.file(now + PASS, Ev::Pass);
+                }
+            }
+            Ev::Read => {
+                let zones = 0..self.scenario.shape.zones.len();
+                let read = zones.map(|zone| self.fleet.crossed_kb(ZoneId(zone as u16)));
+                self.crossed.steps.push(read.collect());
+                if now < DAWN + self.scenario.length {
+                    self.file(now + CROSSED_STEP, Ev::Read);
+                }
+            }
             Ev::Tick => {
                 self.sample();
                 if now < DAWN + self.scenario.length {
@@ -335,6 +392,33 @@
         }
     }
 
+    /// Brings one dispatcher's account up to now and takes the rises that it tells.
+    fn pass(&mut self, seat: usize) {
+        let now = self.now;
+        let decider = self.seats[seat].decider.as_mut();
+        if let Some(zones) = decider.and_then(|decider| decider.zones()) {
+            let told = zones.advance(now);
+            self.crossed
+                .rises
+                .extend(told.into_iter().map(|rise| (now, seat, rise)));
+        }
+    }
+
+    /// Takes up what a dispatcher booked, before it ends.
+    fn close_account(&mut self, seat: usize) {
+        self.pass(seat);
+        let decider = self.seats[seat].decider.as_mut();
+        if let Some(zones) = decider.and_then(|decider| decider.zones()) {
+            for (key, sum) in zones.account().totals() {
+                *self.crossed.booked.entry((key.to, key.track)).or_default() += sum.kb;
+            }
+            let refused = zones.turned_away();
+            self.crossed.turned_away.resize(refused.len(), 0);
+            let sums = self.crossed.turned_away.iter_mut().zip(refused);
+            sums.for_each(|(sum, (n, _))| *sum += n);
+        }
+    }
+
     /// Takes the bytes of the last second.
     fn sample(&mut self) {
         let zones = 0..self.scenario.shape.zones.len();
@@ -621,6 +705,7 @@
             waited: answer.waited.filter(|_| notes == NoteLevel::All),
             link_full: Some(answer.link_full).filter(|_| self.scenario.terms.link_told),
             proven: true,
+            came_kb: None,
         };
         self.tell(out.seat, Event::Outcome(outcome));
     }
@@ -697,6 +782,7 @@
             if self.seats[seat].decider.is_none() || !kill.strikes(self.seed, seat) {
                 continue;
             }
+            self.close_account(seat);
             self.seats[seat].decider = None;
             self.seats[seat].life += 1;
             let gone: Vec<Ticket> = self
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -79,7 +79,8 @@
         .replace('"', "&quot;")
 }
 
-fn page(title: &str, body: &str) -> String {
+/// A whole page around a body.
+pub fn page(title: &str, body: &str) -> String {
     let style = "body{font:15px/1.45 sans-serif;max-width:940px;margin:2em auto;padding:0 1em;color:#222}\
         table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .8em;border-bottom:1px solid #ddd;\
         text-align:right}td:first-child,th:first-child{text-align:left}.bad{color:#b00}svg{max-width:100%}";
@@ -90,7 +91,8 @@
     )
 }
 
-fn row(out: &mut String, cells: &[String]) {
+/// One row of a table.
+pub fn row(out: &mut String, cells: &[String]) {
     let cells: Vec<String> = cells
         .iter()
         .map(|cell| format!("<td>{}</td>", escape(cell)))
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -8,6 +8,8 @@
 };
 use trailproxy_standins::fleet::kind_of;
 use trailproxy_standins::shape::*;
+use trailproxy_zones::Rules;
+use trailproxy_zones::decide::sheet::Names;
 
 const SECONDS: Takes = Takes::Number(0.0, 100_000.0);
 const MILLIS: Takes = Takes::Number(0.0, 10_000_000.0);
@@ -168,6 +170,9 @@
             may("most", Takes::Whole(0, 100_000), Absent::Whole(100_000)),
         ],
     },
+    // Traffic between zones, as in the operator's own file.
+    trailproxy_zones_tools::sections::KINDS[0],
+    trailproxy_zones_tools::sections::KINDS[1],
 ];
 
 const FLEET: &[FieldKind] = &[
@@ -285,6 +290,10 @@
     pub purge_delay: Span,
     pub purge_grace: Span,
     pub terms: Terms,
+    /// Traffic between zones is accounted for, and kept within these limits.
+    pub zones: Option<Rules>,
+    /// The same in names, for a dispatcher on sockets.
+    pub zones_sheet: Option<trailproxy_zones::decide::sheet::Sheet>,
 }
 
 fn millis(section: &Section, field: &str) -> Span {
@@ -472,7 +481,27 @@
             purge_grace: millis(fleet, "purge_grace_ms"),
             shape,
             terms,
+            zones: None,
+            zones_sheet: trailproxy_zones_tools::sections::sheet(sheet),
         };
+        let names = scenario.names();
+        let told = scenario
+            .zones_sheet
+            .as_ref()
+            .map(|told| told.resolve(&names));
+        scenario.zones = told.transpose().map_err(|unfit| {
+            Box::new(Wrong {
+                place: trailproxy_operator::Place {
+                    file: unfit.file,
+                    line: unfit.place.0,
+                    column: unfit.place.1,
+                },
+                section: unfit.section.into(),
+                field: Some(unfit.field.into()),
+                found: unfit.found,
+                wanted: unfit.wanted,
+            })
+        })?;
         for section in sheet.all("stream") {
             scenario.loads.push(Load {
                 track: track_id(section.text("track")),
@@ -614,6 +643,19 @@
         }
     }
 
+    /// Zones and tracks by name, each at the place of its id.
+    pub fn names(&self) -> Names {
+        Names {
+            zones: self
+                .shape
+                .zones
+                .iter()
+                .map(|zone| zone.name.clone())
+                .collect(),
+            tracks: self.track_names.clone(),
+        }
+    }
+
     /// Hosts by name, for reports.
     pub fn host_names(&self) -> BTreeMap<HostId, String> {
         self.shape
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -108,6 +108,7 @@
     to: usize,
     from: usize,
     part: PartOf,
+    track: TrackId,
     group: GroupId,
     kb: f64,
     rank: u8,
@@ -193,6 +194,8 @@
     next: u64,
     said: Vec<Said>,
     hit_kb: f64,
+    /// KB of transfers that crossed a link whole, by zone and track.
+    whole: Vec<Vec<f64>>,
     now: Moment,
 }
 
@@ -240,6 +243,7 @@
             next: 0,
             said: Vec::new(),
             hit_kb: 0.0,
+            whole: vec![vec![0.0; shape.tracks.len()]; shape.zones.len()],
             now: Moment(0),
             shape,
         };
@@ -305,6 +309,24 @@
         self.links[usize::from(zone.0)].moved_kb()
     }
 
+    /// KB of transfers that crossed the link into a zone whole, by track.
+    pub fn crossed_whole_kb(&self, zone: ZoneId) -> &[f64] {
+        &self.whole[usize::from(zone.0)]
+    }
+
+    fn whole(&mut self, zone: usize, flow: Flow) {
+        let of = match flow {
+            Flow::Job(ticket) => self
+                .jobs
+                .get(&ticket)
+                .map(|job| (job.pull.track, job.pull.kb)),
+            Flow::Fetch(id) => self.fetches.get(&id).map(|fetch| (fetch.track, fetch.kb)),
+        };
+        if let Some((track, kb)) = of {
+            self.whole[zone][usize::from(track.0)] += kb;
+        }
+    }
+
     /// Everything that is not over yet: hand-offs and fetches.
     pub fn under_way(&self) -> usize {
         self.jobs.len() + self.fetches.len()
@@ -352,6 +374,9 @@
                 (_, Some((at, pipe))) => {
                     let over = self.pipe(pipe).take_over(at);
                     self.touch(pipe);
+                    if let Some(zone) = pipe.checked_sub(self.servers.len()) {
+                        over.iter().for_each(|flow| self.whole(zone, *flow));
+                    }
                     over.into_iter().for_each(|flow| self.flow_over(flow));
                 }
                 _ => break,
@@ -559,6 +584,7 @@
                     at,
                     fill.source,
                     part,
+                    pull.track,
                     pull.group,
                     kb,
                     rank,
@@ -627,6 +653,7 @@
                 at,
                 fill.source,
                 part,
+                pull.track,
                 pull.group,
                 kb,
                 fill.rank,
@@ -693,6 +720,7 @@
         to: usize,
         from: HostId,
         part: PartOf,
+        track: TrackId,
         group: GroupId,
         kb: f64,
         rank: u8,
@@ -707,6 +735,7 @@
             to,
             from,
             part,
+            track,
             group,
             kb,
             rank,
@@ -745,7 +774,7 @@
             return;
         };
         let (from, part, kb, oldest) = (fetch.from, fetch.part, fetch.kb, fetch.oldest);
-        let (held_only, group) = (fetch.held_only, fetch.group);
+        let (held_only, group, track) = (fetch.held_only, fetch.group, fetch.track);
         let server = &self.servers[from];
         if !server.up {
             return self.fetch_fails(id, Note::SourceLost);
@@ -808,7 +837,11 @@
         let rank = u8::from(shared);
         let behind = behind
             .filter(|id| shared && self.joins(*id, oldest))
-            .or_else(|| self.fetch(from, origin, part, group, kb, rank, oldest, false, shared));
+            .or_else(|| {
+                self.fetch(
+                    from, origin, part, track, group, kb, rank, oldest, false, shared,
+                )
+            });
         match behind {
             None => self.fetch_fails(id, Note::SourceLacks),
             Some(behind) => {
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -82,8 +82,15 @@
     Fell,
     /// Bytes moved so far, and KB into each zone; told every second.
     Moved(Moved, Vec<f64>),
+    /// KB into each zone so far; told every [`CROSSED_EVERY`].
+    Crossed(Vec<f64>),
+    /// KB into each zone by transfers that crossed whole, by track; told every second.
+    Whole(Vec<Vec<f64>>),
 }
 
+/// How often the links' counters are read.
+pub const CROSSED_EVERY: Span = Span::from_millis(100);
+
 /// How objects and tracks are named on the wire, and how bytes are scaled.
 #[derive(Clone, Debug)]
 pub struct Wire {
@@ -449,20 +456,29 @@
 impl Owner {
     async fn run(mut self, mut inbox: UnboundedReceiver<ToFleet>) {
         let mut sample_at = self.clock.now() + Span::from_secs(1);
+        let mut crossed_at = DAWN;
         loop {
             let now = self.clock.now();
             let said = self.fleet.advance(now);
+            let zones = (0..self.wire.zones.len()).map(|zone| ZoneId(zone as u16));
+            if now >= crossed_at {
+                crossed_at = crossed_at + CROSSED_EVERY;
+                let crossed = zones.clone().map(|zone| self.fleet.crossed_kb(zone));
+                self.see(now, Seen::Crossed(crossed.collect()));
+            }
             if now >= sample_at {
                 sample_at = sample_at + Span::from_secs(1);
-                let zones = 0..self.wire.zones.len();
-                let crossed = zones.map(|zone| self.fleet.crossed_kb(ZoneId(zone as u16)));
+                let crossed = zones.clone().map(|zone| self.fleet.crossed_kb(zone));
                 self.see(now, Seen::Moved(self.fleet.moved(), crossed.collect()));
+                let whole = zones.map(|zone| self.fleet.crossed_whole_kb(zone).to_vec());
+                self.see(now, Seen::Whole(whole.collect()));
             }
             said.into_iter().for_each(|said| self.said(now, said));
             self.publish(now);
             let later = self.later.first_key_value().map(|(&(at, _), _)| at);
             let next = self.fleet.next().into_iter().chain(later).min();
-            let next = next.map_or(sample_at, |next| next.min(sample_at));
+            let sample = sample_at.min(crossed_at);
+            let next = next.map_or(sample, |next| next.min(sample));
             tokio::select! {
                 biased;
                 order = inbox.recv() => match order {
--- a/crates/trailproxy-cli/src/lab.rs
+++ b/crates/trailproxy-cli/src/lab.rs
@@ -116,15 +116,15 @@
 }
 
 /// What holds once command line, file and defaults are put together.
-struct Plan {
-    seed: u64,
-    days: u64,
-    out: Option<String>,
+pub struct Plan {
+    pub seed: u64,
+    pub days: u64,
+    pub out: Option<String>,
     log: slog::Logger,
 }
 
 impl How {
-    fn plan(&self) -> Result<Plan, String> {
+    pub fn plan(&self) -> Result<Plan, String> {
         let file = self
             .file
             .as_ref()
@@ -194,7 +194,7 @@
 }
 
 /// The end that a run's rules call for; what was broken is told on standard error.
-fn judged(summaries: &[&Summary]) -> End {
+pub fn judged(summaries: &[&Summary]) -> End {
     let broken: Vec<&String> = summaries
         .iter()
         .flat_map(|summary| &summary.rules_broken)
@@ -241,7 +241,7 @@
 }
 
 /// Where the dispatcher's program is, and a folder of this process for what a run writes.
-fn place(daemon: Option<String>) -> Result<Place, String> {
+pub fn place(daemon: Option<String>) -> Result<Place, String> {
     let beside = || Some(std::env::current_exe().ok()?.parent()?.join("trailproxyd"));
     let daemon = daemon
         .map(PathBuf::from)
--- a/crates/trailproxy-cli/src/main.rs
+++ b/crates/trailproxy-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod lab;
 mod out;
+mod zones;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -23,6 +24,9 @@
     /// The laboratory: a fleet in virtual time and on loopback.
     #[command(subcommand)]
     Lab(lab::Task),
+    /// Traffic between zones: sections, reports, the planner, and what they are worth.
+    #[command(subcommand)]
+    Zones(zones::Task),
 }
 
 /// How a task ended; the numbers are the exit codes.
@@ -35,12 +39,17 @@
 }
 
 /// Sections of the operator's own file.
-const OPERATOR: &[Kind] = &[lab::KIND];
+const OPERATOR: &[Kind] = &[
+    lab::KIND,
+    trailproxy_zones_tools::sections::KINDS[0],
+    trailproxy_zones_tools::sections::KINDS[1],
+];
 
 fn main() -> ExitCode {
     let end = match Line::parse().task {
         Task::Check { file } => check(&file),
         Task::Lab(task) => lab::run(task),
+        Task::Zones(task) => zones::run(task),
     };
     match end {
         End::Well => ExitCode::SUCCESS,
@@ -54,15 +63,7 @@
 
 /// A file with a scenario section is held against a scenario's kinds, any other against the operator's.
 fn check(file: &str) -> End {
-    let all: Vec<Kind> = OPERATOR
-        .iter()
-        .chain(scenario::KINDS)
-        .map(|kind| Kind {
-            needed: false,
-            ..*kind
-        })
-        .collect();
-    let sheet = match read_file(file, &all) {
+    let sheet = match read_file(file, &zones::kinds()) {
         Ok(sheet) => sheet,
         Err(wrong) => return End::Refused(wrong.to_string()),
     };
@@ -70,6 +71,10 @@
         Some(_) => scenario::Scenario::load(file).map(|_| ()),
         None => read_file(file, OPERATOR).map(|_| ()),
     };
+    let zones = trailproxy_zones_tools::sections::sheet(&sheet);
+    if let Some(Err(unfit)) = zones.map(|zones| zones.check()) {
+        return End::Refused(unfit.to_string());
+    }
     match checked {
         Ok(()) => {
             println!("{file}: {} sections, all fit", sheet.sections.len());
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -1,9 +1,9 @@
 //! Clients: MessagePack-RPC over TCP, requests pipelined and answered in any order.
 
 use crate::checks::{Counts, count};
-use crate::dispatch::{Inbound, Queue};
-use crate::held::{Held, Parcel};
+use crate::held::Held;
 use crate::list::object_id;
+use crate::messages::*;
 use crate::msgpack::{self, Fault, Value};
 use crate::places::{Places, Room, Use};
 use crate::ring::Ring;
@@ -36,58 +36,6 @@
 /// Clients close what has been idle for 4 s, by the protocol; who does not is not coming back.
 const IDLE_WITHIN: Duration = Duration::from_millis(4500);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ClientId(pub u64);
-
-/// One request of a client, by its connection and its number there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallId {
-    pub client: ClientId,
-    pub number: u32,
-}
-
-/// A request as a client words it.
-pub struct Call {
-    pub id: CallId,
-    pub come: Instant,
-    pub reference: Rc<str>,
-    pub left: Span,
-    pub track: TrackId,
-    pub object: ObjectId,
-    pub object_text: String,
-    pub group: GroupId,
-    pub part: u32,
-    pub size_kb: Option<f64>,
-    pub mark: Option<String>,
-    pub held_tag: Option<String>,
-    pub body: Vec<u8>,
-}
-
-pub enum FromClient {
-    Opened(ClientId, mpsc::Sender<ToClient>),
-    Called(Call),
-    Revoked(CallId),
-    Closed(ClientId),
-}
-
-pub enum Reply {
-    Done(Parcel),
-    /// The copy that the client holds is the one that would be served.
-    Same,
-    Rejected {
-        come_back: Option<Span>,
-    },
-    Aborted,
-}
-
-pub enum ToClient {
-    Reply(u32, Reply),
-    /// Nothing more comes: flush, half-close, read to the end.
-    Finish,
-    /// Its place is wanted: it ends unless something has come by now.
-    GiveWay,
-}
-
 /// What all connections share.
 pub struct Shared {
     pub queue: Queue,
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -1,61 +1,26 @@
 //! The one task that owns the decisions: it takes all queued events, settles once and carries out the
 //! actions. It keeps the open accesses and the timers.
 
+use crate::accounts::Accounts;
 use crate::checks::{Counts, count, must};
-use crate::clients::{Call, CallId, ClientId, FromClient, Reply, ToClient};
-use crate::list::{Change, Entry};
-use crate::servers::{Answer, FromServer, HandOffId, LineId, Pools, Sending};
+use crate::messages::*;
+use crate::operator::Told;
+use crate::servers::Pools;
 use local_channel::mpsc;
 use slog::{Logger, debug, info};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
-
-pub type Queue = mpsc::Sender<Inbound>;
-
-/// All that can happen to the dispatcher.
-pub enum Inbound {
-    Client(FromClient),
-    Server(FromServer),
-    Journal(Entry),
-    /// Asked to end: whatever is open is finished first.
-    Terminate,
-}
+use trailproxy_zones::Zones;
 
 /// Requests still come for so long after the signal to end.
 const STILL_COMING: Duration = Duration::from_millis(700);
 const REPORT_EVERY: Duration = Duration::from_secs(10);
 
-/// Unix time, anchored once to the monotonic clock.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix_us: u64,
-}
-
-impl Clock {
-    pub fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
-        Clock {
-            start: Instant::now(),
-            unix_us: unix.map_or(0, |since| since.as_micros() as u64),
-        }
-    }
-
-    pub fn moment(&self, at: Instant) -> Moment {
-        let since = at.saturating_duration_since(self.start);
-        Moment(self.unix_us + since.as_micros() as u64)
-    }
-
-    pub fn instant(&self, at: Moment) -> Instant {
-        self.start + Duration::from_micros(at.since(Moment(self.unix_us)).0)
-    }
-}
-
 struct HandedOff {
     host: HostId,
     source: Option<HostId>,
@@ -81,7 +46,9 @@
 }
 
 pub struct Dispatch {
-    pub decisions: Dispatcher,
+    pub decisions: Dispatcher<Option<Zones>>,
+    /// What tells of traffic between zones, with what a new account of it is made of.
+    pub accounts: Option<(Accounts, Terms, u64)>,
     pub pools: Pools,
     pub clock: Clock,
     pub link_full_at: Option<usize>,
@@ -112,13 +79,14 @@
 
 impl Dispatch {
     pub fn new(
-        decisions: Dispatcher,
+        decisions: Dispatcher<Option<Zones>>,
         pools: Pools,
         link_full_at: Option<usize>,
         effects: Vec<Effect>,
     ) -> Dispatch {
         Dispatch {
             decisions,
+            accounts: None,
             clock: pools.shared.clock,
             link_full_at,
             effects,
@@ -143,6 +111,7 @@
         self.settle(now);
         loop {
             let now = Instant::now();
+            self.account(now);
             if now >= report_at {
                 report_at = now + REPORT_EVERY;
                 self.report();
@@ -158,10 +127,16 @@
                 }
                 let lingered = now >= asked + STILL_COMING + self.longest_limit();
                 if self.state.finished && (self.state.clients.is_empty() || lingered) {
+                    self.last_account();
                     return self.report();
                 }
             }
-            let until = self.next_timer().min(report_at);
+            let accounts = self
+                .accounts
+                .as_ref()
+                .filter(|_| self.decisions.crossings.is_some());
+            let account_at = accounts.map_or(report_at, |(accounts, ..)| accounts.next());
+            let until = self.next_timer().min(report_at).min(account_at);
             let first = tokio::select! {
                 biased;
                 first = queue.recv() => first,
@@ -178,6 +153,52 @@
         }
     }
 
+    /// What the operator's file says of traffic between zones: counts and what is open are kept.
+    pub fn zones(&mut self, told: Told) {
+        let now = self.clock.moment(Instant::now());
+        let Some((accounts, terms, seed)) = &mut self.accounts else {
+            return;
+        };
+        let crossings = &mut self.decisions.crossings;
+        let Some(told) = told else {
+            if crossings.take().is_some() {
+                info!(self.log, "zones are off");
+            }
+            return;
+        };
+        let (sheet, rules) = *told;
+        accounts.follow(&sheet);
+        info!(self.log, "zones are on"; "file" => &sheet.file, "limits" => rules.limits.len());
+        match crossings {
+            Some(zones) => zones.change(now, rules),
+            None => {
+                let mut zones = Zones::new(terms, rules, *seed);
+                let form = ListForm::Whole;
+                let entries = self.pools.entries();
+                zones.heard(now, &Event::Hosts { form, entries });
+                *crossings = Some(zones);
+            }
+        }
+    }
+
+    fn account(&mut self, instant: Instant) {
+        let now = self.clock.moment(instant);
+        if let (Some((accounts, ..)), Some(zones)) =
+            (&mut self.accounts, &mut self.decisions.crossings)
+        {
+            accounts.advance(zones, now, instant);
+        }
+    }
+
+    fn last_account(&mut self) {
+        let now = self.clock.moment(Instant::now());
+        if let (Some((accounts, ..)), Some(zones)) =
+            (&mut self.accounts, &mut self.decisions.crossings)
+        {
+            accounts.tell(zones, now);
+        }
+    }
+
     fn longest_limit(&self) -> Duration {
         Duration::from_micros(self.pools.shared.bounds.longest_limit.0)
     }
@@ -212,6 +233,7 @@
                 }
             }
             Inbound::Journal(entry) => self.journal(now, entry),
+            Inbound::Zones(told) => self.zones(told),
             Inbound::Terminate => {
                 info!(self.log, "asked to end"; "open" => self.state.accesses.len());
                 self.state.ending.get_or_insert_with(Instant::now);
@@ -360,6 +382,8 @@
         }
         debug!(self.log, "ended"; "access" => id.access.0, "host" => format!("{:x}", hand_off.host.0),
             "ending" => ?ending, "note" => ?answer.note, "took" => took.0);
+        let came_kb = answer.body.as_ref();
+        let came_kb = came_kb.map(|body| body.bytes().len() as f64 / 1024.0);
         if ending == Ending::Done {
             self.answer(now, id.access, answer.body.map_or(Reply::Same, Reply::Done));
         }
@@ -383,6 +407,7 @@
                 waited: answer.waited,
                 link_full,
                 proven,
+                came_kb,
             }),
         );
         self.forget(id.access);
@@ -554,16 +579,6 @@
     }
 }
 
-/// What is in a queue already.
-pub fn next_now<T>(queue: &mut mpsc::Receiver<T>) -> Option<T> {
-    let mut next = std::pin::pin!(queue.recv());
-    let mut context = std::task::Context::from_waker(std::task::Waker::noop());
-    match next.as_mut().poll(&mut context) {
-        std::task::Poll::Ready(order) => order,
-        std::task::Poll::Pending => None,
-    }
-}
-
 /// Resident memory with its peak, descriptors and processor time, as the system tells them.
 fn process_figures() -> String {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -1,12 +1,12 @@
 //! One connection to a host: RESP, requests pipelined and answered in any order.
 
 use crate::checks::{count, must};
-use crate::dispatch::{Inbound, next_now};
 use crate::held::{Held, Parcel};
+use crate::messages::*;
 use crate::msgpack::Fault;
 use crate::resp;
 use crate::ring::Ring;
-use crate::servers::{Answer, FromServer, HandOffId, LineId, Sending, Shared, ToServer};
+use crate::servers::Shared;
 use local_channel::mpsc;
 use slog::{info, warn};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -1,8 +1,8 @@
 //! The journal service: the changes of the host list and the purges, each told once and in order.
 
 use crate::checks::{Counts, count, must};
-use crate::dispatch::{Inbound, Queue};
 use crate::http::Response;
+use crate::messages::*;
 use crate::sse::Events;
 use local_channel::mpsc;
 use serde_json::Value;
@@ -41,35 +41,6 @@
     }
 }
 
-/// A host as the list names it, with where it is reached.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Member {
-    pub entry: HostEntry,
-    pub name: Rc<str>,
-    pub address: SocketAddr,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change {
-    Hosts {
-        form: ListForm,
-        members: Vec<Member>,
-        /// Members that can't be read, which are passed over.
-        unread: usize,
-    },
-    Purged {
-        object: Option<ObjectId>,
-        group: GroupId,
-        at: Moment,
-    },
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    pub pos: u64,
-    pub change: Change,
-}
-
 /// An object by its 16 hex digits.
 pub fn object_id(text: &str) -> Option<ObjectId> {
     let hex = text.len() <= 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -1,20 +1,25 @@
 //! A trailproxy dispatcher on sockets: clients in, cache hosts out, the journal service beside.
 
+mod accounts;
 mod checks;
 mod clients;
 mod dispatch;
 mod http;
 mod link;
 mod list;
+mod messages;
+mod operator;
 mod places;
 mod servers;
 mod sse;
 mod startup;
 
+use accounts::Accounts;
 use checks::Counts;
-use dispatch::{Clock, Dispatch, Inbound};
+use dispatch::Dispatch;
 use held::Held;
 use local_channel::mpsc;
+use messages::{Clock, Inbound};
 use serde_json::Value;
 use servers::Pools;
 use slog::{Drain, Logger, info, o, warn};
@@ -26,6 +31,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 use trailproxy::logic::Dispatcher;
 use trailproxyd::{held, msgpack, resp, ring};
 
@@ -44,6 +50,8 @@
   RELAY_CONFIG  path of the configuration, JSON; needed
   RELAY_LISTEN  address and port for clients; else `listen` in the configuration
   RELAY_NAME    its name in the log; else `name` in the configuration
+  RELAY_OPERATOR  path of the operator's own file; else `operator` in the configuration; needs none
+  RELAY_READER  the program that reads it; else `trailproxy` beside this one
 
 SIGHUP reads the configuration again; SIGTERM and SIGINT end it once all is answered.
 Exit codes: 0 after a signal; 1 where it can't start; 2 for arguments that it does not take.";
@@ -106,6 +114,14 @@
 }
 
 async fn serve(start: Start, log: Logger) -> Result<(), String> {
+    let names = trailproxy_zones::decide::sheet::Names {
+        zones: start.bounds.zone_names.clone(),
+        tracks: start.bounds.track_names.clone(),
+    };
+    let told = match &start.operator {
+        Some(source) => source.read(&names).await?,
+        None => None,
+    };
     let listen = start.listen;
     let listener = bind(start.listen).map_err(|e| format!("can't listen on {listen}: {e}"))?;
     let (queue, inbound) = mpsc::channel();
@@ -139,9 +155,15 @@
     let mut hangup =
         signal(SignalKind::hangup()).map_err(|e| format!("signals can't be heard: {e}"))?;
     let (mut file, noted) = (start.file, log.clone());
+    let (known, again) = (names.clone(), queue.clone());
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
-            read_again(&mut file, &moved, &noted);
+            if let Some(source) = read_again(&mut file, &moved, &noted) {
+                match source.read(&known).await {
+                    Ok(told) => drop(again.send(Inbound::Zones(told))),
+                    Err(why) => warn!(noted, "operator's file refused"; "why" => why),
+                }
+            }
         }
     });
     let asked = queue.clone();
@@ -162,7 +184,14 @@
         .iter()
         .map(|track| track.effect)
         .collect();
-    let decisions = Dispatcher::new(start.terms, start.seed);
+    let accounts = Accounts::new(
+        names,
+        start.name,
+        Clock::new().moment(Instant::now()),
+        log.clone(),
+    );
+    let terms = start.terms.clone();
+    let decisions = Dispatcher::with(None, start.terms, start.seed);
     let most_lines = start.descriptors.saturating_sub(most_clients + RESERVE);
     let pools = Pools::new(Rc::new(servers::Shared {
         queue,
@@ -174,7 +203,10 @@
         counts,
         log,
     }));
-    let dispatch = Dispatch::new(decisions, pools, start.link_full_at, effects);
+    let mut dispatch = Dispatch::new(decisions, pools, start.link_full_at, effects);
+    // Its points in the budgets are drawn apart from the decisions' own chance.
+    dispatch.accounts = Some((accounts, terms, !start.seed));
+    dispatch.zones(told);
     dispatch
         .run(start.known, inbound, move || accepting.abort())
         .await;
@@ -182,11 +214,18 @@
 }
 
 /// What a new file says of the journal service holds at once; what else it changes needs a new start.
-/// One that can't be read changes nothing.
-fn read_again(file: &mut Value, moved: &mpsc::Sender<list::Moved>, log: &Logger) {
+/// One that can't be read changes nothing. What comes back is the operator's own file, to be read again as well.
+fn read_again(
+    file: &mut Value,
+    moved: &mpsc::Sender<list::Moved>,
+    log: &Logger,
+) -> Option<operator::Source> {
     let start = match startup::read() {
         Ok(start) => start,
-        Err(why) => return warn!(log, "new configuration refused"; "why" => why),
+        Err(why) => {
+            warn!(log, "new configuration refused"; "why" => why);
+            return None;
+        }
     };
     let changed = |name: &&str| file.get(name) != start.file.get(name);
     let fixed = ["settings", "limits", "listen", "name"].into_iter();
@@ -198,6 +237,7 @@
         address: start.journal,
         known: start.known,
     });
+    start.operator
 }
 
 fn bind(listen: std::net::SocketAddr) -> std::io::Result<TcpListener> {
--- /dev/null
+++ b/crates/trailproxyd/src/messages.rs
@@ -0,0 +1,235 @@
+//! What the parts say to each other, below all of them: clients, hosts and the journal service to the one task that
+//! has the decisions, and back. No wire words here.
+
+use crate::held::Parcel;
+use crate::operator::Told;
+use local_channel::mpsc;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use trailproxy::interface::*;
+use trailproxy::units::*;
+
+pub type Queue = mpsc::Sender<Inbound>;
+
+/// All that can happen to the dispatcher.
+pub enum Inbound {
+    Client(FromClient),
+    Server(FromServer),
+    Journal(Entry),
+    /// The operator's file was read again: what it says of traffic between zones now.
+    Zones(Told),
+    /// Asked to end: whatever is open is finished first.
+    Terminate,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClientId(pub u64);
+
+/// One request of a client, by its connection and its number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId {
+    pub client: ClientId,
+    pub number: u32,
+}
+
+/// A request as a client words it.
+pub struct Call {
+    pub id: CallId,
+    pub come: Instant,
+    pub reference: Rc<str>,
+    pub left: Span,
+    pub track: TrackId,
+    pub object: ObjectId,
+    pub object_text: String,
+    pub group: GroupId,
+    pub part: u32,
+    pub size_kb: Option<f64>,
+    pub mark: Option<String>,
+    pub held_tag: Option<String>,
+    pub body: Vec<u8>,
+}
+
+pub enum FromClient {
+    Opened(ClientId, mpsc::Sender<ToClient>),
+    Called(Call),
+    Revoked(CallId),
+    Closed(ClientId),
+}
+
+pub enum Reply {
+    Done(Parcel),
+    /// The copy that the client holds is the one that would be served.
+    Same,
+    Rejected {
+        come_back: Option<Span>,
+    },
+    Aborted,
+}
+
+pub enum ToClient {
+    Reply(u32, Reply),
+    /// Nothing more comes: flush, half-close, read to the end.
+    Finish,
+    /// Its place is wanted: it ends unless something has come by now.
+    GiveWay,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LineId(pub u64);
+
+/// One hand-off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HandOffId {
+    pub access: AccessId,
+    pub no: HandOffNo,
+}
+
+/// What goes to a host.
+pub struct Sending {
+    pub id: HandOffId,
+    pub host: HostId,
+    pub call: Rc<Call>,
+    pub track: Rc<str>,
+    pub fill: Option<Fill>,
+    /// The name of another host that fills a miss.
+    pub source: Option<Rc<str>>,
+    /// Until then an answer is of use: told with the request in milliseconds.
+    pub limit: Instant,
+    /// Rule 2: what may have run before may go out again only until then.
+    pub begin_by: Option<Instant>,
+    /// Connections on which the same id has gone out before.
+    pub avoid: Vec<LineId>,
+}
+
+impl Sending {
+    /// Whether it is too late for its first byte.
+    pub fn is_late(&self, now: Instant) -> bool {
+        self.begin_by.is_some_and(|by| by <= now)
+    }
+}
+
+pub struct Answer {
+    pub ending: Ending,
+    pub note: Note,
+    pub waited: Option<Span>,
+    pub report: Vec<f64>,
+    /// The bytes where it is done; `None`: the client's copy is the one.
+    pub body: Option<Parcel>,
+}
+
+impl Answer {
+    pub fn bare(ending: Ending) -> Answer {
+        Answer {
+            ending,
+            note: Note::Untold,
+            waited: None,
+            report: vec![],
+            body: None,
+        }
+    }
+}
+
+pub enum FromServer {
+    Dialled {
+        host: HostId,
+        line: LineId,
+        stream: Option<TcpStream>,
+        refused: bool,
+    },
+    Ended {
+        id: HandOffId,
+        host: HostId,
+        line: Option<LineId>,
+        answer: Answer,
+    },
+    /// Nothing new is to go there: it is about to close, or nothing came from it for longer than a
+    /// dial may take, though it owed an answer.
+    Unfit {
+        host: HostId,
+        line: LineId,
+    },
+    Closed {
+        host: HostId,
+        line: LineId,
+    },
+}
+
+pub enum ToServer {
+    Send(Sending),
+    /// Given up: a KILL goes out if the request has.
+    Kill(HandOffId),
+    /// Dropped if not a byte of it is written, else left alone.
+    Recall(HandOffId),
+    /// Nothing new comes.
+    Retire,
+    /// The process behind it is gone.
+    Break,
+}
+
+/// A host as the list names it, with where it is reached.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub entry: HostEntry,
+    pub name: Rc<str>,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Hosts {
+        form: ListForm,
+        members: Vec<Member>,
+        /// Members that can't be read, which are passed over.
+        unread: usize,
+    },
+    Purged {
+        object: Option<ObjectId>,
+        group: GroupId,
+        at: Moment,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub pos: u64,
+    pub change: Change,
+}
+
+/// Unix time, anchored once to the monotonic clock.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix_us: u64,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        Clock {
+            start: Instant::now(),
+            unix_us: unix.map_or(0, |since| since.as_micros() as u64),
+        }
+    }
+
+    pub fn moment(&self, at: Instant) -> Moment {
+        let since = at.saturating_duration_since(self.start);
+        Moment(self.unix_us + since.as_micros() as u64)
+    }
+
+    pub fn instant(&self, at: Moment) -> Instant {
+        self.start + Duration::from_micros(at.since(Moment(self.unix_us)).0)
+    }
+}
+
+/// What is in a queue already.
+pub fn next_now<T>(queue: &mut mpsc::Receiver<T>) -> Option<T> {
+    let mut next = std::pin::pin!(queue.recv());
+    let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+    match next.as_mut().poll(&mut context) {
+        std::task::Poll::Ready(order) => order,
+        std::task::Poll::Pending => None,
+    }
+}
--- /dev/null
+++ b/crates/trailproxyd/src/operator.rs
@@ -0,0 +1,115 @@
+//! The operator's own file. The script is run by `trailproxy`, a process beside this one, which hands its checked
+//! sections on as JSON: a script that runs long or grows large costs that process, and no access waits for it.
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::process::Command;
+use tokio::time::timeout;
+use trailproxy_zones::Rules;
+use trailproxy_zones::decide::sheet::{Names, Sheet};
+
+/// A reader that says nothing for so long is ended.
+const WITHIN: Duration = Duration::from_secs(5);
+/// More is no answer of a reader, nor a file of sections.
+const MOST_BYTES: u64 = 4 << 20;
+const MOST_WORDS: u64 = 16 << 10;
+
+/// Where the file is, and the program that reads scripts. A file that ends in `.json` holds what such a program
+/// said, and is taken as it is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    pub path: PathBuf,
+    pub reader: PathBuf,
+}
+
+pub type Told = Option<Box<(Sheet, Rules)>>;
+
+impl Source {
+    /// From `RELAY_OPERATOR` and `RELAY_READER`, or else `operator` in the configuration; `None`: there is no such file.
+    pub fn of(json: &Value, variable: impl Fn(&str) -> Option<String>) -> Option<Source> {
+        let told = json.get("operator").and_then(Value::as_str);
+        let path = variable("RELAY_OPERATOR").or(told.map(str::to_owned))?;
+        let beside = || Some(std::env::current_exe().ok()?.parent()?.join("trailproxy"));
+        let reader = variable("RELAY_READER").map(PathBuf::from).or_else(beside);
+        Some(Source {
+            path: path.into(),
+            reader: reader.unwrap_or_else(|| "trailproxy".into()),
+        })
+    }
+
+    /// What the file says; the message names file, line and field of what does not fit.
+    pub async fn read(&self, names: &Names) -> Result<Told, String> {
+        let path = self.path.display();
+        let text = match self.path.extension().is_some_and(|end| end == "json") {
+            true => of_file(&self.path).map_err(|e| format!("{path} can't be read: {e}"))?,
+            false => self.run().await?,
+        };
+        let sheet: Option<Sheet> = serde_json::from_slice(&text)
+            .map_err(|e| format!("{path}: found no sections ({e})"))?;
+        let Some(sheet) = sheet.filter(|sheet| sheet.on) else {
+            return Ok(None);
+        };
+        let rules = sheet.resolve(names).map_err(|unfit| unfit.to_string())?;
+        Ok(Some(Box::new((sheet, rules))))
+    }
+
+    async fn run(&self) -> Result<Vec<u8>, String> {
+        let reader = self.reader.display();
+        let mut child = Command::new(&self.reader)
+            .args(["zones", "sheet"])
+            .arg(&self.path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| {
+                format!(
+                    "{reader}, which reads {}, can't be started: {e}",
+                    self.path.display()
+                )
+            })?;
+        let (said, complained) = (child.stdout.take(), child.stderr.take());
+        let whole = async {
+            let (said, complained) =
+                tokio::join!(all(said, MOST_BYTES), all(complained, MOST_WORDS));
+            (child.wait().await, said, complained)
+        };
+        let ended = timeout(WITHIN, whole).await;
+        let (status, said, complained) = ended.map_err(|_| {
+            format!(
+                "{reader} said nothing of {} within {WITHIN:?}",
+                self.path.display()
+            )
+        })?;
+        if !status.is_ok_and(|status| status.success()) {
+            let words = String::from_utf8_lossy(&complained);
+            let words = words.trim().trim_start_matches("trailproxy: ");
+            return Err(match words {
+                "" => format!("{reader} failed on {}", self.path.display()),
+                words => words.to_owned(),
+            });
+        }
+        Ok(said)
+    }
+}
+
+fn of_file(path: &Path) -> std::io::Result<Vec<u8>> {
+    use std::io::Read;
+    let mut text = Vec::new();
+    std::fs::File::open(path)?
+        .take(MOST_BYTES)
+        .read_to_end(&mut text)?;
+    Ok(text)
+}
+
+async fn all(from: Option<impl AsyncRead + Unpin>, most: u64) -> Vec<u8> {
+    let mut text = Vec::new();
+    if let Some(from) = from {
+        let _ = from.take(most).read_to_end(&mut text).await;
+    }
+    text
+}
--- a/crates/trailproxyd/src/places.rs
+++ b/crates/trailproxyd/src/places.rs
@@ -1,6 +1,6 @@
 //! The places that clients hold: how each is used, and who gives one up to a newcomer.
 
-use crate::clients::{ClientId, ToClient};
+use crate::messages::{ClientId, ToClient};
 use local_channel::mpsc;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -1,11 +1,9 @@
 //! Cache hosts, parents and the origin: RESP over pools of connections, a pool a host.
 
 use crate::checks::{Counts, count, must};
-use crate::clients::Call;
-use crate::dispatch::{Clock, Inbound, Queue};
-use crate::held::{Held, Parcel};
+use crate::held::Held;
 use crate::link::Link;
-use crate::list::Member;
+use crate::messages::*;
 use local_channel::mpsc;
 use slog::Logger;
 use std::collections::{BTreeMap, VecDeque};
@@ -22,98 +20,6 @@
 /// with one spoilt answer; fewer leave connections idle, which hosts close, and new ones are less sure.
 const TOGETHER: usize = 2;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct LineId(pub u64);
-
-/// One hand-off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HandOffId {
-    pub access: AccessId,
-    pub no: HandOffNo,
-}
-
-/// What goes to a host.
-pub struct Sending {
-    pub id: HandOffId,
-    pub host: HostId,
-    pub call: Rc<Call>,
-    pub track: Rc<str>,
-    pub fill: Option<Fill>,
-    /// The name of another host that fills a miss.
-    pub source: Option<Rc<str>>,
-    /// Until then an answer is of use: told with the request in milliseconds.
-    pub limit: Instant,
-    /// Rule 2: what may have run before may go out again only until then.
-    pub begin_by: Option<Instant>,
-    /// Connections on which the same id has gone out before.
-    pub avoid: Vec<LineId>,
-}
-
-impl Sending {
-    /// Whether it is too late for its first byte.
-    pub fn is_late(&self, now: Instant) -> bool {
-        self.begin_by.is_some_and(|by| by <= now)
-    }
-}
-
-pub struct Answer {
-    pub ending: Ending,
-    pub note: Note,
-    pub waited: Option<Span>,
-    pub report: Vec<f64>,
-    /// The bytes where it is done; `None`: the client's copy is the one.
-    pub body: Option<Parcel>,
-}
-
-impl Answer {
-    pub fn bare(ending: Ending) -> Answer {
-        Answer {
-            ending,
-            note: Note::Untold,
-            waited: None,
-            report: vec![],
-            body: None,
-        }
-    }
-}
-
-pub enum FromServer {
-    Dialled {
-        host: HostId,
-        line: LineId,
-        stream: Option<TcpStream>,
-        refused: bool,
-    },
-    Ended {
-        id: HandOffId,
-        host: HostId,
-        line: Option<LineId>,
-        answer: Answer,
-    },
-    /// Nothing new is to go there: it is about to close, or nothing came from it for longer than a
-    /// dial may take, though it owed an answer.
-    Unfit {
-        host: HostId,
-        line: LineId,
-    },
-    Closed {
-        host: HostId,
-        line: LineId,
-    },
-}
-
-pub enum ToServer {
-    Send(Sending),
-    /// Given up: a KILL goes out if the request has.
-    Kill(HandOffId),
-    /// Dropped if not a byte of it is written, else left alone.
-    Recall(HandOffId),
-    /// Nothing new comes.
-    Retire,
-    /// The process behind it is gone.
-    Break,
-}
-
 /// One connection, as its pool knows it.
 struct Line {
     id: LineId,
@@ -240,6 +146,11 @@
         pool.is_some_and(|pool| pool.member.entry.state == HostState::Ready)
     }
 
+    /// All hosts as the list told them last.
+    pub fn entries(&self) -> Vec<HostEntry> {
+        self.pools.values().map(|pool| pool.member.entry).collect()
+    }
+
     /// The name by which a host is known to others.
     pub fn name(&self, host: HostId) -> Option<Rc<str>> {
         self.pools.get(&host).map(|pool| pool.member.name.clone())
--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -1,6 +1,8 @@
 //! What a dispatcher is told when it starts: the RELAY_ variables and the JSON file they name.
 
-use crate::list::{Entry, Names};
+use crate::list::Names;
+use crate::messages::Entry;
+use crate::operator::Source;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,6 +26,8 @@
     pub link_full_at: Option<usize>,
     pub bounds: Bounds,
     pub names: Rc<Names>,
+    /// The operator's own file, where there is one.
+    pub operator: Option<Source>,
     /// All of the file, to tell what a later one changes.
     pub file: Value,
 }
@@ -93,6 +97,7 @@
         link_full_at,
         bounds,
         names: Rc::new(names),
+        operator: Source::of(json, variable),
         file: json.clone(),
     })
 }
--- /dev/null
+++ b/crates/zones-tools/src/decide/mod.rs
@@ -0,0 +1,3 @@
+//! What a link and a reserve must be.
+
+pub mod plan;
--- /dev/null
+++ b/crates/zones-tools/src/log.rs
@@ -0,0 +1,20 @@
+//! Reports of traffic between zones, out of a dispatcher's log.
+
+use trailproxy_zones::report::Report;
+
+/// The reports in a dispatcher's log, and how many could not be read.
+pub fn of_log(log: &str) -> (Vec<Report>, usize) {
+    let (mut reports, mut unread) = (Vec::new(), 0);
+    for line in log.lines() {
+        let Some(at) = line.find("{\"dispatcher\":") else {
+            continue;
+        };
+        // What a log adds after it does not matter.
+        let mut read = serde_json::Deserializer::from_str(&line[at..]).into_iter::<Report>();
+        match read.next() {
+            Some(Ok(report)) => reports.push(report),
+            _ => unread += 1,
+        }
+    }
+    (reports, unread)
+}
--- /dev/null
+++ b/crates/zones/src/decide/memory.rs
@@ -0,0 +1,230 @@
+//! What was seen of objects, hosts and purges, as far as it says why something crosses. Bounded throughout.
+
+use crate::decide::account::{Cause, Tier};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use trailproxy::interface::*;
+use trailproxy::units::*;
+
+/// Parts remembered in each of two generations: the older one is dropped when the newer is full.
+const PARTS: usize = 20_000;
+const PURGES: usize = 4_096;
+/// A purge explains refills for so long, and a gone host.
+const EXPLAINS: Span = Span::from_secs(60);
+/// Renewals come from this part of the fresh time on.
+const RENEWS_FROM: f64 = 0.75;
+
+/// Why something crosses, with its evidence.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Why {
+    pub cause: Cause,
+    pub lost: Option<HostId>,
+    pub purge: Option<u64>,
+}
+
+impl Why {
+    pub fn of(cause: Cause) -> Why {
+        Why {
+            cause,
+            lost: None,
+            purge: None,
+        }
+    }
+}
+
+/// A part of an object at a cache.
+pub type Way = (HostId, ObjectId, u32);
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    host: HostId,
+    filled: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    tier: Tier,
+    state: HostState,
+    started: Option<Moment>,
+    /// When it left the list.
+    left: Moment,
+    /// Since when it fails what it is asked; `None`: it answered last.
+    failing: Option<Moment>,
+}
+
+#[derive(Debug)]
+pub struct Memory {
+    parent_kind: Option<KindId>,
+    origin_kind: Option<KindId>,
+    newer: BTreeMap<(ObjectId, u32), Seen>,
+    older: BTreeMap<(ObjectId, u32), Seen>,
+    hosts: BTreeMap<HostId, Known>,
+    purges: BTreeMap<(GroupId, Option<ObjectId>), Moment>,
+    purge_order: VecDeque<(Moment, (GroupId, Option<ObjectId>))>,
+    filling: BTreeSet<Way>,
+}
+
+impl Memory {
+    pub fn new(parent_kind: Option<KindId>, origin_kind: Option<KindId>) -> Memory {
+        Memory {
+            parent_kind,
+            origin_kind,
+            newer: BTreeMap::new(),
+            older: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            purges: BTreeMap::new(),
+            purge_order: VecDeque::new(),
+            filling: BTreeSet::new(),
+        }
+    }
+
+    pub fn kept(&self) -> usize {
+        self.newer.len()
+            + self.older.len()
+            + self.hosts.len()
+            + self.purges.len()
+            + self.filling.len()
+    }
+
+    pub fn list(&mut self, now: Moment, form: ListForm, entries: &[HostEntry]) {
+        let gone = |known: &mut Known| {
+            if known.state != HostState::Gone {
+                (known.state, known.left) = (HostState::Gone, now);
+            }
+        };
+        if form == ListForm::Whole {
+            self.hosts.values_mut().for_each(gone);
+        }
+        for entry in entries {
+            let tier = match Some(entry.kind) {
+                kind if kind == self.parent_kind => Tier::Parent,
+                kind if kind == self.origin_kind => Tier::Origin,
+                _ => Tier::Cache,
+            };
+            let known = self.hosts.entry(entry.host).or_insert(Known {
+                tier,
+                state: entry.state,
+                started: entry.started,
+                left: now,
+                failing: None,
+            });
+            if known.started != entry.started {
+                known.failing = None;
+            }
+            if entry.state == HostState::Gone {
+                gone(known);
+            }
+            (known.tier, known.state, known.started) = (tier, entry.state, entry.started);
+        }
+        self.hosts
+            .retain(|_, known| known.state != HostState::Gone || now.since(known.left) < EXPLAINS);
+    }
+
+    pub fn tier(&self, host: HostId) -> Tier {
+        self.hosts
+            .get(&host)
+            .map_or(Tier::Parent, |known| known.tier)
+    }
+
+    pub fn purged(&mut self, at: Moment, object: Option<ObjectId>, group: GroupId) {
+        let group = object.map_or(group, |_| GroupId::default());
+        let key = (group, object);
+        let known = self.purges.entry(key).or_default();
+        if at <= *known {
+            return;
+        }
+        *known = at;
+        self.purge_order.push_back((at, key));
+        while let Some(&(told, key)) = self.purge_order.front() {
+            let old = at.since(told) >= EXPLAINS || self.purge_order.len() > PURGES;
+            if !old {
+                break;
+            }
+            self.purge_order.pop_front();
+            // One that was purged again since stands further back, too.
+            if self.purges.get(&key) == Some(&told) {
+                self.purges.remove(&key);
+            }
+        }
+    }
+
+    fn seen(&self, part: (ObjectId, u32)) -> Option<Seen> {
+        self.newer.get(&part).or(self.older.get(&part)).copied()
+    }
+
+    pub fn why(&self, now: Moment, crossing: &Crossing, fresh: Option<Span>) -> Why {
+        let Some(seen) = self.seen((crossing.asked.object, crossing.asked.part)) else {
+            return Why::of(Cause::First);
+        };
+        let (object, group) = (crossing.asked.object, crossing.asked.group);
+        let own = self.purges.get(&(GroupId::default(), Some(object)));
+        let whole = self.purges.get(&(group, None));
+        let since = |purge: &&Moment| **purge >= seen.filled && now.since(**purge) < EXPLAINS;
+        let of_own = own.filter(since).map(|_| object.0);
+        if let Some(purge) = of_own.or(whole.filter(since).map(|_| u64::from(group.0))) {
+            return Why {
+                purge: Some(purge),
+                ..Why::of(Cause::Purge)
+            };
+        }
+        // The cache that had it is gone, fails, or is another process now.
+        let had = self.hosts.get(&seen.host);
+        let lost = match had {
+            None => true,
+            Some(had) if had.state != HostState::Ready => true,
+            Some(had) if had.started.is_some_and(|at| at >= seen.filled) => true,
+            Some(had) => seen.host != crossing.host && had.failing.is_some(),
+        };
+        if lost {
+            return Why {
+                lost: Some(seen.host),
+                ..Why::of(Cause::HostLost)
+            };
+        }
+        let aged = fresh.is_some_and(|fresh| now.since(seen.filled) >= fresh.times(RENEWS_FROM));
+        Why::of(match (crossing.hand_off.0 > 0, aged) {
+            (true, _) => Cause::Retry,
+            (_, true) => Cause::Renewal,
+            _ => Cause::Unknown,
+        })
+    }
+
+    pub fn filling(&self, way: Way) -> bool {
+        self.filling.contains(&way)
+    }
+
+    /// It goes out; `fills`: it is the own hand-off that others join.
+    pub fn sent(&mut self, _now: Moment, way: Way, fills: bool) {
+        if fills {
+            self.filling.insert(way);
+        }
+    }
+
+    pub fn ended(&mut self, now: Moment, way: Way, ending: Ending, filled: bool, filler: bool) {
+        if filler {
+            self.filling.remove(&way);
+        }
+        let (host, object, part) = way;
+        if let Some(known) = self.hosts.get_mut(&host) {
+            match ending {
+                Ending::Done | Ending::Missed | Ending::Full => known.failing = None,
+                Ending::NoConnection | Ending::Lost | Ending::TimedOut | Ending::Withdrawn => {
+                    known.failing.get_or_insert(now);
+                }
+                Ending::Error | Ending::NotSent => {}
+            }
+        }
+        if ending != Ending::Done {
+            return;
+        }
+        let before = self.seen((object, part));
+        let fresh = Seen { host, filled: now };
+        let seen = match before {
+            Some(before) if !filled && before.host == host => before,
+            _ => fresh,
+        };
+        if self.newer.len() >= PARTS {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.insert((object, part), seen);
+    }
+}
--- /dev/null
+++ b/crates/zones/src/decide/mod.rs
@@ -0,0 +1,490 @@
+//! Why something crosses, what it is expected to cost, and what it turns out to have cost.
+
+pub mod account;
+pub mod budget;
+pub mod memory;
+pub mod merge;
+pub mod rise;
+pub mod sheet;
+
+use account::{Account, Cause, Key, Moved};
+use budget::{Budget, Class, Learner, Limit};
+use memory::{Memory, Why};
+use rise::{Alarm, Part, Rise, Watch};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use trailproxy::interface::*;
+use trailproxy::units::*;
+
+/// What the operator sets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    pub limits: Vec<Limit>,
+    /// Tracks that go first beside the written, fingerprinted and binding ones.
+    pub first: Vec<TrackId>,
+    pub alarm: Option<Alarm>,
+    pub report_every: Span,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            limits: Vec::new(),
+            first: Vec::new(),
+            alarm: Some(Alarm::default()),
+            report_every: Span::from_secs(10),
+        }
+    }
+}
+
+/// How much the newest outcome counts in the share of accesses that crossed.
+const GAIN: f64 = 0.03;
+/// What one answer takes beside its sending, where only its time tells a hit from a fill.
+const HOP: Span = Span::from_millis(40);
+/// Ways that are watched; traffic is booked for all.
+const MOST_WATCHED: usize = 64;
+/// Rises kept until they are taken.
+const MOST_TOLD: usize = 64;
+
+/// One hand-off that may cross and is not over.
+#[derive(Debug)]
+struct Flying {
+    crossing: Crossing,
+    why: Why,
+    expected: f64,
+    charged: Vec<(usize, budget::From)>,
+    sent: Moment,
+    joined: bool,
+    left: bool,
+}
+
+struct OfTrack {
+    class: Class,
+    written: bool,
+    fresh: Option<Span>,
+}
+
+/// Account, budgets and watches of one dispatcher.
+pub struct Zones {
+    zone: ZoneId,
+    seats: Vec<u32>,
+    dispatchers: u32,
+    notes: NoteLevel,
+    flow_kb_per_s: f64,
+    tracks: Vec<OfTrack>,
+    rules: Rules,
+    chance: fastrand::Rng,
+    budgets: Vec<Budget>,
+    learners: Vec<Learner>,
+    account: Account,
+    memory: Memory,
+    flying: BTreeMap<(AccessId, HandOffNo), Flying>,
+    /// The share of accesses that crossed, by track and cause.
+    crossed: Vec<[f64; Cause::ALL.len()]>,
+    watches: BTreeMap<(ZoneId, ZoneId), Watch>,
+    told: Vec<Rise>,
+    /// What was turned away since time last passed, each access once.
+    refused: RefCell<Vec<(Crossing, f64, Why)>>,
+    last_refused: Cell<Option<AccessId>>,
+    turned_away: RefCell<Vec<(u64, f64)>>,
+}
+
+/// How likely something crosses before any was seen.
+fn first_guess(cause: Cause) -> f64 {
+    match cause {
+        Cause::Written | Cause::Straight => 1.0,
+        Cause::First => 0.7,
+        Cause::Purge | Cause::HostLost => 0.9,
+        Cause::Renewal => 0.8,
+        Cause::Retry | Cause::Waste => 0.5,
+        Cause::Unknown => 0.2,
+    }
+}
+
+impl Zones {
+    /// `terms` as the decisions have them; the seed draws this dispatcher's points in its budgets.
+    pub fn new(terms: &Terms, rules: Rules, seed: u64) -> Zones {
+        let of_track = |track: &Track| OfTrack {
+            class: class_of(track),
+            written: track.written,
+            fresh: track.fresh,
+        };
+        let mut zones = Zones {
+            zone: terms.zone,
+            seats: terms.seats.clone(),
+            dispatchers: terms.dispatchers,
+            notes: terms.notes,
+            flow_kb_per_s: terms.flow_kb_per_s,
+            tracks: terms.tracks.iter().map(of_track).collect(),
+            chance: fastrand::Rng::with_seed(seed),
+            budgets: Vec::new(),
+            learners: Vec::new(),
+            account: Account::default(),
+            memory: Memory::new(terms.parent_kind, terms.origin_kind),
+            flying: BTreeMap::new(),
+            crossed: vec![Cause::ALL.map(first_guess); terms.tracks.len()],
+            watches: BTreeMap::new(),
+            told: Vec::new(),
+            refused: RefCell::default(),
+            last_refused: Cell::new(None),
+            turned_away: RefCell::new(vec![(0, 0.0); terms.tracks.len()]),
+            rules: Rules {
+                limits: Vec::new(),
+                ..rules.clone()
+            },
+        };
+        zones.change(Moment(0), rules);
+        zones
+    }
+
+    /// Other rules in place of these. Counts, debts and what is under way stay; a limit is the same by its name.
+    pub fn change(&mut self, now: Moment, rules: Rules) {
+        for (nth, track) in (0..).zip(&mut self.tracks) {
+            if rules.first.contains(&TrackId(nth)) {
+                track.class = Class::First;
+            }
+        }
+        let mut old: Vec<Option<Budget>> = std::mem::take(&mut self.budgets)
+            .into_iter()
+            .map(Some)
+            .collect();
+        let before: Vec<Option<String>> = old
+            .iter()
+            .map(|budget| budget.as_ref().map(|budget| budget.limit.name.clone()))
+            .collect();
+        for limit in &rules.limits {
+            let seats = self.seats.get(usize::from(limit.to.0)).copied();
+            let dispatchers = f64::from(seats.unwrap_or(self.dispatchers).max(1));
+            let same = before
+                .iter()
+                .position(|name| name.as_ref() == Some(&limit.name));
+            let kept = same.and_then(|nth| old[nth].take());
+            let ways =
+                |budget: &Budget| (budget.limit.from, budget.limit.to) == (limit.from, limit.to);
+            self.budgets.push(match kept.filter(ways) {
+                Some(mut budget) => {
+                    budget.advance(now);
+                    budget.change(limit.clone(), dispatchers);
+                    budget
+                }
+                None => Budget::new(limit.clone(), dispatchers, now, &mut self.chance),
+            });
+        }
+        // A charge that is under way goes on with its limit, or is free of it.
+        let place = |nth: usize| {
+            let name = before.get(nth)?.as_deref()?;
+            rules.limits.iter().position(|limit| limit.name == name)
+        };
+        for flying in self.flying.values_mut() {
+            let moved = flying
+                .charged
+                .iter()
+                .filter_map(|&(nth, from)| Some((place(nth)?, from)));
+            flying.charged = moved.collect();
+        }
+        self.learners = rules.limits.iter().map(|_| Learner::default()).collect();
+        self.rules = rules;
+    }
+
+    pub fn rules(&self) -> &Rules {
+        &self.rules
+    }
+
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+
+    pub fn budgets(&self) -> &[Budget] {
+        &self.budgets
+    }
+
+    /// Accesses that found no room, by track, and the KB they were expected to move.
+    pub fn turned_away(&self) -> Vec<(u64, f64)> {
+        self.turned_away.borrow().clone()
+    }
+
+    /// KB expected of what is under way.
+    pub fn under_way_kb(&self) -> f64 {
+        self.flying.values().map(|flying| flying.expected).sum()
+    }
+
+    /// What it keeps, for a check that nothing grows: hand-offs, objects, purges and hosts.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.flying.len(), self.memory.kept())
+    }
+
+    /// Lets time pass, and takes what is to be told.
+    pub fn advance(&mut self, now: Moment) -> Vec<Rise> {
+        self.account.advance(now);
+        self.budgets
+            .iter_mut()
+            .for_each(|budget| budget.advance(now));
+        for nth in 0..self.budgets.len() {
+            let budget = &mut self.budgets[nth];
+            let Some(between) = budget.limit.learned else {
+                continue;
+            };
+            if let Some(rate) = self.learners[nth].step(now, budget.limit.kb_per_s, between) {
+                let share = budget.dispatchers();
+                let limit = Limit {
+                    kb_per_s: rate,
+                    ..budget.limit.clone()
+                };
+                budget.change(limit, share);
+            }
+        }
+        for (crossing, kb, why) in self.refused.take() {
+            self.watch(&crossing, kb, why);
+        }
+        if let Some(alarm) = self.rules.alarm {
+            for (&(from, to), watch) in &mut self.watches {
+                let turn = watch.advance(now, alarm);
+                let told = turn.map(|(begins, kb, usual, reason, share)| Rise {
+                    from: from.0,
+                    to: to.0,
+                    begins,
+                    kb_per_s: kb,
+                    usual_kb_per_s: usual,
+                    reason,
+                    share,
+                });
+                self.told
+                    .extend(told.filter(|_| self.told.len() < MOST_TOLD));
+            }
+        }
+        std::mem::take(&mut self.told)
+    }
+
+    fn watch(&mut self, crossing: &Crossing, kb: f64, why: Why) {
+        let way = (crossing.from, crossing.to);
+        if self.watches.contains_key(&way) || self.watches.len() < MOST_WATCHED {
+            self.watches.entry(way).or_default().add(Part {
+                kb,
+                cause: why.cause,
+                object: crossing.asked.object,
+                lost: why.lost,
+                purge: why.purge,
+            });
+        }
+    }
+
+    fn why(&self, now: Moment, crossing: &Crossing) -> Why {
+        let track = &self.tracks[usize::from(crossing.asked.track.0)];
+        if track.written {
+            return Why::of(Cause::Written);
+        }
+        if crossing.host == crossing.source {
+            return Why::of(Cause::Straight);
+        }
+        self.memory.why(now, crossing, track.fresh)
+    }
+
+    /// KB that this is expected to move: what it may, by how often its like did.
+    fn expected(&self, crossing: &Crossing, why: Why) -> f64 {
+        let joined = self.joins(crossing);
+        let likely = self.crossed[usize::from(crossing.asked.track.0)][why.cause as usize];
+        // What was told falsely small is corrected when it has come; nothing is free.
+        let kb = if crossing.kb.is_finite() {
+            crossing.kb.max(0.0)
+        } else {
+            0.0
+        };
+        if joined { 0.0 } else { kb * likely }
+    }
+
+    /// Whether an own fill of the same part at the same cache is under way, which this one then joins.
+    fn joins(&self, crossing: &Crossing) -> bool {
+        let way = (crossing.host, crossing.asked.object, crossing.asked.part);
+        crossing.join && self.memory.filling(way)
+    }
+
+    fn concerns(limit: &Limit, crossing: &Crossing) -> bool {
+        limit.to == crossing.to && limit.from.is_none_or(|from| from == crossing.from)
+    }
+
+    fn class(&self, track: TrackId) -> Class {
+        self.tracks
+            .get(usize::from(track.0))
+            .map_or(Class::Plain, |track| track.class)
+    }
+
+    /// What came of a hand-off that might cross: KB that crossed, as far as it is told or can be inferred.
+    fn came(&self, outcome: &Outcome, flying: &Flying) -> (f64, bool) {
+        let told = flying.crossing.kb.max(0.0);
+        let kb = outcome.came_kb.unwrap_or(told);
+        let sure = flying.why.cause == Cause::Straight;
+        let alone = Span::from_secs_f64(told / self.flow_kb_per_s.max(1e-9)) + HOP;
+        match (outcome.ending, outcome.note) {
+            // Of what is written, the request crosses and not its answer.
+            (Ending::Done, _) if flying.why.cause == Cause::Written => (told, true),
+            (Ending::Done, _) if sure => (kb, true),
+            (Ending::Done, Note::Hit | Note::Stale | Note::Joined) => (0.0, true),
+            (Ending::Done, Note::Filled | Note::FilledByOrigin) => (kb, true),
+            (Ending::Done, _) if flying.joined => (0.0, false),
+            // Where hits are told, what is not one was filled.
+            (Ending::Done, _) if self.notes != NoteLevel::None => (kb, true),
+            (Ending::Done, _) => (if outcome.took > alone { kb } else { 0.0 }, false),
+            // It may go on behind: what was expected of it stays booked.
+            (Ending::Lost | Ending::TimedOut | Ending::Withdrawn, _) => (flying.expected, false),
+            _ => (0.0, false),
+        }
+    }
+
+    fn outcome(&mut self, now: Moment, outcome: &Outcome) {
+        let Some(flying) = self.flying.remove(&(outcome.id, outcome.hand_off)) else {
+            return;
+        };
+        let crossing = flying.crossing;
+        let (kb, certain) = self.came(outcome, &flying);
+        let done = outcome.ending == Ending::Done;
+        for &(nth, from) in &flying.charged {
+            self.budgets[nth].correct(from, kb - flying.expected);
+        }
+        let (track, cause) = (usize::from(crossing.asked.track.0), flying.why.cause);
+        if certain && done && !flying.joined {
+            let share = &mut self.crossed[track][cause as usize];
+            let now = if kb > 0.0 { 1.0 } else { 0.0 };
+            *share += (now - *share) * GAIN;
+        }
+        let filled = done && kb > 0.0;
+        // The watch saw what was expected when it went out.
+        self.watch(&crossing, kb - flying.expected, flying.why);
+        let way = (crossing.host, crossing.asked.object, crossing.asked.part);
+        // A hit where a refill was expected says that another dispatcher's came first.
+        let anew = filled || matches!(cause, Cause::Purge | Cause::HostLost);
+        self.memory
+            .ended(now, way, outcome.ending, anew, !flying.joined);
+        if kb <= 0.0 {
+            return;
+        }
+        let wasted = !done || flying.left;
+        let begun = outcome
+            .waited
+            .map_or(flying.sent, |waited| flying.sent + waited);
+        let key = Key {
+            from: crossing.from,
+            to: crossing.to,
+            tier: self.memory.tier(crossing.source),
+            track: crossing.asked.track,
+            cause: if wasted { Cause::Waste } else { cause },
+        };
+        let moved = Moved {
+            key,
+            kb,
+            from: begun,
+            until: now,
+        };
+        self.account.book(now, moved);
+        if filled {
+            let took = now.since(begun);
+            for (learner, budget) in self.learners.iter_mut().zip(&self.budgets) {
+                if Zones::concerns(&budget.limit, &crossing) {
+                    learner.filled(kb, took);
+                }
+            }
+        }
+    }
+}
+
+/// Orders and all that may not simply run again go first.
+pub fn class_of(track: &Track) -> Class {
+    match track.written || track.effect != Effect::Retriable {
+        true => Class::First,
+        false => Class::Plain,
+    }
+}
+
+impl Crossings for Zones {
+    fn heard(&mut self, now: Moment, event: &Event) {
+        self.budgets
+            .iter_mut()
+            .for_each(|budget| budget.advance(now));
+        match event {
+            Event::Hosts { form, entries } => self.memory.list(now, *form, entries),
+            Event::Purged { object, group, ago } => self.memory.purged(now - *ago, *object, *group),
+            Event::Outcome(outcome) => self.outcome(now, outcome),
+            Event::Left { id } => {
+                let all = (*id, HandOffNo(0))..=(*id, HandOffNo(u8::MAX));
+                self.flying
+                    .range_mut(all)
+                    .for_each(|(_, flying)| flying.left = true);
+            }
+            Event::Arrived(_) | Event::Begun { .. } | Event::Woken { .. } => {}
+        }
+    }
+
+    fn room(&self, now: Moment, crossing: &Crossing) -> bool {
+        if self.budgets.is_empty() {
+            return true;
+        }
+        let why = self.why(now, crossing);
+        let kb = self.expected(crossing, why);
+        let class = self.class(crossing.asked.track);
+        let concerned = self
+            .budgets
+            .iter()
+            .filter(|budget| Zones::concerns(&budget.limit, crossing));
+        let mut fits = true;
+        for budget in concerned {
+            if budget.room(now, class, kb).is_none() {
+                budget.turned_away(now, kb);
+                fits = false;
+            }
+        }
+        if !fits && self.last_refused.replace(Some(crossing.asked.id)) != Some(crossing.asked.id) {
+            if let Some(sum) = self
+                .turned_away
+                .borrow_mut()
+                .get_mut(usize::from(crossing.asked.track.0))
+            {
+                *sum = (sum.0 + 1, sum.1 + kb);
+            }
+            let mut refused = self.refused.borrow_mut();
+            if refused.len() < 10_000 {
+                refused.push((*crossing, kb, why));
+            }
+        }
+        fits
+    }
+
+    fn sent(&mut self, now: Moment, crossing: &Crossing) {
+        let why = self.why(now, crossing);
+        let joined = self.joins(crossing);
+        let expected = self.expected(crossing, why);
+        let class = self.class(crossing.asked.track);
+        let mut charged = Vec::new();
+        for nth in 0..self.budgets.len() {
+            let budget = &mut self.budgets[nth];
+            if Zones::concerns(&budget.limit, crossing) {
+                let from = budget
+                    .room(now, class, expected)
+                    .unwrap_or(budget::From::Common);
+                budget.charge(now, from, expected);
+                charged.push((nth, from));
+            }
+        }
+        if why.cause != Cause::Written && why.cause != Cause::Straight {
+            let way = (crossing.host, crossing.asked.object, crossing.asked.part);
+            self.memory.sent(now, way, !joined);
+        }
+        let flying = Flying {
+            crossing: *crossing,
+            why,
+            expected,
+            charged,
+            sent: now,
+            joined,
+            left: false,
+        };
+        self.watch(crossing, expected, why);
+        self.flying
+            .insert((crossing.asked.id, crossing.hand_off), flying);
+    }
+
+    fn come_back(&self, now: Moment, track: TrackId) -> Option<Span> {
+        let own = |budget: &&Budget| budget.limit.to == self.zone;
+        let plain = self.class(track) == Class::Plain;
+        let full = self.budgets.iter().filter(own).filter(|_| plain);
+        full.filter_map(|budget| budget.full_for(now)).max()
+    }
+}
--- /dev/null
+++ b/crates/zones/src/decide/sheet.rs
@@ -0,0 +1,203 @@
+//! What the operator's file says of traffic between zones, in names, and what must hold of it.
+//!
+//! The script is read by the command line, which hands it on as JSON; whoever knows the zones and tracks turns the
+//! names into ids with [`Sheet::resolve`]. Each complaint names file, line, column, section and field.
+
+use super::Rules;
+use super::budget::Limit;
+use super::rise::Alarm;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+use trailproxy::units::*;
+
+/// Line and column of each field, from 1; of the section itself under the empty name.
+pub type Places = BTreeMap<String, (usize, usize)>;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sheet {
+    pub file: String,
+    pub on: bool,
+    pub report_s: f64,
+    /// Tracks that go first beside the written, fingerprinted and binding ones.
+    pub first: Vec<String>,
+    /// A file that Prometheus text is written to; empty: none.
+    pub metrics: String,
+    pub alarm: Option<Alarm>,
+    pub places: Places,
+    pub crossings: Vec<CrossingSheet>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CrossingSheet {
+    pub name: String,
+    /// Empty: from all other zones together.
+    pub out_of: String,
+    pub into: String,
+    /// 0: it is learned.
+    pub kb_per_s: f64,
+    pub burst_kb: f64,
+    pub reserve_kb_per_s: f64,
+    pub largest_kb: f64,
+    pub least_kb_per_s: f64,
+    pub most_kb_per_s: f64,
+    pub places: Places,
+}
+
+/// What does not fit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unfit {
+    pub file: String,
+    pub place: (usize, usize),
+    pub section: &'static str,
+    pub field: &'static str,
+    pub found: String,
+    pub wanted: String,
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (line, column) = self.place;
+        write!(
+            f,
+            "{}:{line}:{column}: section {}, field {}: ",
+            self.file, self.section, self.field
+        )?;
+        write!(f, "found {}, accepted: {}", self.found, self.wanted)
+    }
+}
+
+impl std::error::Error for Unfit {}
+
+/// The zones and tracks that there are, each at the place of its id.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub tracks: Vec<String>,
+}
+
+impl Sheet {
+    fn unfit(
+        &self,
+        places: &Places,
+        at: (&'static str, &'static str),
+        found: String,
+        wanted: String,
+    ) -> Unfit {
+        let place = places
+            .get(at.1)
+            .or(places.get(""))
+            .copied()
+            .unwrap_or((1, 1));
+        let file = self.file.clone();
+        let (section, field) = at;
+        Unfit {
+            file,
+            place,
+            section,
+            field,
+            found,
+            wanted,
+        }
+    }
+
+    /// What must hold whatever zones and tracks there are.
+    pub fn check(&self) -> Result<(), Unfit> {
+        for crossing in &self.crossings {
+            let wrong = |field: &'static str, found: f64, wanted: String| {
+                Err(self.unfit(
+                    &crossing.places,
+                    ("crossing", field),
+                    found.to_string(),
+                    wanted,
+                ))
+            };
+            let learned = crossing.kb_per_s == 0.0;
+            let (least, most) = (crossing.least_kb_per_s, crossing.most_kb_per_s);
+            if learned && !(least > 0.0 && most >= least) {
+                let wanted =
+                    "a rate above 0, or 0 with least_kb_per_s above 0 and most_kb_per_s no less"
+                        .into();
+                return wrong("kb_per_s", crossing.kb_per_s, wanted);
+            }
+            let rate = if learned { least } else { crossing.kb_per_s };
+            // What a second and the burst together can't carry would wait for a free moment that never comes.
+            if crossing.largest_kb > rate + crossing.burst_kb {
+                let wanted = format!(
+                    "{} or less: what one second and the burst carry",
+                    rate + crossing.burst_kb
+                );
+                return wrong("largest_kb", crossing.largest_kb, wanted);
+            }
+            if crossing.reserve_kb_per_s > rate {
+                let wanted =
+                    format!("{rate} or less: the whole rate, or the least one where it is learned");
+                return wrong("reserve_kb_per_s", crossing.reserve_kb_per_s, wanted);
+            }
+            if crossing.out_of == crossing.into {
+                let wanted = "another zone than into".into();
+                let found = format!("{:?}", crossing.out_of);
+                return Err(self.unfit(&crossing.places, ("crossing", "out_of"), found, wanted));
+            }
+        }
+        Ok(())
+    }
+
+    /// The rules, with names as ids.
+    pub fn resolve(&self, names: &Names) -> Result<Rules, Unfit> {
+        self.check()?;
+        let among = |all: &[String], name: &str| all.iter().position(|known| known == name);
+        let zone = |crossing: &CrossingSheet, field: &'static str, name: &str| {
+            among(&names.zones, name)
+                .map(|nth| ZoneId(nth as u16))
+                .ok_or_else(|| {
+                    let wanted = format!("one of {}", names.zones.join(", "));
+                    self.unfit(
+                        &crossing.places,
+                        ("crossing", field),
+                        format!("{name:?}"),
+                        wanted,
+                    )
+                })
+        };
+        let mut rules = Rules {
+            report_every: Span::from_secs_f64(self.report_s),
+            alarm: self.alarm,
+            ..Rules::default()
+        };
+        for name in &self.first {
+            let track = among(&names.tracks, name).ok_or_else(|| {
+                let wanted = format!("names among {}", names.tracks.join(", "));
+                self.unfit(
+                    &self.places,
+                    ("zones", "first"),
+                    format!("{name:?}"),
+                    wanted,
+                )
+            })?;
+            rules.first.push(TrackId(track as u16));
+        }
+        for crossing in &self.crossings {
+            let from = match crossing.out_of.as_str() {
+                "" => None,
+                name => Some(zone(crossing, "out_of", name)?),
+            };
+            let learned = crossing.kb_per_s == 0.0;
+            let rate = if learned {
+                crossing.least_kb_per_s
+            } else {
+                crossing.kb_per_s
+            };
+            rules.limits.push(Limit {
+                name: crossing.name.clone(),
+                from,
+                to: zone(crossing, "into", &crossing.into)?,
+                kb_per_s: rate,
+                burst_kb: crossing.burst_kb,
+                reserve: crossing.reserve_kb_per_s / rate,
+                learned: learned.then_some((crossing.least_kb_per_s, crossing.most_kb_per_s)),
+            });
+        }
+        Ok(rules)
+    }
+}
--- /dev/null
+++ b/crates/zones/src/report.rs
@@ -0,0 +1,135 @@
+//! What a dispatcher tells of its account: one line a window, in names, with totals since its start.
+//!
+//! A line holds totals and not differences, so that a lost line loses nothing but when it happened.
+
+use crate::decide::Zones;
+use crate::decide::account::Cause;
+use crate::decide::sheet::Names;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use trailproxy::units::{Moment, Span, TrackId, ZoneId};
+
+/// One line of the account since the dispatcher's start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub from: String,
+    pub to: String,
+    pub tier: String,
+    pub track: String,
+    pub cause: String,
+    pub moves: u64,
+    /// In KB of 1,024 bytes, as everywhere here.
+    pub kb: f64,
+}
+
+/// What crossed lately on one way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Way {
+    pub from: String,
+    pub to: String,
+    pub kb_1s: f64,
+    pub kb_10s: f64,
+    pub kb_60s: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BudgetLine {
+    pub name: String,
+    pub kb_per_s: f64,
+    pub saved_kb: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Refusals {
+    pub track: String,
+    pub accesses: u64,
+    pub kb: f64,
+}
+
+/// One report. Two with another `life` come from two starts of the dispatcher.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub dispatcher: String,
+    pub life: u64,
+    pub at_us: u64,
+    pub lines: Vec<Line>,
+    pub ways: Vec<Way>,
+    pub budgets: Vec<BudgetLine>,
+    pub turned_away: Vec<Refusals>,
+    pub under_way_kb: f64,
+    pub left_out_kb: f64,
+}
+
+/// Three digits after the point: a byte.
+fn short(kb: f64) -> f64 {
+    (kb * 1e3).round() / 1e3
+}
+
+impl Report {
+    /// What `zones` has to tell at `now`.
+    pub fn of(zones: &Zones, names: &Names, dispatcher: &str, life: u64, now: Moment) -> Report {
+        let zone = |id: ZoneId| name(&names.zones, usize::from(id.0));
+        let track = |id: TrackId| name(&names.tracks, usize::from(id.0));
+        let account = zones.account();
+        let line =
+            |(key, sum): (&crate::decide::account::Key, &crate::decide::account::Sum)| Line {
+                from: zone(key.from),
+                to: zone(key.to),
+                tier: key.tier.name().into(),
+                track: track(key.track),
+                cause: key.cause.name().into(),
+                moves: sum.moves,
+                kb: short(sum.kb),
+            };
+        let mut ways: BTreeMap<(ZoneId, ZoneId), [f64; 3]> = BTreeMap::new();
+        for (nth, s) in [1, 10, 60].into_iter().enumerate() {
+            for (key, sum) in account.within(now, Span::from_secs(s)) {
+                ways.entry((key.from, key.to)).or_default()[nth] += sum.kb;
+            }
+        }
+        let way = |((from, to), kb): ((ZoneId, ZoneId), [f64; 3])| Way {
+            from: zone(from),
+            to: zone(to),
+            kb_1s: short(kb[0]),
+            kb_10s: short(kb[1]),
+            kb_60s: short(kb[2]),
+        };
+        let refused = zones.turned_away().into_iter().zip(0..);
+        let refused = refused.filter(|((n, _), _)| *n > 0);
+        Report {
+            dispatcher: dispatcher.into(),
+            life,
+            at_us: now.0,
+            lines: account.totals().iter().map(line).collect(),
+            ways: ways.into_iter().map(way).collect(),
+            budgets: zones
+                .budgets()
+                .iter()
+                .map(|budget| BudgetLine {
+                    name: budget.limit.name.clone(),
+                    kb_per_s: short(budget.rate()),
+                    saved_kb: short(budget.saved_kb()),
+                })
+                .collect(),
+            turned_away: refused
+                .map(|((accesses, kb), nth)| Refusals {
+                    track: track(TrackId(nth)),
+                    accesses,
+                    kb: short(kb),
+                })
+                .collect(),
+            under_way_kb: short(zones.under_way_kb()),
+            left_out_kb: short(account.left_out_kb()),
+        }
+    }
+}
+
+/// The name at a place, or its number where there is none.
+pub fn name(names: &[String], nth: usize) -> String {
+    names.get(nth).cloned().unwrap_or_else(|| nth.to_string())
+}
+
+/// The account's causes, in the order in which pages show them.
+pub fn causes() -> impl Iterator<Item = &'static str> {
+    Cause::ALL.into_iter().map(Cause::name)
+}
--- /dev/null
+++ b/crates/zones/tests/stories.rs
@@ -0,0 +1,674 @@
+//! One short story for each hard case of the account, the budget and the watch.
+
+use trailproxy::interface::*;
+use trailproxy::units::*;
+use trailproxy_zones::decide::account::{Account, Cause, Key, Moved, SECONDS, Tier};
+use trailproxy_zones::decide::budget::{self, Budget, Class, Learner, Limit};
+use trailproxy_zones::decide::rise::Reason;
+use trailproxy_zones::decide::{Rules, Zones};
+
+const HUB: ZoneId = ZoneId(0);
+const DEPOT: ZoneId = ZoneId(1);
+const VIDEO: TrackId = TrackId(0);
+const ORDER: TrackId = TrackId(1);
+const CACHES: [HostId; 2] = [HostId(11), HostId(12)];
+const PARENT: HostId = HostId(21);
+const ORIGIN: HostId = HostId(31);
+
+fn at(ms: u64) -> Moment {
+    Moment(1_000_000_000 + ms * 1_000)
+}
+
+fn limit(kb_per_s: f64, burst_kb: f64, reserve: f64) -> Limit {
+    Limit {
+        name: "link".into(),
+        from: None,
+        to: DEPOT,
+        kb_per_s,
+        burst_kb,
+        reserve,
+        learned: None,
+    }
+}
+
+fn rules(limits: Vec<Limit>) -> Rules {
+    Rules {
+        limits,
+        ..Rules::default()
+    }
+}
+
+fn terms(seats: u32) -> Terms {
+    let video = Track {
+        due: Span::from_millis(400),
+        due_stretch: 2.0,
+        effect: Effect::Retriable,
+        fresh: None,
+        grace: Span::ZERO,
+        written: false,
+    };
+    let order = Track {
+        effect: Effect::Binding,
+        written: true,
+        ..video.clone()
+    };
+    let cold = Cold {
+        from: 0.25,
+        warm_after: Span::from_secs(10),
+        fall_multiple: 2.0,
+        fall_after: Span::from_secs(1),
+    };
+    Terms {
+        zone: DEPOT,
+        dispatchers: seats,
+        seats: vec![0, seats],
+        parent_kind: Some(KindId(1)),
+        origin_kind: Some(KindId(2)),
+        tracks: vec![video, order],
+        flow_kb_per_s: 1_000.0,
+        link_kb_per_s: None,
+        link_told: false,
+        sizes_tell: true,
+        joins: true,
+        straight: true,
+        notes: NoteLevel::All,
+        max_hand_offs: 6,
+        may_withdraw: true,
+        longest_away: None,
+        list_on_request: false,
+        cold_cache: cold,
+        cold_parent: cold,
+        purge_done: Span::from_secs(6),
+    }
+}
+
+fn entry(host: HostId, state: HostState, started: Option<Moment>) -> HostEntry {
+    let (kind, zone) = match host.0 {
+        11..=19 => (KindId(0), DEPOT),
+        21..=29 => (KindId(1), HUB),
+        _ => (KindId(2), HUB),
+    };
+    HostEntry {
+        host,
+        cell: CellId(0),
+        zone,
+        kind,
+        started,
+        size: 8.0,
+        state,
+    }
+}
+
+/// Zones with a list heard, and hand-offs made by hand.
+struct Desk {
+    zones: Zones,
+    next: u64,
+}
+
+impl Desk {
+    fn new(rules: Rules, seats: u32) -> Desk {
+        let mut zones = Zones::new(&terms(seats), rules, 7);
+        let hosts = [CACHES[0], CACHES[1], PARENT, ORIGIN];
+        let entries = hosts
+            .map(|host| entry(host, HostState::Ready, None))
+            .to_vec();
+        let form = ListForm::Whole;
+        zones.heard(at(0), &Event::Hosts { form, entries });
+        Desk { zones, next: 0 }
+    }
+
+    fn way(&mut self, track: TrackId, object: u64, kb: f64) -> Crossing {
+        self.next += 1;
+        let asked = Arrival {
+            id: AccessId(self.next),
+            left: Span::from_secs(3),
+            track,
+            object: ObjectId(object),
+            group: GroupId((object % 8) as u32),
+            part: 0,
+            size_kb: Some(kb),
+        };
+        let source = if track == ORDER { ORIGIN } else { PARENT };
+        Crossing {
+            asked,
+            hand_off: HandOffNo(0),
+            host: CACHES[(object % 2) as usize],
+            source,
+            from: HUB,
+            to: DEPOT,
+            kb,
+            join: true,
+        }
+    }
+
+    fn end(
+        &mut self,
+        way: &Crossing,
+        ms: u64,
+        took: u64,
+        ending: Ending,
+        note: Note,
+        came_kb: Option<f64>,
+    ) {
+        let outcome = Outcome {
+            id: way.asked.id,
+            hand_off: way.hand_off,
+            ending,
+            took: Span::from_millis(took),
+            closed: ending == Ending::Done,
+            note,
+            waited: None,
+            link_full: None,
+            proven: true,
+            came_kb,
+        };
+        self.zones.heard(at(ms), &Event::Outcome(outcome));
+    }
+
+    /// One access that is sent at once and ends well.
+    fn play(&mut self, ms: u64, object: u64, kb: f64, note: Note) -> Crossing {
+        let way = self.way(VIDEO, object, kb);
+        self.zones.sent(at(ms), &way);
+        self.end(&way, ms + 50, 50, Ending::Done, note, Some(kb));
+        way
+    }
+
+    fn booked(&self, cause: Cause) -> f64 {
+        let of = self.zones.account().totals().iter();
+        of.filter(|(key, _)| key.cause == cause)
+            .map(|(_, sum)| sum.kb)
+            .sum()
+    }
+}
+
+fn chance() -> fastrand::Rng {
+    fastrand::Rng::with_seed(3)
+}
+
+#[test]
+fn an_order_passes_while_the_budget_is_exactly_spent_and_a_video_does_not() {
+    let mut desk = Desk::new(rules(vec![limit(1_000.0, 400.0, 0.25)]), 1);
+    desk.zones.advance(at(10_000));
+    let mut sent = 0;
+    loop {
+        let video = desk.way(VIDEO, 100 + sent, 100.0);
+        if !desk.zones.room(at(10_000), &video) {
+            break;
+        }
+        desk.zones.sent(at(10_000), &video);
+        sent += 1;
+    }
+    assert!((1..=8).contains(&sent), "{sent}");
+    let (order, video) = (desk.way(ORDER, 1, 4.0), desk.way(VIDEO, 2, 100.0));
+    assert!(desk.zones.room(at(10_000), &order));
+    assert!(!desk.zones.room(at(10_000), &video));
+    assert!(desk.zones.come_back(at(10_000), VIDEO).is_some());
+    assert_eq!(desk.zones.come_back(at(10_000), ORDER), None);
+}
+
+#[test]
+fn orders_alone_are_held_to_the_budget_in_the_end() {
+    let mut desk = Desk::new(rules(vec![limit(100.0, 40.0, 0.5)]), 1);
+    let mut kb = 0.0;
+    for ms in 0..10_000 {
+        let order = desk.way(ORDER, ms, 4.0);
+        if desk.zones.room(at(ms), &order) {
+            desk.zones.sent(at(ms), &order);
+            kb += 4.0;
+        }
+    }
+    assert!((900.0..=1_080.0).contains(&kb), "{kb}");
+}
+
+#[test]
+fn nothing_is_turned_away_while_the_link_is_free() {
+    let mut desk = Desk::new(rules(vec![limit(10_000.0, 2_000.0, 0.2)]), 1);
+    for n in 0..500 {
+        let video = desk.way(VIDEO, n, 100.0);
+        // 5 MB a second asked for, 10 MB a second there.
+        assert!(desk.zones.room(at(2_000 + n * 20), &video), "access {n}");
+        desk.zones.sent(at(2_000 + n * 20), &video);
+        desk.end(
+            &video,
+            2_000 + n * 20 + 15,
+            15,
+            Ending::Done,
+            Note::Filled,
+            Some(100.0),
+        );
+    }
+}
+
+#[test]
+fn a_large_video_waits_its_turn_and_gets_it_though_it_exceeds_a_share_of_the_burst() {
+    let mut chance = chance();
+    let mut budget = Budget::new(limit(1_000.0, 100.0, 0.1), 10.0, at(0), &mut chance);
+    let mut first = None;
+    for ms in (0..60_000).step_by(100) {
+        budget.advance(at(ms));
+        match budget.room(at(ms), Class::Plain, 2_000.0) {
+            None => budget.turned_away(at(ms), 2_000.0),
+            Some(from) => {
+                budget.charge(at(ms), from, 2_000.0);
+                first.get_or_insert(ms);
+            }
+        }
+    }
+    // A share of 100 KB a second saves 2 MB in 20 s at most.
+    assert!(first.is_some_and(|ms| ms <= 23_000), "{first:?}");
+}
+
+#[test]
+fn small_reads_go_on_while_a_large_one_is_owed() {
+    let mut chance = chance();
+    let mut budget = Budget::new(limit(1_000.0, 400.0, 0.0), 1.0, at(0), &mut chance);
+    budget.advance(at(1_000));
+    budget.charge(at(1_000), budget::From::Common, 1_000.0);
+    assert!(budget.saved_kb() < 0.0, "{}", budget.saved_kb());
+    assert!(budget.room(at(1_000), Class::Plain, 5.0).is_some());
+    assert!(budget.room(at(1_000), Class::Plain, 500.0).is_none());
+}
+
+#[test]
+fn hundreds_of_dispatchers_below_one_fill_a_second_send_the_burst_and_then_the_rate() {
+    let (n, mut chance) = (250, chance());
+    let shared = limit(36_000.0, 9_000.0, 0.0);
+    let mut all: Vec<Budget> = (0..n)
+        .map(|_| Budget::new(shared.clone(), f64::from(n), at(0), &mut chance))
+        .collect();
+    all.iter_mut().for_each(|budget| budget.advance(at(60_000)));
+    let mut seconds = [0.0; 20];
+    for ms in (60_000..80_000).step_by(50) {
+        for budget in &mut all {
+            budget.advance(at(ms));
+            match budget.room(at(ms), Class::Plain, 250.0) {
+                None => budget.turned_away(at(ms), 250.0),
+                Some(from) => {
+                    budget.charge(at(ms), from, 250.0);
+                    seconds[(ms as usize - 60_000) / 1_000] += 250.0;
+                }
+            }
+        }
+    }
+    let one = 36_000.0 * 1.1 + 9_000.0;
+    assert!(seconds.iter().all(|kb| *kb <= one), "{seconds:?}");
+    let mut tens = seconds.windows(10).map(|ten| ten.iter().sum::<f64>());
+    assert!(
+        tens.all(|kb| kb <= 360_000.0 * 1.02 + 9_000.0),
+        "{seconds:?}"
+    );
+    let all: f64 = seconds[1..].iter().sum();
+    assert!((all / 19.0 - 36_000.0).abs() < 1_500.0, "{all}");
+}
+
+#[test]
+fn when_half_of_the_dispatchers_die_the_others_stay_within_the_budget() {
+    let (n, mut chance) = (40, chance());
+    let mut sum = 0.0;
+    for _ in 0..n / 2 {
+        let mut budget = Budget::new(limit(4_000.0, 400.0, 0.2), f64::from(n), at(0), &mut chance);
+        for ms in (0..10_000).step_by(20) {
+            budget.advance(at(ms));
+            match budget.room(at(ms), Class::Plain, 50.0) {
+                None => budget.turned_away(at(ms), 50.0),
+                Some(from) => {
+                    budget.charge(at(ms), from, 50.0);
+                    sum += 50.0;
+                }
+            }
+        }
+    }
+    assert!((19_000.0..=21_500.0).contains(&sum), "{sum}");
+}
+
+#[test]
+fn a_learned_rate_falls_when_fills_slow_down_and_rises_while_some_are_turned_away() {
+    let mut learner = Learner::default();
+    let between = (100.0, 10_000.0);
+    learner.filled(100.0, Span::from_millis(50));
+    learner.refused();
+    let risen = learner.step(at(1_000), 1_000.0, between);
+    assert_eq!(risen, Some(1_050.0));
+    learner.filled(100.0, Span::from_millis(200));
+    let fallen = learner.step(at(2_000), 1_050.0, between);
+    assert!(fallen.is_some_and(|rate| rate < 1_000.0), "{fallen:?}");
+    assert_eq!(learner.step(at(3_000), 150.0, between), Some(150.0));
+    assert_eq!(learner.step(at(3_100), 150.0, between), None);
+}
+
+#[test]
+fn a_budget_lowered_below_what_is_under_way_keeps_the_debt_and_the_counts() {
+    let mut desk = Desk::new(rules(vec![limit(10_000.0, 4_000.0, 0.2)]), 1);
+    desk.zones.advance(at(5_000));
+    let ways: Vec<Crossing> = (0..5).map(|n| desk.way(VIDEO, n, 300.0)).collect();
+    ways.iter().for_each(|way| desk.zones.sent(at(5_000), way));
+    desk.zones
+        .change(at(5_001), rules(vec![limit(100.0, 50.0, 0.2)]));
+    for way in &ways {
+        desk.end(way, 5_050, 50, Ending::Done, Note::Filled, Some(300.0));
+    }
+    assert_eq!(desk.booked(Cause::First), 1_500.0);
+    let next = desk.way(VIDEO, 50, 300.0);
+    assert!(!desk.zones.room(at(5_060), &next));
+    let owed = desk.zones.budgets()[0].saved_kb();
+    assert!(owed < 0.0, "{owed}");
+}
+
+#[test]
+fn a_rule_that_goes_lets_what_is_under_way_end_free_of_it() {
+    let mut desk = Desk::new(rules(vec![limit(1_000.0, 400.0, 0.2)]), 1);
+    let way = desk.way(VIDEO, 1, 100.0);
+    desk.zones.sent(at(0), &way);
+    desk.zones.change(at(1), rules(Vec::new()));
+    desk.end(&way, 50, 50, Ending::Done, Note::Filled, Some(100.0));
+    assert_eq!(desk.booked(Cause::First), 100.0);
+    let next = desk.way(VIDEO, 2, 1e9);
+    assert!(desk.zones.room(at(60), &next));
+}
+
+#[test]
+fn each_cause_is_told_apart() {
+    let mut desk = Desk::new(rules(Vec::new()), 1);
+    desk.play(0, 2, 10.0, Note::Filled);
+    assert_eq!(desk.booked(Cause::First), 10.0);
+    // Seen, held no more, and nothing says why.
+    desk.play(100, 2, 10.0, Note::Filled);
+    assert_eq!(desk.booked(Cause::Unknown), 10.0);
+    let purge = Event::Purged {
+        object: None,
+        group: GroupId(2),
+        ago: Span::ZERO,
+    };
+    desk.zones.heard(at(200), &purge);
+    desk.play(210, 2, 10.0, Note::Filled);
+    assert_eq!(desk.booked(Cause::Purge), 10.0);
+    let form = ListForm::Changes;
+    let entries = vec![entry(CACHES[0], HostState::Ready, Some(at(300)))];
+    desk.zones.heard(at(310), &Event::Hosts { form, entries });
+    desk.play(320, 2, 10.0, Note::Filled);
+    assert_eq!(desk.booked(Cause::HostLost), 10.0);
+    let order = desk.way(ORDER, 9, 4.0);
+    desk.zones.sent(at(400), &order);
+    desk.end(&order, 450, 50, Ending::Done, Note::Untold, None);
+    assert_eq!(desk.booked(Cause::Written), 4.0);
+    let straight = Crossing {
+        host: PARENT,
+        ..desk.way(VIDEO, 77, 20.0)
+    };
+    desk.zones.sent(at(500), &straight);
+    desk.end(&straight, 550, 50, Ending::Done, Note::Hit, Some(20.0));
+    assert_eq!(desk.booked(Cause::Straight), 20.0);
+}
+
+#[test]
+fn hits_and_joined_fills_cross_nothing_and_an_error_does_not_either() {
+    let mut desk = Desk::new(rules(Vec::new()), 1);
+    desk.play(0, 1, 10.0, Note::Hit);
+    desk.play(10, 1, 10.0, Note::Joined);
+    let way = desk.way(VIDEO, 1, 10.0);
+    desk.zones.sent(at(20), &way);
+    desk.end(&way, 30, 10, Ending::Error, Note::SourceLost, None);
+    assert!(desk.zones.account().totals().is_empty());
+}
+
+#[test]
+fn a_fill_whose_client_left_counts_as_waste() {
+    let mut desk = Desk::new(rules(Vec::new()), 1);
+    let way = desk.way(VIDEO, 1, 100.0);
+    desk.zones.sent(at(0), &way);
+    desk.zones.heard(at(10), &Event::Left { id: way.asked.id });
+    desk.end(&way, 20, 20, Ending::Withdrawn, Note::Untold, None);
+    assert!(desk.booked(Cause::Waste) > 50.0);
+    assert_eq!(desk.booked(Cause::First), 0.0);
+}
+
+#[test]
+fn a_size_told_falsely_is_paid_for_when_it_has_come() {
+    let mut desk = Desk::new(rules(vec![limit(1_000.0, 400.0, 0.0)]), 1);
+    desk.zones.advance(at(5_000));
+    let before = desk.zones.budgets()[0].saved_kb();
+    let way = desk.way(VIDEO, 1, 0.001);
+    desk.zones.sent(at(5_000), &way);
+    desk.end(&way, 5_000, 0, Ending::Done, Note::Filled, Some(900.0));
+    assert_eq!(desk.booked(Cause::First), 900.0);
+    let after = desk.zones.budgets()[0].saved_kb();
+    assert!((before - after - 900.0).abs() < 1.0, "{before} {after}");
+    for kb in [f64::NAN, f64::INFINITY, -5.0] {
+        let odd = desk.way(VIDEO, 2, kb);
+        desk.zones.room(at(5_001), &odd);
+        desk.zones.sent(at(5_001), &odd);
+        desk.end(&odd, 5_002, 1, Ending::Error, Note::Untold, None);
+    }
+    assert!(desk.zones.budgets()[0].saved_kb().is_finite());
+}
+
+#[test]
+fn a_clock_that_jumps_neither_stops_the_budget_nor_floods_it() {
+    let mut chance = chance();
+    let mut budget = Budget::new(limit(1_000.0, 400.0, 0.25), 1.0, at(0), &mut chance);
+    budget.advance(at(3_600_000));
+    let saved = budget.saved_kb();
+    assert!(saved <= 400.0, "{saved}");
+    budget.advance(at(0));
+    assert!(budget.saved_kb() <= saved);
+    budget.charge(at(0), budget::From::Common, 300.0);
+    let owed = budget.saved_kb();
+    budget.advance(at(100));
+    assert!(budget.saved_kb() > owed + 50.0);
+}
+
+#[test]
+fn the_account_spreads_a_fill_over_the_seconds_in_which_it_ran() {
+    let mut account = Account::default();
+    let key = Key {
+        from: HUB,
+        to: DEPOT,
+        tier: Tier::Parent,
+        track: VIDEO,
+        cause: Cause::First,
+    };
+    account.advance(at(0));
+    account.advance(at(4_000));
+    let (from, until) = (at(500), at(3_500));
+    account.book(
+        at(4_000),
+        Moved {
+            key,
+            kb: 300.0,
+            from,
+            until,
+        },
+    );
+    let second = account.within(at(4_000), Span::from_secs(1));
+    assert!((second[&key].kb - 50.0).abs() < 1e-6, "{second:?}");
+    let four = account.within(at(4_000), Span::from_secs(10));
+    assert!((four[&key].kb - 300.0).abs() < 1e-6, "{four:?}");
+    // A clock that goes back books into its newest second, one that leaps forgets seconds and no totals.
+    account.book(
+        at(1_000),
+        Moved {
+            key,
+            kb: 5.0,
+            from,
+            until,
+        },
+    );
+    account.advance(at(4_000 + SECONDS * 2_000));
+    assert!(
+        account
+            .within(at(4_000 + SECONDS * 2_000), Span::from_secs(60))
+            .is_empty()
+    );
+    assert_eq!(account.totals()[&key].kb, 305.0);
+}
+
+#[test]
+fn a_link_spent_on_one_way_leaves_another_way_open() {
+    let pair = Limit {
+        name: "pair".into(),
+        from: Some(HUB),
+        ..limit(10.0, 10.0, 0.0)
+    };
+    let mut desk = Desk::new(rules(vec![pair]), 1);
+    let way = desk.way(VIDEO, 1, 500.0);
+    desk.zones.sent(at(0), &way);
+    let way = desk.way(VIDEO, 3, 500.0);
+    assert!(!desk.zones.room(at(1), &way));
+    let dearer = Crossing {
+        from: ZoneId(2),
+        ..way
+    };
+    assert!(desk.zones.room(at(1), &dearer));
+}
+
+/// Ten seconds of thirty objects a second in hits and few fills, from which on a strike is played.
+fn rise(strike: impl Fn(&mut Desk, u64, u64)) -> Vec<(u64, Reason)> {
+    let mut desk = Desk::new(rules(Vec::new()), 1);
+    let mut told = Vec::new();
+    for ms in (0..70_000u64).step_by(50) {
+        let n = ms / 50;
+        let note = if n % 5 == 0 { Note::Filled } else { Note::Hit };
+        let object = if n % 5 == 0 { 10_000 + n } else { n % 40 };
+        desk.play(ms, object, 50.0 + (n % 7) as f64, note);
+        if ms >= 60_000 {
+            strike(&mut desk, ms, n);
+        }
+        let rises = desk.zones.advance(at(ms));
+        told.extend(
+            rises
+                .into_iter()
+                .filter(|rise| rise.begins)
+                .map(|rise| (ms, rise.reason)),
+        );
+    }
+    told
+}
+
+#[test]
+fn an_ordinary_day_raises_no_alarm() {
+    assert_eq!(rise(|_, _, _| {}), vec![]);
+}
+
+#[test]
+fn a_lost_host_is_named_within_three_seconds() {
+    let told = rise(|desk, ms, n| {
+        if ms == 60_000 {
+            let form = ListForm::Changes;
+            let entries = vec![entry(CACHES[0], HostState::Gone, None)];
+            desk.zones.heard(at(ms), &Event::Hosts { form, entries });
+        }
+        // What it had is filled at the other one.
+        let mut way = desk.way(VIDEO, (n % 20) * 2, 50.0);
+        way.host = CACHES[1];
+        desk.zones.sent(at(ms), &way);
+        desk.end(&way, ms, 20, Ending::Done, Note::Filled, Some(50.0));
+        // Named once each: what is filled there has its new home.
+        let form = ListForm::Changes;
+        let lost = entry(CACHES[1], HostState::Ready, Some(at(ms)));
+        desk.zones.heard(
+            at(ms),
+            &Event::Hosts {
+                form,
+                entries: vec![lost],
+            },
+        );
+    });
+    let (ms, reason) = told.first().expect("a rise");
+    assert!(*ms <= 63_000, "{told:?}");
+    assert!(
+        matches!(reason, Reason::HostLost(host) if *host == CACHES[0].0 || *host == CACHES[1].0),
+        "{told:?}"
+    );
+}
+
+#[test]
+fn a_purge_a_flood_and_an_oversized_object_are_named() {
+    let purge = rise(|desk, ms, n| {
+        let event = Event::Purged {
+            object: None,
+            group: GroupId((n % 8) as u32),
+            ago: Span::ZERO,
+        };
+        desk.zones.heard(at(ms), &event);
+        let object = n % 40;
+        if object % 8 == n % 8 {
+            desk.play(ms, object, 80.0, Note::Filled);
+        }
+    });
+    assert!(
+        matches!(purge.first(), Some((ms, Reason::Purge(_))) if *ms <= 63_000),
+        "{purge:?}"
+    );
+    let flood = rise(|desk, ms, n| {
+        desk.play(ms, 500_000 + n, 60.0, Note::Filled);
+    });
+    assert!(
+        matches!(flood.first(), Some((ms, Reason::OnceOnly)) if *ms <= 63_000),
+        "{flood:?}"
+    );
+    let large = rise(|desk, ms, n| {
+        let mut way = desk.way(VIDEO, 900_001, 400.0);
+        way.asked.part = n as u32;
+        desk.zones.sent(at(ms), &way);
+        desk.end(&way, ms, 20, Ending::Done, Note::Filled, Some(400.0));
+    });
+    assert!(
+        matches!(large.first(), Some((ms, Reason::Oversized(900_001))) if *ms <= 63_000),
+        "{large:?}"
+    );
+}
+
+#[test]
+fn what_is_turned_away_is_seen_as_a_rise_too() {
+    let mut desk = Desk::new(rules(vec![limit(2_000.0, 500.0, 0.1)]), 1);
+    let mut told = Vec::new();
+    for ms in (0..70_000u64).step_by(50) {
+        let n = ms / 50;
+        desk.play(ms, n, 10.0, Note::Filled);
+        for extra in (ms >= 60_000).then_some(0..8).into_iter().flatten() {
+            let way = desk.way(VIDEO, 1_000_000 + n * 8 + extra, 100.0);
+            if desk.zones.room(at(ms), &way) {
+                desk.zones.sent(at(ms), &way);
+                desk.end(&way, ms, 10, Ending::Done, Note::Filled, Some(100.0));
+            }
+        }
+        told.extend(
+            desk.zones
+                .advance(at(ms))
+                .into_iter()
+                .filter(|rise| rise.begins)
+                .map(|_| ms),
+        );
+    }
+    assert!(
+        told.first()
+            .is_some_and(|ms| (60_000..=63_000).contains(ms)),
+        "{told:?}"
+    );
+    assert!(desk.zones.turned_away()[0].0 > 100);
+}
+
+#[test]
+fn nothing_grows_under_a_flood_of_new_objects_hosts_and_purges() {
+    let mut desk = Desk::new(rules(vec![limit(1e6, 1e6, 0.1)]), 1);
+    for n in 0..60_000u64 {
+        desk.play(n * 10, n, 1.0, Note::Filled);
+        let event = Event::Purged {
+            object: Some(ObjectId(n)),
+            group: GroupId(0),
+            ago: Span::ZERO,
+        };
+        desk.zones.heard(at(n * 10), &event);
+        if n % 100 == 0 {
+            let form = ListForm::Changes;
+            let host = HostId(100_000 + n);
+            let entries = vec![entry(host, HostState::Gone, None)];
+            desk.zones
+                .heard(at(n * 10), &Event::Hosts { form, entries });
+            desk.zones.advance(at(n * 10));
+        }
+    }
+    let (flying, kept) = desk.zones.kept();
+    assert_eq!(flying, 0);
+    assert!(kept < 46_000, "{kept}");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -145,7 +145,7 @@
     Gone,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
     pub id: AccessId,
     /// How long the client will wait.
@@ -172,6 +172,8 @@
     pub link_full: Option<f64>,
     /// Whether anything was done for its client before, so that its accesses are known to make sense.
     pub proven: bool,
+    /// What came of the object, in KB of 1,024 bytes, where it is told.
+    pub came_kb: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -269,3 +271,63 @@
     /// Serve an ageing copy and renew it behind.
     pub renew: bool,
 }
+
+/// One hand-off on its way between zones, as [`Crossings`] is asked about it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Crossing {
+    pub asked: Arrival,
+    pub hand_off: HandOffNo,
+    pub host: HostId,
+    /// What fills the host; the host itself where that is in another zone and asked straight.
+    pub source: HostId,
+    pub from: ZoneId,
+    pub to: ZoneId,
+    /// What may cross, in KB of 1,024 bytes: as told, or as the track's accesses usually have.
+    pub kb: f64,
+    /// The host joins fills of one part.
+    pub join: bool,
+}
+
+/// Whoever knows what crosses between zones, and whether there is room for more.
+///
+/// The decisions choose; this one only says no to a way, or counts it. It is asked about every hand-off whose
+/// source and reader are in different zones, by the gate that all hand-offs pass.
+pub trait Crossings {
+    /// Every event, before the decisions take it.
+    fn heard(&mut self, _now: Moment, _event: &Event) {}
+    /// Whether this may go out now. It may be asked several times about one way, with nothing sent.
+    fn room(&self, _now: Moment, _crossing: &Crossing) -> bool {
+        true
+    }
+    /// This goes out now.
+    fn sent(&mut self, _now: Moment, _crossing: &Crossing) {}
+    /// After how long a client of this track had better come again; `None`: nothing was in its way here.
+    fn come_back(&self, _now: Moment, _track: TrackId) -> Option<Span> {
+        None
+    }
+}
+
+/// All links are free, and nobody counts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Free;
+
+impl Crossings for Free {}
+
+/// Switched on or off while it runs.
+impl<C: Crossings> Crossings for Option<C> {
+    fn heard(&mut self, now: Moment, event: &Event) {
+        self.iter_mut().for_each(|on| on.heard(now, event));
+    }
+
+    fn room(&self, now: Moment, crossing: &Crossing) -> bool {
+        self.as_ref().is_none_or(|on| on.room(now, crossing))
+    }
+
+    fn sent(&mut self, now: Moment, crossing: &Crossing) {
+        self.iter_mut().for_each(|on| on.sent(now, crossing));
+    }
+
+    fn come_back(&self, now: Moment, track: TrackId) -> Option<Span> {
+        self.as_ref()?.come_back(now, track)
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -333,7 +333,9 @@
     GiveUp,
 }
 
-pub struct Dispatcher {
+pub struct Dispatcher<C = Free> {
+    /// What crosses between zones, and whether there is room for more.
+    pub crossings: C,
     terms: Terms,
     own_seats: f64,
     chance: fastrand::Rng,
@@ -372,9 +374,16 @@
 
 impl Dispatcher {
     pub fn new(terms: Terms, seed: u64) -> Dispatcher {
+        Dispatcher::with(Free, terms, seed)
+    }
+}
+
+impl<C: Crossings> Dispatcher<C> {
+    pub fn with(crossings: C, terms: Terms, seed: u64) -> Dispatcher<C> {
         let first_guess = |track: &Track| (track.due.as_secs_f64() * 0.5, 1.0);
         let seats = terms.seats.get(usize::from(terms.zone.0)).copied();
         Dispatcher {
+            crossings,
             own_seats: f64::from(seats.unwrap_or(terms.dispatchers).max(1)),
             chance: fastrand::Rng::with_seed(seed),
             hosts: BTreeMap::new(),
@@ -406,6 +415,7 @@
 
     /// Takes one event; nothing goes out before [`Dispatcher::settle`].
     pub fn take(&mut self, now: Moment, event: Event) {
+        self.crossings.heard(now, &event);
         match event {
             Event::Hosts { form, entries } => self.list(now, form, entries),
             Event::Arrived(arrival) => self.arrive(now, arrival),
@@ -732,7 +742,7 @@
                 match self.next_step(now, id) {
                     Step::Send(plan) => self.send(now, id, plan),
                     Step::Withdraw(no) => self.withdraw(id, no),
-                    Step::GiveUp => self.give_up(id),
+                    Step::GiveUp => self.give_up(now, id),
                     Step::Wait(until) => {
                         self.timed.insert((until, id));
                         break;
@@ -829,7 +839,7 @@
         if written {
             return cache.zip(open).map(|(host, source)| Plan { host, source });
         }
-        let source = self.pick_source(now, access, open.is_some() || origin.is_none());
+        let source = self.pick_source(now, access, cache, open.is_some() || origin.is_none());
         // With no cache to go to, an access passes them by, straight to where it would be filled.
         let lost = || self.caches.iter().all(|id| self.hosts[id].sick());
         let Some(host) = cache else {
@@ -842,9 +852,18 @@
     }
 
     /// The first open parent, or the origin where none is, if a fill from there would be in time.
-    fn pick_source(&self, now: Moment, access: &Access, origin_open: bool) -> Option<HostId> {
+    fn pick_source(
+        &self,
+        now: Moment,
+        access: &Access,
+        cache: Option<HostId>,
+        origin_open: bool,
+    ) -> Option<HostId> {
         let has_room = |id: &HostId| {
-            self.open_to(now, access, *id) && self.hosts[id].within_budget(now, access.send)
+            let (host, source) = (cache.unwrap_or(*id), *id);
+            let has_budget = self.hosts[id].within_budget(now, access.send);
+            let fits = || self.fits(now, access, Plan { host, source });
+            self.open_to(now, access, source) && has_budget && fits()
         };
         let mut sources = self.in_hash_order(access, Role::Parent);
         sources.retain(has_room);
@@ -931,6 +950,33 @@
         since.into_iter().flatten().chain(aged).min()
     }
 
+    /// The way between zones that a plan takes, if any.
+    fn crossing(&self, access: &Access, plan: Plan) -> Option<Crossing> {
+        let (own, Plan { host, source }) = (self.terms.zone, plan);
+        let [at, fill] = [host, source].map(|id| self.hosts[&id].entry.zone);
+        // What another zone's host fills for itself crosses no more than its answer does.
+        let straight = at != own;
+        let (source, from) = if straight { (host, at) } else { (source, fill) };
+        let (asked, hand_off) = (access.asked, HandOffNo(access.tries.len() as u8));
+        let kb = asked.size_kb;
+        (from != own).then(|| Crossing {
+            asked,
+            hand_off,
+            host,
+            source,
+            from,
+            to: own,
+            kb: kb.unwrap_or(access.send * self.terms.flow_kb_per_s),
+            join: self.terms.joins && !straight && !self.track(access).written,
+        })
+    }
+
+    /// Whether the links between zones have room for it.
+    fn fits(&self, now: Moment, access: &Access, plan: Plan) -> bool {
+        self.crossing(access, plan)
+            .is_none_or(|way| self.crossings.room(now, &way))
+    }
+
     /// The one gate that every hand-off passes, with each rule at its own place.
     fn passes(&self, now: Moment, access: &Access, plan: &Plan) -> bool {
         let (host, source) = (&self.hosts[&plan.host], &self.hosts[&plan.source]);
@@ -941,19 +987,21 @@
         let kept = host.ready() && source.ready();
         let cold = host.within_budget(now, self.work(access));
         let cold = cold && (own || source.within_budget(now, access.send));
-        open && kept && cold && self.may_run_again(now, access, plan.host)
+        let may = open && kept && cold && self.may_run_again(now, access, plan.host);
+        may && self.fits(now, access, *plan)
     }
 
     fn send(&mut self, now: Moment, id: AccessId, plan: Plan) {
         let access = &self.accesses[&id];
         if !self.passes(now, access, &plan) {
-            return self.give_up(id);
+            return self.give_up(now, id);
         }
         let written = self.track(access).written;
         if self.seen.len() >= SEEN {
             self.seen.clear();
         }
         let seen = !written && !self.seen.insert((access.asked.object, access.asked.part));
+        let way = self.crossing(access, plan);
         let (track, host) = (self.track(access), &self.hosts[&plan.host]);
         let (own, of_cache) = (plan.host == plan.source, host.role == Role::Cache);
         // Where nothing fills it, a stale copy will do. Fetches behind a sick origin would fill the places.
@@ -1003,13 +1051,14 @@
                 ..Try::default()
             });
         }
+        way.iter().for_each(|way| self.crossings.sent(now, way));
         let host = plan.host;
         let hand_off = HandOff { id, host, fill };
         self.actions.push(Action::HandOff(hand_off));
     }
 
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
-    fn give_up(&mut self, id: AccessId) {
+    fn give_up(&mut self, now: Moment, id: AccessId) {
         let access = &self.accesses[&id];
         let ran = access.tries.iter().any(|t| t.out || t.may_have_run);
         let harmless = match self.track(access).effect {
@@ -1017,7 +1066,9 @@
             Effect::Binding => !ran,
             Effect::Fingerprinted { group, .. } => !ran || group == RepeatGroup::All,
         };
-        let spread = COME_BACK.times(0.75 + 0.5 * self.chance.f64());
+        let full = self.crossings.come_back(now, access.asked.track);
+        let spread = full.map_or(COME_BACK, |full| full.max(COME_BACK));
+        let spread = spread.times(0.75 + 0.5 * self.chance.f64());
         let come_back = self.terms.longest_away.map(|longest| spread.min(longest));
         self.actions.push(match harmless {
             true => Action::Reject { id, come_back },
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -220,6 +220,7 @@
             waited,
             link_full: self.link_full,
             proven: self.proven,
+            came_kb: None,
         }));
     }
 
