--- a/crates/trailproxy-cli/src/zones.rs
+++ b/crates/trailproxy-cli/src/zones.rs
@@ -4,7 +4,7 @@
 use crate::End;
 use crate::lab::{How, Plan, judged, place};
 use crate::out;
-use clap::Subcommand;
+use clap::{Args, Subcommand};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -45,22 +45,8 @@
     Plan {
         #[arg(required = true)]
         logs: Vec<String>,
-        /// The part of each track's KB that must get through, from 0 to 1.
-        #[arg(long, default_value_t = 0.99)]
-        service: f64,
-        /// The same for one track, as TRACK=PART; may be given several times.
-        #[arg(long, value_name = "TRACK=PART")]
-        of: Vec<String>,
-        /// Tracks that a rate is to be kept for.
-        #[arg(long, default_value = "")]
-        first: Vec<String>,
-        /// The zone whose link is planned; by default the one that most crosses into.
-        #[arg(long)]
-        into: Option<String>,
-        #[arg(long, default_value_t = 0.0)]
-        burst_kb: f64,
-        #[arg(long, default_value_t = 10.0)]
-        slot_s: f64,
+        #[command(flatten)]
+        wanted: Wanted,
         /// A scenario to try the planned link on, whose text assigns LINK and BUDGET.
         #[arg(long)]
         on: Option<String>,
@@ -97,25 +83,10 @@
         Task::Report { logs, slot_s, out } => account(&logs, slot_s, out.as_deref()),
         Task::Plan {
             logs,
-            service,
-            of,
-            first,
-            into,
-            burst_kb,
-            slot_s,
+            wanted,
             on,
             how,
-        } => {
-            let wanted = Wanted {
-                service,
-                of,
-                first,
-                into,
-                burst_kb,
-                slot_s,
-            };
-            planned(&logs, &wanted, on.as_deref(), &how)
-        }
+        } => planned(&logs, &wanted, on.as_deref(), &how),
         Task::Measure {
             budget,
             rise,
@@ -211,7 +182,7 @@
 
 fn account(logs: &[String], slot_s: f64, folder: Option<&str>) -> Result<End, String> {
     let merged = merged(logs, slot_s)?;
-    let all: f64 = merged.rows.values().map(|total| total.kb).sum();
+    let all = merged.rows.values().fold(0.0, |all, total| all + total.kb);
     println!(
         "{} reports, {} starts of dispatchers, {} out of order; {:.1} MB crossed",
         merged.reports,
@@ -315,12 +286,23 @@
 }
 
 /// What a plan is asked for.
-struct Wanted {
+#[derive(Args)]
+pub struct Wanted {
+    /// The part of each track's KB that must get through, from 0 to 1.
+    #[arg(long, default_value_t = 0.99)]
     service: f64,
+    /// The same for one track, as TRACK=PART; may be given several times.
+    #[arg(long, value_name = "TRACK=PART")]
     of: Vec<String>,
+    /// Tracks that a rate is to be kept for.
+    #[arg(long, default_value = "")]
     first: Vec<String>,
+    /// The zone whose link is planned; by default the one that most crosses into.
+    #[arg(long)]
     into: Option<String>,
+    #[arg(long, default_value_t = 0.0)]
     burst_kb: f64,
+    #[arg(long, default_value_t = 10.0)]
     slot_s: f64,
 }
 
--- a/crates/zones-tools/src/log.rs
+++ b/crates/zones-tools/src/log.rs
@@ -2,11 +2,17 @@
 
 use trailproxy_zones::report::Report;
 
+/// How a dispatcher's log line names a report, and its value.
+const MESSAGE: &str = "zones";
+const VALUE: &str = "report: {";
+
 /// The reports in a dispatcher's log, and how many could not be read.
 pub fn of_log(log: &str) -> (Vec<Report>, usize) {
     let (mut reports, mut unread) = (Vec::new(), 0);
     for line in log.lines() {
-        let Some(at) = line.find("{\"dispatcher\":") else {
+        // The message and its one value, whatever stands before: time, level, name.
+        let told = line.contains(MESSAGE).then(|| line.find(VALUE)).flatten();
+        let Some(at) = told.map(|at| at + VALUE.len() - 1) else {
             continue;
         };
         // What a log adds after it does not matter.
--- a/crates/zones/src/report.rs
+++ b/crates/zones/src/report.rs
@@ -62,7 +62,8 @@
 
 /// Three digits after the point: a byte.
 fn short(kb: f64) -> f64 {
-    (kb * 1e3).round() / 1e3
+    // An empty sum is a negative zero.
+    (kb * 1e3).round() / 1e3 + 0.0
 }
 
 impl Report {
