A reserve is planned as if all else had spent the burst

Cause: tried on a log with a burst of 3,000 KB, the planner kept 22 KB/s for orders that asked for 100: the whole burst was taken to be theirs.

Change: the reserve is planned without the burst. Result: the story of the reserve holds with a burst of 500 KB as well; a tool only, no dispatcher code.

--- a/crates/zones-tools/src/decide/plan.rs
+++ b/crates/zones-tools/src/decide/plan.rs
@@ -159,9 +159,10 @@
             .collect(),
     };
     let service = of.iter().map(|track| promise.service[*track]).collect();
+    // All else may have spent the burst when they come.
     let promise = Promise {
         service,
-        ..promise.clone()
+        burst_kb: 0.0,
     };
     least_link(&own, &promise)
 }
--- a/crates/zones-tools/tests/plan.rs
+++ b/crates/zones-tools/tests/plan.rs
@@ -43,8 +43,8 @@
 #[test]
 fn the_reserve_is_planned_for_orders_alone() {
     let rows = [[1_000.0, 10.0], [1_000.0, 40.0]];
-    let plan =
-        least_reserve(&demand(&rows), &promise(0.5, 1.0, 0.0), &["order".into()]).expect("a plan");
+    let plan = least_reserve(&demand(&rows), &promise(0.5, 1.0, 500.0), &["order".into()])
+        .expect("a plan");
     assert!((plan.kb_per_s - 40.0).abs() < 0.01, "{plan:?}");
 }
 
