A learned rate hears of what was turned away: until now it could only fall

Cause: found on rereading; nothing called Learner::refused, so that the rate of a learned budget fell when fills slowed down and never rose again.

Change: what was turned away is told to the learners of its links where it is told to the watch, before they step. No set budget is touched, and with the feature off nothing runs.

--- a/crates/zones/src/decide/mod.rs
+++ b/crates/zones/src/decide/mod.rs
@@ -219,6 +219,14 @@
         self.budgets
             .iter_mut()
             .for_each(|budget| budget.advance(now));
+        for (crossing, kb, why) in self.refused.take() {
+            self.watch(&crossing, kb, why);
+            for (learner, budget) in self.learners.iter_mut().zip(&self.budgets) {
+                if Zones::concerns(&budget.limit, &crossing) {
+                    learner.refused();
+                }
+            }
+        }
         for nth in 0..self.budgets.len() {
             let budget = &mut self.budgets[nth];
             let Some(between) = budget.limit.learned else {
@@ -233,9 +241,6 @@
                 budget.change(limit, share);
             }
         }
-        for (crossing, kb, why) in self.refused.take() {
-            self.watch(&crossing, kb, why);
-        }
         if let Some(alarm) = self.rules.alarm {
             for (&(from, to), watch) in &mut self.watches {
                 let turn = watch.advance(now, alarm);
--- a/crates/zones/tests/stories.rs
+++ b/crates/zones/tests/stories.rs
@@ -336,6 +336,25 @@
     assert_eq!(learner.step(at(3_100), 150.0, between), None);
 }
 
+#[test]
+fn a_learned_budget_rises_while_it_turns_accesses_away() {
+    let learned = Limit {
+        learned: Some((100.0, 10_000.0)),
+        ..limit(100.0, 50.0, 0.0)
+    };
+    let mut desk = Desk::new(rules(vec![learned]), 1);
+    for ms in (0..30_000).step_by(100) {
+        let video = desk.way(VIDEO, ms, 100.0);
+        if desk.zones.room(at(ms), &video) {
+            desk.zones.sent(at(ms), &video);
+            desk.end(&video, ms + 20, 20, Ending::Done, Note::Filled, Some(100.0));
+        }
+        desk.zones.advance(at(ms));
+    }
+    let rate = desk.zones.budgets()[0].rate();
+    assert!(rate > 200.0, "{rate}");
+}
+
 #[test]
 fn a_budget_lowered_below_what_is_under_way_keeps_the_debt_and_the_counts() {
     let mut desk = Desk::new(rules(vec![limit(10_000.0, 4_000.0, 0.2)]), 1);
