--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -5,12 +5,12 @@
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
-use trailproxy_terms::{Lines, Unreadable, read_terms};
+use trailproxy_terms::{Lines, Reports, Unreadable, read_terms};
 
 struct Seat {
     dispatcher: Dispatcher,
     tracks: usize,
-    link_full_at: Option<usize>,
+    reports: Reports,
     has_event: bool,
 }
 
@@ -51,13 +51,13 @@
         if code == 1070 {
             let seed = f.u64()?;
             let read = read_terms(&Lines::from_text(f.text()?));
-            let (terms, link_full_at) = read.map_err(|Unreadable(why)| Malformed(why))?;
+            let (terms, reports) = read.map_err(|Unreadable(why)| Malformed(why))?;
             let tracks = terms.tracks.len();
             let dispatcher = Dispatcher::new(terms, seed);
             let seat = Seat {
                 dispatcher,
                 tracks,
-                link_full_at,
+                reports,
                 has_event: true,
             };
             self.seats.insert(who, seat);
@@ -90,12 +90,10 @@
         }
         1010 => hosts(f)?,
         1020 => {
-            // Probes are never sent.
-            f.host()?;
-            ending(f.u8()?)?;
+            let (host, ending) = (HostId(f.host()?), ending(f.u8()?)?);
             f.u32()?;
-            load(f)?;
-            return Ok(None);
+            let load = seat.reports.load(&values(f)?);
+            Event::Probed { host, ending, load }
         }
         1030 => {
             let object = f.u64()?;
@@ -112,7 +110,7 @@
             Event::Begun { id, hand_off }
         }
         1060 => arrival(f, seat.tracks)?,
-        1080 => outcome(f, seat.link_full_at)?,
+        1080 => outcome(f, &seat.reports)?,
         1090 => Event::Left {
             id: AccessId(f.u64()?),
         },
@@ -187,7 +185,7 @@
     }))
 }
 
-fn outcome(f: &mut Fields, link_full_at: Option<usize>) -> Read1<Event> {
+fn outcome(f: &mut Fields, reports: &Reports) -> Read1<Event> {
     let (id, hand_off) = (AccessId(f.u64()?), HandOffNo(f.u8()?));
     f.host()?;
     let ending = ending(f.u8()?)?;
@@ -208,8 +206,7 @@
     };
     let waited = f.u32()?;
     let waited = (waited > 0).then_some(Span(waited.into()));
-    let load = load(f)?;
-    let link_full = link_full_at.and_then(|i| load.get(i).copied());
+    let load = reports.load(&values(f)?);
     Ok(Event::Outcome(Outcome {
         id,
         hand_off,
@@ -218,13 +215,13 @@
         closed,
         note,
         waited,
-        link_full,
+        load,
         proven: true,
         came_kb: None,
     }))
 }
 
-fn load(f: &mut Fields) -> Read1<Vec<f64>> {
+fn values(f: &mut Fields) -> Read1<Vec<f64>> {
     let n = f.u8()?;
     (0..n).map(|_| f.f32().map(f64::from)).collect()
 }
@@ -274,6 +271,9 @@
         Action::Wake { at, wake } => {
             reply.record(1040, who).u64(at.0).u32(wake.0);
         }
+        Action::Probe { host } => {
+            reply.record(1050, who).host(host.0);
+        }
         Action::FollowList => {
             reply.record(1100, who).u8(1);
         }
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -551,7 +551,8 @@
                 let life = self.seats[seat].life;
                 self.file(at.max(now), Ev::Wake(seat, life, wake));
             }
-            Action::FollowList => {}
+            // The model's hosts tell their load with answers; scenarios ask for no probes.
+            Action::FollowList | Action::Probe { .. } => {}
             Action::Log { text } => self.log(seat, &text),
         }
     }
@@ -703,7 +704,10 @@
             closed,
             note: told(notes, answer.note),
             waited: answer.waited.filter(|_| notes == NoteLevel::All),
-            link_full: Some(answer.link_full).filter(|_| self.scenario.terms.link_told),
+            load: Load {
+                link_full: Some(answer.link_full).filter(|_| self.scenario.terms.link_told),
+                ..Load::default()
+            },
             proven: true,
             came_kb: None,
         };
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -436,6 +436,7 @@
             link_kb_per_s: None,
             link_told: fleet.flag("link_told"),
             sizes_tell: true,
+            probes: false,
             joins: fleet.flag("joins"),
             straight: fleet.flag("straight"),
             notes: match fleet.text("notes") {
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -32,6 +32,23 @@
     pub max_open: usize,
 }
 
+/// Where in a load report the values stand that the decisions read.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    busy_at: Option<usize>,
+    link_full_at: Option<usize>,
+}
+
+impl Reports {
+    pub fn load(&self, values: &[f64]) -> Load {
+        let at = |at: Option<usize>| values.get(at?).copied().filter(|value| *value >= 0.0);
+        Load {
+            busy: at(self.busy_at),
+            link_full: at(self.link_full_at),
+        }
+    }
+}
+
 /// Start settings by path, each a plain value or several joined with commas.
 pub struct Lines(BTreeMap<String, String>);
 
@@ -188,8 +205,8 @@
     }
 }
 
-/// The terms, and the place in a load report of how full a link is.
-pub fn read_terms(lines: &Lines) -> Read1<(Terms, Option<usize>)> {
+/// The terms, and what load reports hold.
+pub fn read_terms(lines: &Lines) -> Read1<(Terms, Reports)> {
     let zone: u16 = lines.must("az")?;
     let cold_cache = lines.cold(
         "rules.start_capacity",
@@ -210,11 +227,18 @@
     let links: Vec<f64> = lines.list("family_info.feed_kb_per_s")?;
     let retry_after = lines.or("ceilings.retry_after", false)?;
     let class_count = lines.class_count()?;
+    let may_probe = lines.or("ceilings.may_probe", false)?;
+    let probes = may_probe && lines.text("report.via") == Some("pull");
     let reported: Vec<String> = match lines.text("report.via") {
         Some("piggyback") => lines.list("report.fields")?,
+        Some("pull") if probes => lines.list("report.fields")?,
         _ => Vec::new(),
     };
-    let link_full_at = reported.iter().position(|name| name == "x1");
+    let at = |name: &str| reported.iter().position(|reported| reported == name);
+    let reports = Reports {
+        busy_at: at("util"),
+        link_full_at: at("x1"),
+    };
     let terms = Terms {
         zone: ZoneId(zone),
         dispatchers: lines.must("balancers")?,
@@ -226,7 +250,8 @@
             .collect::<Read1<_>>()?,
         flow_kb_per_s: lines.must("family_info.stream_kb_per_s")?,
         link_kb_per_s: links.get(usize::from(zone)).copied().filter(|&kb| kb > 0.0),
-        link_told: link_full_at.is_some(),
+        link_told: reports.link_full_at.is_some(),
+        probes,
         sizes_tell: !matches!(lines.text("weights"), Some("silent")),
         joins: lines.or("family_info.joins", false)?,
         straight: lines.or("family_info.straight", false)?,
@@ -246,7 +271,7 @@
         cold_parent,
         purge_done: Span(lines.or("family_info.cleared_within_us", 0)?),
     };
-    Ok((terms, link_full_at))
+    Ok((terms, reports))
 }
 
 pub fn read_bounds(lines: &Lines) -> Read1<Bounds> {
--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -27,6 +27,7 @@
     aborted,
     left,
     hand_offs,
+    probes,
     withdrawn,
     timed_out,
     lost,
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -15,6 +15,7 @@
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
+use trailproxy_terms::Reports;
 use trailproxy_zones::Zones;
 
 /// Requests still come for so long after the signal to end.
@@ -51,7 +52,7 @@
     pub accounts: Option<(Accounts, Terms, u64)>,
     pub pools: Pools,
     pub clock: Clock,
-    pub link_full_at: Option<usize>,
+    pub reports: Reports,
     /// By track.
     pub effects: Vec<Effect>,
     pub counts: Rc<Counts>,
@@ -81,14 +82,14 @@
     pub fn new(
         decisions: Dispatcher<Option<Zones>>,
         pools: Pools,
-        link_full_at: Option<usize>,
+        reports: Reports,
         effects: Vec<Effect>,
     ) -> Dispatch {
         Dispatch {
             decisions,
             accounts: None,
             clock: pools.shared.clock,
-            link_full_at,
+            reports,
             effects,
             counts: pools.shared.counts.clone(),
             log: pools.shared.log.clone(),
@@ -227,6 +228,17 @@
     fn take(&mut self, now: Moment, inbound: Inbound) {
         match inbound {
             Inbound::Client(from) => self.client(now, from),
+            Inbound::Server(FromServer::Probed {
+                id,
+                host,
+                ending,
+                report,
+            }) => {
+                if self.pools.probed(host, id) {
+                    let load = self.reports.load(&report);
+                    self.tell(now, Event::Probed { host, ending, load });
+                }
+            }
             Inbound::Server(told) => {
                 if let Some((id, line, answer)) = self.pools.told(told) {
                     self.ended(now, id, line, answer);
@@ -392,9 +404,7 @@
         let closed = access.is_none_or(|access| access.closed);
         let client = access.and_then(|access| state.clients.get(&access.call.id.client));
         let proven = client.is_some_and(|client| client.proven);
-        let link_full = self
-            .link_full_at
-            .and_then(|at| answer.report.get(at).copied());
+        let load = self.reports.load(&answer.report);
         self.tell(
             now,
             Event::Outcome(Outcome {
@@ -405,7 +415,7 @@
                 closed,
                 note: answer.note,
                 waited: answer.waited,
-                link_full,
+                load,
                 proven,
                 came_kb,
             }),
@@ -511,6 +521,7 @@
                 Action::Wake { at, wake } => {
                     self.state.wakes.insert((at, wake));
                 }
+                Action::Probe { host } => self.pools.probe(host),
                 // The list comes by itself.
                 Action::FollowList => {}
                 Action::Log { text } => info!(self.log, "decided"; "what" => text),
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -33,6 +33,7 @@
 enum Packet {
     Sending(Sending),
     Kill(Rc<str>),
+    Probe(ProbeId),
 }
 
 struct OpenHandOff {
@@ -57,6 +58,8 @@
     unsent: VecDeque<Packet>,
     /// By the id of the request; one that is in the ring and not begun is here, too.
     open: BTreeMap<Rc<str>, OpenHandOff>,
+    /// Probes not answered yet, by their tags; a pool has one out at a time.
+    probes: BTreeMap<String, ProbeId>,
     /// Given up, and when the host knows.
     withdrawn: VecDeque<(Instant, HandOffId)>,
     heard: Instant,
@@ -86,6 +89,7 @@
             begun: false,
             unsent: VecDeque::new(),
             open: BTreeMap::new(),
+            probes: BTreeMap::new(),
             withdrawn: VecDeque::new(),
             heard: Instant::now(),
             active: Instant::now(),
@@ -134,9 +138,14 @@
         for packet in std::mem::take(&mut self.unsent) {
             self.drop_packet(packet);
         }
+        for id in std::mem::take(&mut self.probes).into_values() {
+            self.probed(id, Ending::Lost, vec![]);
+        }
         while let Some(order) = next_now(&mut self.orders) {
-            if let ToServer::Send(sending) = order {
-                self.end(sending.id, Ending::NotSent);
+            match order {
+                ToServer::Send(sending) => self.end(sending.id, Ending::NotSent),
+                ToServer::Probe(id) => self.probed(id, Ending::NotSent, vec![]),
+                _ => {}
             }
         }
         let (host, line) = (self.host, self.id);
@@ -151,9 +160,22 @@
         self.shared.end(id, self.host, Some(self.id), answer);
     }
 
+    fn probed(&self, id: ProbeId, ending: Ending, report: Vec<f64>) {
+        let host = self.host;
+        let probed = FromServer::Probed {
+            id,
+            host,
+            ending,
+            report,
+        };
+        let _ = self.shared.queue.send(Inbound::Server(probed));
+    }
+
     fn drop_packet(&self, packet: Packet) {
-        if let Packet::Sending(sending) = packet {
-            self.end(sending.id, Ending::NotSent);
+        match packet {
+            Packet::Sending(sending) => self.end(sending.id, Ending::NotSent),
+            Packet::Probe(id) => self.probed(id, Ending::NotSent, vec![]),
+            Packet::Kill(_) => {}
         }
     }
 
@@ -171,6 +193,7 @@
             self.end(id, Ending::Withdrawn);
         }
         let idle = self.open.is_empty()
+            && self.probes.is_empty()
             && self.unsent.is_empty()
             && self.outgoing.is_empty()
             && self.withdrawn.is_empty();
@@ -205,6 +228,7 @@
         self.active = Instant::now();
         match order {
             ToServer::Send(sending) => self.unsent.push_back(Packet::Sending(sending)),
+            ToServer::Probe(id) => self.unsent.push_back(Packet::Probe(id)),
             ToServer::Kill(id) => {
                 if !self.drop_unsent(id) {
                     self.kill(id);
@@ -295,6 +319,13 @@
                 resp::put_word(&mut out, b"KILL");
                 resp::put_word(&mut out, reference.as_bytes());
             }
+            Packet::Probe(id) => {
+                let tag = format!("probe-{}", id.0);
+                resp::put_array(&mut out, 2);
+                resp::put_word(&mut out, b"METER");
+                resp::put_word(&mut out, tag.as_bytes());
+                self.probes.insert(tag, id);
+            }
             Packet::Sending(sending) => {
                 let (now, call) = (Instant::now(), &sending.call);
                 if sending.is_late(now) {
@@ -350,6 +381,15 @@
                 }
                 Err(Fault::Malformed(why)) => return self.bad(why),
             };
+            let probe = words.first().copied().unwrap_or_default();
+            let probe = std::str::from_utf8(probe).ok();
+            if let Some(id) = probe.and_then(|tag| self.probes.remove(tag)) {
+                let (ending, report) = read_probe(&words);
+                self.probed(id, ending, report);
+                self.incoming.consume(n);
+                self.wants = 1;
+                continue;
+            }
             let [reference, word, fields, body] = words.as_slice() else {
                 return self.bad("an answer has not four words");
             };
@@ -431,16 +471,34 @@
     fields
 }
 
+fn named<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(key, _)| *key == name);
+    found.map(|(_, value)| value)
+}
+
+/// The values of a load report, in the order that the settings name; a name may stand before each.
+fn read_report(fields: &str) -> Vec<f64> {
+    let report = named(fields, "rep").unwrap_or("").split(['+', ';', ' ']);
+    let report = report.map(|pair| pair.rsplit([':', '=']).next().unwrap_or(pair));
+    report.filter_map(|value| value.parse().ok()).collect()
+}
+
+/// What a probe told: a host that says it is ill, or nothing that can be read, has not told its load.
+fn read_probe(words: &[&[u8]]) -> (Ending, Vec<f64>) {
+    let fields = words
+        .get(2)
+        .and_then(|fields| std::str::from_utf8(fields).ok());
+    match words.get(1) {
+        Some(&b"well") => (Ending::Done, read_report(fields.unwrap_or(""))),
+        _ => (Ending::Error, vec![]),
+    }
+}
+
 fn read_answer(words: [&[u8]; 3], sending: &OpenHandOff, held: &Held) -> Option<Answer> {
     let [word, fields, body] = words;
     let fields = std::str::from_utf8(fields).ok()?;
-    let named = |name: &str| {
-        let pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
-        pairs
-            .into_iter()
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| value)
-    };
+    let named = |name: &str| named(fields, name);
     let ending = match word {
         b"data" => Ending::Done,
         b"unchanged" if sending.may_be_same => Ending::Done,
@@ -464,15 +522,13 @@
         _ => Note::Untold,
     };
     let waited = named("lag").and_then(|ms| ms.parse().ok());
-    let report = named("rep").unwrap_or("").split(['+', ';', ' ']);
-    let report = report.map(|pair| pair.rsplit([':', '=']).next().unwrap_or(pair));
     Some(Answer {
         ending,
         note,
         waited: waited
             .filter(|ms| *ms > 0.0)
             .map(|ms: f64| Span::from_secs_f64(ms / 1000.0)),
-        report: report.filter_map(|value| value.parse().ok()).collect(),
+        report: read_report(fields),
         body: (word == b"data").then(|| Parcel::new(body, held)),
     })
 }
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -207,7 +207,7 @@
         counts,
         log,
     }));
-    let mut dispatch = Dispatch::new(decisions, pools, start.link_full_at, effects);
+    let mut dispatch = Dispatch::new(decisions, pools, start.reports, effects);
     // Its points in the budgets are drawn apart from the decisions' own chance.
     dispatch.accounts = Some((accounts, terms, !start.seed));
     dispatch.zones(told);
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -80,6 +80,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LineId(pub u64);
 
+/// One probe of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProbeId(pub u64);
+
 /// One hand-off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HandOffId {
@@ -145,6 +149,12 @@
         line: Option<LineId>,
         answer: Answer,
     },
+    Probed {
+        id: ProbeId,
+        host: HostId,
+        ending: Ending,
+        report: Vec<f64>,
+    },
     /// Nothing new is to go there: it is about to close, or nothing came from it for longer than a
     /// dial may take, though it owed an answer.
     Unfit {
@@ -159,6 +169,7 @@
 
 pub enum ToServer {
     Send(Sending),
+    Probe(ProbeId),
     /// Given up: a KILL goes out if the request has.
     Kill(HandOffId),
     /// Dropped if not a byte of it is written, else left alone.
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -36,6 +36,23 @@
     /// Waiting for a connection, and until when.
     waiting: VecDeque<(Instant, Sending)>,
     dialing: usize,
+    probe: Option<Probe>,
+}
+
+/// A probe of one host.
+struct Probe {
+    id: ProbeId,
+    until: Instant,
+    is: ProbeIs,
+}
+
+#[derive(PartialEq)]
+enum ProbeIs {
+    Waiting,
+    /// A connection has it.
+    Out,
+    /// Its end is told, and on its way in the queue.
+    Over,
 }
 
 /// What all pools and connections share.
@@ -63,6 +80,23 @@
         let _ = self.queue.send(Inbound::Server(ended));
     }
 
+    /// Tells the end of a probe that no answer ended, once.
+    fn probe_ended(&self, host: HostId, probe: &mut Probe, out: Ending) {
+        let (id, report) = (probe.id, vec![]);
+        let ending = match std::mem::replace(&mut probe.is, ProbeIs::Over) {
+            ProbeIs::Waiting => Ending::NoConnection,
+            ProbeIs::Out => out,
+            ProbeIs::Over => return,
+        };
+        let probed = FromServer::Probed {
+            id,
+            host,
+            ending,
+            report,
+        };
+        let _ = self.queue.send(Inbound::Server(probed));
+    }
+
     fn dropped(&self, sending: &Sending, ending: Ending) {
         self.end(sending.id, sending.host, None, Answer::bare(ending));
     }
@@ -106,6 +140,7 @@
                 lines: Vec::new(),
                 waiting: VecDeque::new(),
                 dialing: 0,
+                probe: None,
             };
             let pool = self.pools.entry(member.entry.host).or_insert_with(fresh);
             let moved = pool.member.address != member.address;
@@ -171,6 +206,22 @@
         self.assign(host);
     }
 
+    /// Asks a host for its load, one at a time: while one is out, another is not wanted. It takes a connection
+    /// that is up, else one is dialled for it, within the descriptors that hand-offs leave.
+    pub fn probe(&mut self, host: HostId) {
+        let until = Instant::now() + self.dial_within();
+        self.next += 1;
+        let id = ProbeId(self.next);
+        let ready = |pool: &&mut Pool| pool.member.entry.state == HostState::Ready;
+        let pool = self.pools.get_mut(&host).filter(ready);
+        if let Some(pool) = pool.filter(|pool| pool.probe.is_none()) {
+            count(&self.shared.counts.probes);
+            let is = ProbeIs::Waiting;
+            pool.probe = Some(Probe { id, until, is });
+            self.assign(host);
+        }
+    }
+
     fn dial_within(&self) -> Duration {
         Duration::from_micros(self.shared.bounds.dial_within.0)
     }
@@ -205,7 +256,18 @@
             }
         }
         pool.waiting = left;
-        while pool.dialing < pool.waiting.len().min(dials) {
+        let mut wanted = pool.waiting.len();
+        let waits = |probe: &&mut Probe| probe.is == ProbeIs::Waiting;
+        if let Some(probe) = pool.probe.as_mut().filter(waits) {
+            match pool.lines.iter().find(|line| !line.retired) {
+                Some(line) => {
+                    probe.is = ProbeIs::Out;
+                    let _ = line.orders.send(ToServer::Probe(probe.id));
+                }
+                None => wanted += 1,
+            }
+        }
+        while pool.dialing < wanted.min(dials) {
             pool.dialing += 1;
             self.lines += 1;
             self.next += 1;
@@ -218,7 +280,11 @@
     /// Ends the wait of hand-offs that no connection came up for in time.
     pub fn expire(&mut self, now: Instant) {
         let shared = &self.shared;
-        for pool in self.pools.values_mut() {
+        for (&host, pool) in &mut self.pools {
+            let due = |probe: &&mut Probe| probe.until <= now;
+            if let Some(probe) = pool.probe.as_mut().filter(due) {
+                shared.probe_ended(host, probe, Ending::TimedOut);
+            }
             pool.waiting.retain(|(until, sending)| {
                 match (sending.is_late(now), *until <= now) {
                     (true, _) => shared.dropped(sending, Ending::NotSent),
@@ -236,7 +302,12 @@
         let over = |(until, sending): &(Instant, Sending)| {
             sending.begin_by.map_or(*until, |by| by.min(*until))
         };
-        waiting.map(over).min()
+        let probes = self.pools.values().filter_map(|pool| pool.probe.as_ref());
+        let probes = probes.filter(|probe| probe.is != ProbeIs::Over);
+        waiting
+            .map(over)
+            .chain(probes.map(|probe| probe.until))
+            .min()
     }
 
     /// Gives a hand-off up; its ending comes by the queue.
@@ -274,6 +345,13 @@
         }
     }
 
+    /// Whether this is the probe that is out there; what comes of one later than its end is not.
+    pub fn probed(&mut self, host: HostId, id: ProbeId) -> bool {
+        let pool = self.pools.get_mut(&host);
+        pool.and_then(|pool| pool.probe.take_if(|probe| probe.id == id))
+            .is_some()
+    }
+
     /// What a connection or a dial tells; an answer is handed back, once for each hand-off.
     pub fn told(&mut self, told: FromServer) -> Option<(HandOffId, Option<LineId>, Answer)> {
         match told {
@@ -305,6 +383,8 @@
                 }
                 self.places.remove(&id).map(|_| (id, line, answer))
             }
+            // It has its owner's ear by itself.
+            FromServer::Probed { .. } => None,
             FromServer::Unfit { host, line } => {
                 if let Some(pool) = self.pools.get_mut(&host) {
                     for known in pool.lines.iter_mut().filter(|known| known.id == line) {
@@ -334,6 +414,10 @@
             if let Some(pool) = self.pools.get_mut(&host) {
                 pool.dialing -= 1;
                 if refused {
+                    let waits = |probe: &&mut Probe| probe.is == ProbeIs::Waiting;
+                    if let Some(probe) = pool.probe.as_mut().filter(waits) {
+                        self.shared.probe_ended(host, probe, Ending::NoConnection);
+                    }
                     for (_, sending) in pool.waiting.drain(..) {
                         self.shared.dropped(&sending, Ending::NoConnection);
                     }
--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use trailproxy::interface::Terms;
-use trailproxy_terms::{Bounds, Lines, Unreadable, read_bounds, read_terms};
+use trailproxy_terms::{Bounds, Lines, Reports, Unreadable, read_bounds, read_terms};
 
 pub struct Start {
     pub name: String,
@@ -23,7 +23,7 @@
     /// Entries that can't be read, which are passed over.
     pub known_unread: usize,
     pub terms: Terms,
-    pub link_full_at: Option<usize>,
+    pub reports: Reports,
     pub bounds: Bounds,
     pub names: Rc<Names>,
     /// The operator's own file, where there is one.
@@ -66,7 +66,7 @@
     let seed = text("seed").unwrap_or_default();
     let lines = Lines::from_json(json.get("settings").ok_or("settings are missing")?);
     let unreadable = |Unreadable(why)| why;
-    let (terms, link_full_at) = read_terms(&lines).map_err(unreadable)?;
+    let (terms, reports) = read_terms(&lines).map_err(unreadable)?;
     let bounds = read_bounds(&lines).map_err(unreadable)?;
     let names = Names::of(&bounds);
     let entries = json.pointer("/known/entries").and_then(Value::as_array);
@@ -94,7 +94,7 @@
         known_unread,
         known_until: told_until.or(last).unwrap_or(0),
         terms,
-        link_full_at,
+        reports,
         bounds,
         names: Rc::new(names),
         operator: Source::of(json, variable),
--- a/crates/zones/src/decide/mod.rs
+++ b/crates/zones/src/decide/mod.rs
@@ -414,7 +414,10 @@
                     .range_mut(all)
                     .for_each(|(_, flying)| flying.left = true);
             }
-            Event::Arrived(_) | Event::Begun { .. } | Event::Woken { .. } => {}
+            Event::Arrived(_)
+            | Event::Begun { .. }
+            | Event::Probed { .. }
+            | Event::Woken { .. } => {}
         }
     }
 
--- a/crates/zones/tests/stories.rs
+++ b/crates/zones/tests/stories.rs
@@ -69,6 +69,7 @@
         link_kb_per_s: None,
         link_told: false,
         sizes_tell: true,
+        probes: false,
         joins: true,
         straight: true,
         notes: NoteLevel::All,
@@ -158,7 +159,7 @@
             closed: ending == Ending::Done,
             note,
             waited: None,
-            link_full: None,
+            load: Load::default(),
             proven: true,
             came_kb,
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,6 +19,8 @@
     pub link_kb_per_s: Option<f64>,
     /// Whether caches tell how full it is.
     pub link_told: bool,
+    /// Whether hosts tell their load when probed, and only then.
+    pub probes: bool,
     /// Whether the sizes of hosts tell something.
     pub sizes_tell: bool,
     pub joins: bool,
@@ -110,6 +112,12 @@
     Woken {
         wake: WakeId,
     },
+    /// How a probe ended, and what the host told by it.
+    Probed {
+        host: HostId,
+        ending: Ending,
+        load: Load,
+    },
     /// Every object of the group where no object is named.
     Purged {
         object: Option<ObjectId>,
@@ -168,14 +176,22 @@
     pub note: Note,
     /// Time to the first byte from the source, or to the fill's failure, where it is told.
     pub waited: Option<Span>,
-    /// How full the zone's link is, where its caches tell: transfers over those that fit.
-    pub link_full: Option<f64>,
+    pub load: Load,
     /// Whether anything was done for its client before, so that its accesses are known to make sense.
     pub proven: bool,
     /// What came of the object, in KB of 1,024 bytes, where it is told.
     pub came_kb: Option<f64>,
 }
 
+/// What a host tells of its load: late, with noise, and nothing where it does not tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// The share of what it can send that is in use.
+    pub busy: Option<f64>,
+    /// How full the link of a cache's zone is: transfers over those that fit.
+    pub link_full: Option<f64>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
     Done,
@@ -244,6 +260,10 @@
         wake: WakeId,
     },
     FollowList,
+    /// Asks a host for its load.
+    Probe {
+        host: HostId,
+    },
     Log {
         text: String,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,6 +68,15 @@
 const SLOW_HIT: f64 = 4.0;
 const HALVES: Span = Span::from_secs(2);
 const BIN: f64 = 1.7;
+/// Where sizes are not told, they are learnt from how busy hosts say they are: how often each is probed,
+/// what a cache and what a parent is taken for at first, and for how many busy seconds that counts.
+/// Probed more often, hosts work for it; a larger first guess risks cold hosts, a smaller rejects.
+const PROBE_EVERY: Span = Span::from_secs(2);
+const FIRST_SIZES: [f64; 3] = [4.0, 16.0, 16.0];
+const FIRST_COUNTS: f64 = 3.0;
+/// So many busy seconds are remembered of a kind; and what is busier than this sends at less than its pace.
+const REMEMBERED: f64 = 120.0;
+const AT_FULL_PACE: f64 = 0.7;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
@@ -226,6 +235,11 @@
     /// How many times longer than alone fills from here took lately, and when that was last told.
     slowness: (f64, Moment),
     out: u32,
+    /// How many answers it can send at full pace, as told or else as learnt.
+    size: f64,
+    /// How busy it last said it was, when, and what it has sent for this dispatcher since, in seconds.
+    busy: (f64, Moment),
+    done: f64,
     /// When it last left the list.
     left: Moment,
     /// What is left of what it may be given while it is cold, and when that was reckoned.
@@ -268,7 +282,7 @@
     /// Work as a part of what this dispatcher may give it within the span of rule 4 while it is cold.
     fn cost(&self, now: Moment, work: f64) -> f64 {
         let told = self.cold.fall_multiple * self.cold.fall_after.as_secs_f64();
-        work * self.dispatchers / (told * COLD_USE * self.warmth(now) * self.entry.size)
+        work * self.dispatchers / (told * COLD_USE * self.warmth(now) * self.size)
     }
 
     fn allowance(&self, now: Moment) -> f64 {
@@ -359,6 +373,10 @@
     link_told: f64,
     at_caches: Level,
     zone_size: f64,
+    /// By kind, where sizes are not told: what all dispatchers had sent, and the busy seconds it took.
+    learnt: BTreeMap<KindId, (f64, f64)>,
+    probe_at: Moment,
+    probed: HostId,
     actions: Vec<Action>,
 }
 
@@ -403,6 +421,9 @@
             link_told: 0.0,
             at_caches: Level::default(),
             zone_size: 1.0,
+            learnt: BTreeMap::new(),
+            probe_at: Moment::default(),
+            probed: HostId::default(),
             actions: Vec::from_iter(terms.list_on_request.then_some(Action::FollowList)),
             terms,
         }
@@ -427,6 +448,7 @@
                 self.close(id);
             }
             Event::Left { id } => self.close(id),
+            Event::Probed { host, ending, load } => self.probed(now, host, ending, load),
             Event::Woken { .. } => self.armed = self.armed.filter(|&at| at > now),
             Event::Purged { object, group, ago } => {
                 let forget = self.terms.purge_done.times(3.0);
@@ -465,11 +487,21 @@
                 heard: Moment::default(),
                 slowness: (1.0, Moment::default()),
                 out: 0,
+                size: entry.size,
+                busy: (0.0, now),
+                done: 0.0,
                 left: now,
                 allowance: (0.0, now),
             });
             host.list_as(now, entry.state);
             host.entry = entry;
+            let first = (FIRST_SIZES[role as usize] * FIRST_COUNTS, FIRST_COUNTS);
+            let learnt = *self.learnt.entry(entry.kind).or_insert(first);
+            host.size = if self.terms.sizes_tell {
+                entry.size
+            } else {
+                learnt.0 / learnt.1
+            };
             if before != Some(entry.started) {
                 // A fresh process: what its predecessor did is no fault of it. Each dispatcher begins
                 // at another point of its debt, or all would send at once.
@@ -487,12 +519,62 @@
         let of = |role| ready.clone().filter(move |host| host.role == role);
         let zone = self.terms.zone;
         let own = of(Role::Cache).filter(|host| host.entry.zone == zone);
-        self.zone_size = own.clone().map(|host| host.entry.size).sum();
+        self.zone_size = own.clone().map(|host| host.size).sum();
         self.caches = own.map(|host| host.entry.host).collect();
         self.parents = of(Role::Parent).map(|host| host.entry.host).collect();
         self.origin = of(Role::Origin).map(|host| host.entry.host).next();
     }
 
+    /// What hosts say when they are probed: how full the link is, how busy they are, or nothing.
+    fn probed(&mut self, now: Moment, id: HostId, ending: Ending, load: Load) {
+        let Some(host) = self.hosts.get_mut(&id) else {
+            return;
+        };
+        if ending != Ending::Done {
+            let bad = Some(Verdict::Bad).filter(|_| ending != Ending::NotSent);
+            return self.judge(now, id, bad, &Try::default());
+        }
+        if host.role == Role::Cache {
+            self.link_told = load.link_full.unwrap_or(self.link_told);
+        }
+        let Some(busy) = load.busy else { return };
+        let span = now.since(host.busy.1).as_secs_f64();
+        let mean = (host.busy.0 + busy) / 2.0;
+        let usual = host.warmth(now) >= 1.0 && host.busy.0 > 0.0 && !host.sick();
+        let (done, dispatchers, kind) = (host.done, host.dispatchers, host.entry.kind);
+        (host.busy, host.done) = ((busy, now), 0.0);
+        let Some(learnt) = self.learnt.get_mut(&kind).filter(|_| usual) else {
+            return;
+        };
+        *learnt = (learnt.0 + done * dispatchers, learnt.1 + mean * span);
+        if learnt.1 > REMEMBERED {
+            *learnt = (learnt.0 / 2.0, learnt.1 / 2.0);
+        }
+        let size = learnt.0 / learnt.1;
+        let of_kind = |host: &&mut Host| host.entry.kind == kind;
+        if !self.terms.sizes_tell {
+            self.hosts
+                .values_mut()
+                .filter(of_kind)
+                .for_each(|host| host.size = size);
+            self.zone_size = self.caches.iter().map(|id| self.hosts[id].size).sum();
+        }
+    }
+
+    /// One host after another is asked for its load, each as often as the others.
+    fn probe(&mut self, now: Moment) {
+        let all = || self.caches.iter().chain(&self.parents);
+        if !self.terms.probes || now < self.probe_at {
+            return;
+        }
+        let next = all().filter(|id| **id > self.probed).min().or(all().min());
+        if let Some(&host) = next {
+            self.probed = host;
+            self.actions.push(Action::Probe { host });
+        }
+        self.probe_at = now + PROBE_EVERY.times(1.0 / all().count().max(1) as f64);
+    }
+
     fn arrive(&mut self, now: Moment, asked: Arrival) {
         let track = &self.terms.tracks[usize::from(asked.track.0)];
         let told = asked.size_kb.map(|kb| kb / self.terms.flow_kb_per_s);
@@ -596,6 +678,16 @@
         if let Some(host) = self.hosts.get_mut(&host) {
             host.out -= 1;
             host.heard = if answered { now } else { host.heard };
+            host.done += if ending == Done { send } else { 0.0 };
+            if hit
+                && of_cache
+                && size_kb.is_none()
+                && host.busy.0 > 0.0
+                && host.busy.0 < AT_FULL_PACE
+            {
+                let (sum, n) = &mut self.sending[usize::from(access.asked.track.0)];
+                (*sum, *n) = (*sum + took.as_secs_f64(), *n + 1.0);
+            }
             if hit && of_cache {
                 let ratio = took.as_secs_f64() / alone.as_secs_f64();
                 host.slowed(now, ratio.min(SLOW_HIT));
@@ -605,11 +697,16 @@
         if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
             self.missing += (f64::from(u8::from(!hit)) - self.missing) * MISSING_GAIN;
         }
-        let told = outcome.link_full.filter(|_| of_cache);
+        let told = outcome.load.link_full.filter(|_| of_cache);
         self.link_told = told.unwrap_or(self.link_told);
         let straight = self.hosts[&host].role == Role::Parent;
         let filler = if straight { host } else { source };
         if let Some(source) = self.hosts.get_mut(&filler).filter(|_| straight || !own) {
+            source.done += if ending == Done && !hit && !straight {
+                send
+            } else {
+                0.0
+            };
             if hit && !straight {
                 source.allowance.0 += source.cost(now, send);
             } else if matches!(ending, Done | TimedOut) {
@@ -754,7 +851,15 @@
                 self.accesses.remove(&id);
             }
         }
-        let next = self.timed.first().map(|&(at, _)| at);
+        self.probe(now);
+        let probe = Some(self.probe_at).filter(|_| self.terms.probes);
+        let next = self
+            .timed
+            .first()
+            .map(|&(at, _)| at)
+            .into_iter()
+            .chain(probe)
+            .min();
         if let Some(at) = next.filter(|&at| self.armed.is_none_or(|armed| at < armed)) {
             let wake = WakeId(0);
             self.armed = Some(at);
@@ -797,7 +902,7 @@
             _ => (&self.parents, 0),
         };
         let score = |id: &HostId| {
-            let size = Some(self.hosts[id].entry.size).filter(|_| self.terms.sizes_tell);
+            let size = Some(self.hosts[id].size).filter(|_| self.terms.sizes_tell);
             let spread = point(access.asked.object, part, *id, 1);
             (-spread.max(1e-12).ln() / size.unwrap_or(1.0).max(0.01), *id)
         };
@@ -896,7 +1001,7 @@
         if host.role != Role::Cache {
             return 1.0;
         }
-        let (own, size) = (f64::from(host.out), host.entry.size);
+        let (own, size) = (f64::from(host.out), host.size);
         let usual = self.at_caches.1 * size / self.zone_size.max(0.5);
         let others = usual * (own + 1.0) / (usual + 1.0) * (host.dispatchers - 1.0);
         ((own + others + 1.0) / (size * host.warmth(now)).max(0.5)).max(1.0)
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -93,7 +93,7 @@
             closed: ending == Ending::Done,
             note,
             waited: None,
-            link_full: None,
+            load: Load::default(),
             proven: true,
             came_kb: None,
         };
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -58,6 +58,7 @@
         link_kb_per_s: None,
         link_told: true,
         sizes_tell: true,
+        probes: false,
         joins: true,
         straight: true,
         notes: NoteLevel::All,
@@ -105,8 +106,9 @@
     pub finals: BTreeMap<AccessId, Vec<Action>>,
     pub withdrawn: Vec<AccessId>,
     pub logged: Vec<String>,
+    pub probed: Vec<(Moment, HostId)>,
     wakes: Vec<Moment>,
-    pub link_full: Option<f64>,
+    pub load: Load,
     pub proven: bool,
     next: u64,
 }
@@ -125,7 +127,8 @@
             withdrawn: vec![],
             logged: vec![],
             wakes: vec![],
-            link_full: None,
+            load: Load::default(),
+            probed: vec![],
             proven: true,
             next: 0,
         };
@@ -159,6 +162,7 @@
                 Action::Withdraw { id, .. } => self.withdrawn.push(id),
                 Action::Wake { at, .. } => self.wakes.push(at),
                 Action::Log { text } => self.logged.push(text),
+                Action::Probe { host } => self.probed.push((self.now, host)),
                 Action::FollowList => {}
             }
         }
@@ -218,7 +222,7 @@
             closed,
             note,
             waited,
-            link_full: self.link_full,
+            load: self.load,
             proven: self.proven,
             came_kb: None,
         }));
