--- a/src/logic.rs
+++ b/src/logic.rs
@@ -530,9 +530,9 @@
         let Some(host) = self.hosts.get_mut(&id) else {
             return;
         };
+        // A probe that fails blames nobody: hosts answer few at once, and a deep one waits behind accesses.
         if ending != Ending::Done {
-            let bad = Some(Verdict::Bad).filter(|_| ending != Ending::NotSent);
-            return self.judge(now, id, bad, &Try::default());
+            return;
         }
         if host.role == Role::Cache {
             self.link_told = load.link_full.unwrap_or(self.link_told);
