--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,6 +47,7 @@
 /// time. Lower blames hosts that are only slow; higher lets a silent one hold on to its accesses.
 const PATIENCE: f64 = 1.5;
 const WAIT_OF_DUE: f64 = 0.6;
+const USUAL_WAITS: f64 = 3.0;
 /// How long an access waits before it goes to the origin again, and a client that was rejected.
 const ORIGIN_WAIT: Span = Span::from_millis(60);
 const COME_BACK: Span = Span::from_millis(500);
@@ -98,10 +99,10 @@
         }
     }
 
-    /// The upper edge of the bin of the 95th percentile; `None` when too little is heard.
-    fn p95(&self) -> Option<f64> {
+    /// The upper edge of the bin that one in so many lies above; `None` when too little is heard.
+    fn above(&self, one_in: u32) -> Option<f64> {
         let total: u32 = self.0.iter().sum();
-        let mut left = total - total / 20;
+        let mut left = total - total / one_in;
         for (bin, &n) in self.0.iter().enumerate().filter(|_| total >= 20) {
             if n >= left {
                 return Some(BIN.powi(bin as i32 + 1));
@@ -367,6 +368,8 @@
     /// Sending times by track: their sum in seconds and their number.
     sending: Vec<(f64, f64)>,
     pooled: [Histogram; 3],
+    /// How long fills took besides their sending.
+    waits: Histogram,
     /// Fills that are likely under way for this dispatcher, and the share that needed one lately.
     fills: Level,
     missing: f64,
@@ -416,6 +419,7 @@
             seen: BTreeSet::new(),
             sending: terms.tracks.iter().map(first_guess).collect(),
             pooled: Default::default(),
+            waits: Histogram::default(),
             fills: Level::default(),
             missing: FIRST_MISSING,
             link_told: 0.0,
@@ -710,6 +714,7 @@
             if hit && !straight {
                 source.allowance.0 += source.cost(now, send);
             } else if matches!(ending, Done | TimedOut) {
+                self.waits.add((took - alone).0 as f64);
                 let waited = outcome.waited.filter(|_| size_kb.is_none());
                 let fill = waited.map_or(took, |waited| waited + Span::from_secs_f64(send));
                 let sample = fill.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
@@ -797,7 +802,7 @@
         if let Some(Verdict::Good(told)) = verdict {
             (host.heard, latency) = (now, told);
         }
-        let usual = host.breaker.usual.p95().or(pooled.p95());
+        let usual = host.breaker.usual.above(20).or(pooled.above(20));
         let limit = usual.map_or(f64::MAX, |usual| SLOW * usual);
         let weighs = match verdict {
             Some(Verdict::Good(_)) => u32::from(latency.is_some_and(|latency| latency > limit)),
@@ -1123,7 +1128,9 @@
         };
         let fill = Some(fill).filter(|_| host.role != Role::Origin);
         let sending = Span::from_secs_f64(access.send * self.stretch(now, host)) + HOP;
-        let overdue_at = now + sending.times(PATIENCE) + track.due.times(WAIT_OF_DUE);
+        let usual = self.waits.above(2).map_or(0.0, |wait| wait * USUAL_WAITS);
+        let wait = track.due.times(WAIT_OF_DUE).max(Span(usual as u64));
+        let overdue_at = now + sending.times(PATIENCE) + wait;
         let missing = match host.role {
             Role::Cache if own || written => 0.0,
             Role::Cache => self.missing,
