--- a/src/logic.rs
+++ b/src/logic.rs
@@ -78,7 +78,6 @@
 /// So many busy seconds are remembered of a kind; and what is busier than this sends at less than its pace.
 const REMEMBERED: f64 = 120.0;
 const AT_FULL_PACE: f64 = 0.7;
-const ALL_IN_USE: f64 = 0.9;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
@@ -263,11 +262,6 @@
         matches!(self.breaker.phase, Phase::Open(_) | Phase::Trial)
     }
 
-    /// Whether it said lately that all it can send is in use: then what is slow there is no sickness.
-    fn tells_crowd(&self, now: Moment) -> bool {
-        self.busy.0 >= ALL_IN_USE && now.since(self.busy.1) < PROBE_EVERY.times(2.0)
-    }
-
     fn slowed(&mut self, now: Moment, sample: f64) {
         let before = self.slowness(now);
         self.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
@@ -827,9 +821,7 @@
             };
             host.breaker.turn(now, next);
         } else if verdict.is_some() && !before {
-            let crowded = verdict == Some(Verdict::Crowded)
-                || weighs < 4 && role == Role::Origin
-                || role == Role::Parent && host.tells_crowd(now);
+            let crowded = verdict == Some(Verdict::Crowded) || weighs < 4 && role == Role::Origin;
             host.breaker.judge(now, weighs, crowded);
         }
         if before != host.sick() {
