--- a/src/logic.rs
+++ b/src/logic.rs
@@ -78,6 +78,9 @@
 /// So many busy seconds are remembered of a kind; and what is busier than this sends at less than its pace.
 const REMEMBERED: f64 = 120.0;
 const AT_FULL_PACE: f64 = 0.7;
+const AT_EASE: f64 = 0.6;
+const ALL_IN_USE: f64 = 0.95;
+const FREE_COUNTS: f64 = 0.4;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
@@ -262,6 +265,13 @@
         matches!(self.breaker.phase, Phase::Open(_) | Phase::Trial)
     }
 
+    /// How far a crowd that is reckoned there slows its answers: less where it last said that much is free,
+    /// because what waits for fills sends nothing yet.
+    fn crowd_told(&self) -> f64 {
+        let told = Some(self.busy.0).filter(|&busy| busy > 0.0);
+        told.map_or(1.0, |busy| ((busy - AT_EASE) / (ALL_IN_USE - AT_EASE)).clamp(FREE_COUNTS, 1.0))
+    }
+
     fn slowed(&mut self, now: Moment, sample: f64) {
         let before = self.slowness(now);
         self.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
@@ -1009,7 +1019,8 @@
         let (own, size) = (f64::from(host.out), host.size);
         let usual = self.at_caches.1 * size / self.zone_size.max(0.5);
         let others = usual * (own + 1.0) / (usual + 1.0) * (host.dispatchers - 1.0);
-        ((own + others + 1.0) / (size * host.warmth(now)).max(0.5)).max(1.0)
+        let crowd = (own + others + 1.0) / (size * host.warmth(now)).max(0.5);
+        1.0 + (crowd - 1.0).max(0.0) * host.crowd_told()
     }
 
     /// The object's first ready cache that has room, else the least crowded, if it is in time.
