--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,12 +55,8 @@
 const FORGET: Span = Span::from_secs(60);
 /// So many objects seen are remembered, before all are forgotten.
 const SEEN: usize = 50_000;
-/// How much faster than an answer a fill runs at least: a fuller link delays answers; up to which
-/// part of that what finds its caches crowded passes them by. Higher fills the link.
+/// How much faster than an answer a fill runs at least: a fuller link delays answers. Higher fills the link.
 const FILL_PACE: f64 = 1.75;
-/// How many times quicker a later parent must be to be asked in place of a slow one.
-const CONTRAST: f64 = 3.0;
-const LINK_SPARE: f64 = 0.6;
 /// Weight of the newest answer in the share that needed a fill and in the slowness of a host; how far
 /// one hit counts, as its size may be guessed wrong; how soon averages over time are half forgotten.
 const FIRST_MISSING: f64 = 0.4;
@@ -269,7 +265,9 @@
     /// because what waits for fills sends nothing yet.
     fn crowd_told(&self) -> f64 {
         let told = Some(self.busy.0).filter(|&busy| busy > 0.0);
-        told.map_or(1.0, |busy| ((busy - AT_EASE) / (ALL_IN_USE - AT_EASE)).clamp(FREE_COUNTS, 1.0))
+        told.map_or(1.0, |busy| {
+            ((busy - AT_EASE) / (ALL_IN_USE - AT_EASE)).clamp(FREE_COUNTS, 1.0)
+        })
     }
 
     fn slowed(&mut self, now: Moment, sample: f64) {
@@ -337,7 +335,6 @@
     out: bool,
     may_have_run: bool,
     failed: bool,
-    refused: bool,
     blamed: bool,
     withdrawn: bool,
     trial_of: Option<HostId>,
@@ -655,8 +652,6 @@
         attempt.out = false;
         attempt.may_have_run = !ending.never_ran();
         attempt.failed = ending != Ending::Missed;
-        // A cache turns away at once; its source takes the way there and back.
-        attempt.refused = ending == Ending::Full && !own && !attempt.blamed && outcome.took > HOP;
         let attempt = *attempt;
         self.learn(now, outcome, &attempt);
         if let Some(access) = self.accesses.get_mut(&id) {
@@ -963,7 +958,7 @@
         // With no cache to go to, an access passes them by, straight to where it would be filled.
         let lost = || self.caches.iter().all(|id| self.hosts[id].sick());
         let Some(host) = cache else {
-            let may = self.terms.straight && (lost() || self.link_crowd() < LINK_SPARE);
+            let may = self.terms.straight && lost();
             let host = source.filter(|_| may)?;
             let source = open.unwrap_or(host);
             return Some(Plan { host, source });
@@ -985,21 +980,20 @@
             let fits = || self.fits(now, access, Plan { host, source });
             self.open_to(now, access, source) && has_budget && fits()
         };
-        let mut sources = self.in_hash_order(access, Role::Parent);
-        sources.retain(has_room);
-        let first = sources.first().copied().or(self.origin.filter(has_room))?;
-        // Past a late parent for a clearly quicker one only: were all slow, the origin would be why.
-        let slowness = |id: &HostId| self.hosts[id].slowness(now);
-        sources.retain(|id| slowness(id) * CONTRAST <= slowness(&first));
-        sources.insert(0, first);
+        let parents = self.in_hash_order(access, Role::Parent);
+        let source = parents
+            .into_iter()
+            .find(has_room)
+            .or(self.origin.filter(has_room))?;
         let alone = Span::from_secs_f64(access.send) + FILL_WAIT;
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
         // What a parent holds comes no later for a sick origin behind it.
-        let late = |id: &HostId| alone.times(if origin_open { slowness(id) } else { 1.0 });
-        let in_time = |id: &HostId| now + late(id).max(crowd) <= access.due;
-        // What one parent turned away no other is asked for, or a crowd at one becomes one at all.
-        let refused = access.tries.iter().any(|t| t.refused);
-        sources.into_iter().find(in_time).filter(|_| !refused)
+        let slowness = if origin_open {
+            self.hosts[&source].slowness(now)
+        } else {
+            1.0
+        };
+        (now + alone.times(slowness).max(crowd) <= access.due).then_some(source)
     }
 
     /// Fills on the zone's link over those that fit at the pace of an answer.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -249,19 +249,6 @@
     }
 }
 
-#[test]
-fn what_one_parent_turned_away_is_not_asked_of_the_next() {
-    let mut stage = Stage::new(terms());
-    let id = stage.arrive(READS, 3);
-    stage.answer(id, Ending::Full, Note::SourceRefused, ms(60));
-    let fill = stage.last(id).fill.expect("a plain look");
-    assert_eq!(fill.source, stage.last(id).host, "a look at another cache");
-    let lost = stage.arrive(READS, 4);
-    let first = stage.source(lost);
-    stage.answer(lost, Ending::Error, Note::SourceLost, ms(60));
-    assert!(PARENTS.contains(&stage.source(lost)) && stage.source(lost) != first);
-}
-
 /// How many of a hundred reads may make their parents ask the origin.
 fn may_reach_origin(stage: &mut Stage) -> usize {
     let reads = (2000..2100).filter(|&object| {
@@ -457,23 +444,6 @@
     assert!(stage.rejected(id), "the origin is no way out");
 }
 
-#[test]
-fn a_late_parent_is_passed_by_for_a_quick_one() {
-    let mut stage = Stage::new(terms());
-    let objects = stage.objects_of(PARENTS[0], 1000, 31);
-    for &object in &objects[..30] {
-        let id = stage.arrive_part(READS, object, 0, Some(5.0));
-        let took = ms(if stage.source(id) == PARENTS[0] {
-            900
-        } else {
-            30
-        });
-        stage.answer(id, Ending::Done, Note::Filled, took);
-    }
-    let id = stage.arrive_part(READS, objects[30], 0, Some(300.0));
-    assert_eq!(stage.source(id), PARENTS[1]);
-}
-
 #[test]
 fn a_cache_whose_hits_are_slow_is_passed_by() {
     let (mut stage, mut fresh) = (Stage::new(terms()), Stage::new(terms()));
