--- a/src/logic.rs
+++ b/src/logic.rs
@@ -238,7 +238,7 @@
     /// How many answers it can send at full pace, as told or else as learnt.
     size: f64,
     /// How busy it last said it was, when, and what it has sent for this dispatcher since, in seconds.
-    busy: (f64, Moment),
+    busy: Option<(f64, Moment)>,
     done: f64,
     /// When it last left the list.
     left: Moment,
@@ -264,10 +264,8 @@
     /// How far a crowd that is reckoned there slows its answers: less where it last said that much is free,
     /// because what waits for fills sends nothing yet.
     fn crowd_told(&self) -> f64 {
-        let told = Some(self.busy.0).filter(|&busy| busy > 0.0);
-        told.map_or(1.0, |busy| {
-            ((busy - AT_EASE) / (ALL_IN_USE - AT_EASE)).clamp(FREE_COUNTS, 1.0)
-        })
+        let crowd = |busy: f64| (busy - AT_EASE) / (ALL_IN_USE - AT_EASE);
+        (self.busy).map_or(1.0, |(busy, _)| crowd(busy).clamp(FREE_COUNTS, 1.0))
     }
 
     fn slowed(&mut self, now: Moment, sample: f64) {
@@ -499,7 +497,7 @@
                 slowness: (1.0, Moment::default()),
                 out: 0,
                 size: entry.size,
-                busy: (0.0, now),
+                busy: None,
                 done: 0.0,
                 left: now,
                 allowance: (0.0, now),
@@ -508,11 +506,8 @@
             host.entry = entry;
             let first = (FIRST_SIZES[role as usize] * FIRST_COUNTS, FIRST_COUNTS);
             let learnt = *self.learnt.entry(entry.kind).or_insert(first);
-            host.size = if self.terms.sizes_tell {
-                entry.size
-            } else {
-                learnt.0 / learnt.1
-            };
+            let told = Some(entry.size).filter(|_| self.terms.sizes_tell);
+            host.size = told.unwrap_or(learnt.0 / learnt.1);
             if before != Some(entry.started) {
                 // A fresh process: what its predecessor did is no fault of it. Each dispatcher begins
                 // at another point of its debt, or all would send at once.
@@ -522,10 +517,10 @@
         }
         let tries = self.accesses.values().flat_map(|access| &access.tries);
         let named: BTreeSet<_> = tries.flat_map(|t| [t.plan.host, t.plan.source]).collect();
-        let lately =
-            |host: &Host| host.entry.state != HostState::Gone || now.since(host.left) < FORGET;
-        self.hosts
-            .retain(|id, host| lately(host) || named.contains(id));
+        let gone =
+            |host: &Host| host.entry.state == HostState::Gone && now.since(host.left) >= FORGET;
+        let kept = |id: &HostId, host: &Host| !gone(host) || named.contains(id);
+        self.hosts.retain(|id, host| kept(id, host));
         let ready = self.hosts.values().filter(|host| host.ready());
         let of = |role| ready.clone().filter(move |host| host.role == role);
         let zone = self.terms.zone;
@@ -549,27 +544,28 @@
             self.link_told = load.link_full.unwrap_or(self.link_told);
         }
         let Some(busy) = load.busy else { return };
-        let span = now.since(host.busy.1).as_secs_f64();
-        let mean = (host.busy.0 + busy) / 2.0;
-        let usual = host.warmth(now) >= 1.0 && host.busy.0 > 0.0 && !host.sick();
-        let (done, dispatchers, kind) = (host.done, host.dispatchers, host.entry.kind);
-        (host.busy, host.done) = ((busy, now), 0.0);
-        let Some(learnt) = self.learnt.get_mut(&kind).filter(|_| usual) else {
+        let (before, done) = (
+            host.busy.replace((busy, now)),
+            std::mem::take(&mut host.done),
+        );
+        let usual = host.warmth(now) >= 1.0 && !host.sick();
+        let (dispatchers, kind) = (host.dispatchers, host.entry.kind);
+        let learnt = self.learnt.get_mut(&kind);
+        let Some((learnt, (was, at))) = learnt.zip(before).filter(|_| usual) else {
             return;
         };
-        *learnt = (learnt.0 + done * dispatchers, learnt.1 + mean * span);
-        if learnt.1 > REMEMBERED {
-            *learnt = (learnt.0 / 2.0, learnt.1 / 2.0);
-        }
+        let span = now.since(at).as_secs_f64();
+        *learnt = (
+            learnt.0 + done * dispatchers,
+            learnt.1 + (was + busy) / 2.0 * span,
+        );
+        let fade = if learnt.1 > REMEMBERED { 0.5 } else { 1.0 };
+        *learnt = (learnt.0 * fade, learnt.1 * fade);
         let size = learnt.0 / learnt.1;
-        let of_kind = |host: &&mut Host| host.entry.kind == kind;
-        if !self.terms.sizes_tell {
-            self.hosts
-                .values_mut()
-                .filter(of_kind)
-                .for_each(|host| host.size = size);
-            self.zone_size = self.caches.iter().map(|id| self.hosts[id].size).sum();
-        }
+        let untold = |host: &&mut Host| host.entry.kind == kind && !self.terms.sizes_tell;
+        let all = self.hosts.values_mut();
+        all.filter(untold).for_each(|host| host.size = size);
+        self.zone_size = self.caches.iter().map(|id| self.hosts[id].size).sum();
     }
 
     /// One host after another is asked for its load, each as often as the others.
@@ -687,13 +683,9 @@
         if let Some(host) = self.hosts.get_mut(&host) {
             host.out -= 1;
             host.heard = if answered { now } else { host.heard };
-            host.done += if ending == Done { send } else { 0.0 };
-            if hit
-                && of_cache
-                && size_kb.is_none()
-                && host.busy.0 > 0.0
-                && host.busy.0 < AT_FULL_PACE
-            {
+            host.done += send * f64::from(u8::from(ending == Done));
+            let at_full_pace = host.busy.is_some_and(|(busy, _)| busy < AT_FULL_PACE);
+            if hit && of_cache && size_kb.is_none() && at_full_pace {
                 let (sum, n) = &mut self.sending[usize::from(access.asked.track.0)];
                 (*sum, *n) = (*sum + took.as_secs_f64(), *n + 1.0);
             }
@@ -711,11 +703,8 @@
         let straight = self.hosts[&host].role == Role::Parent;
         let filler = if straight { host } else { source };
         if let Some(source) = self.hosts.get_mut(&filler).filter(|_| straight || !own) {
-            source.done += if ending == Done && !hit && !straight {
-                send
-            } else {
-                0.0
-            };
+            let gave = f64::from(u8::from(ending == Done && !hit && !straight));
+            source.done += send * gave;
             if hit && !straight {
                 source.allowance.0 += source.cost(now, send);
             } else if matches!(ending, Done | TimedOut) {
@@ -863,13 +852,8 @@
         }
         self.probe(now);
         let probe = Some(self.probe_at).filter(|_| self.terms.probes);
-        let next = self
-            .timed
-            .first()
-            .map(|&(at, _)| at)
-            .into_iter()
-            .chain(probe)
-            .min();
+        let timed = self.timed.first().map(|&(at, _)| at);
+        let next = timed.into_iter().chain(probe).min();
         if let Some(at) = next.filter(|&at| self.armed.is_none_or(|armed| at < armed)) {
             let wake = WakeId(0);
             self.armed = Some(at);
@@ -981,19 +965,13 @@
             self.open_to(now, access, source) && has_budget && fits()
         };
         let parents = self.in_hash_order(access, Role::Parent);
-        let source = parents
-            .into_iter()
-            .find(has_room)
-            .or(self.origin.filter(has_room))?;
+        let parent = parents.into_iter().find(has_room);
+        let source = parent.or(self.origin.filter(has_room))?;
         let alone = Span::from_secs_f64(access.send) + FILL_WAIT;
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
         // What a parent holds comes no later for a sick origin behind it.
-        let slowness = if origin_open {
-            self.hosts[&source].slowness(now)
-        } else {
-            1.0
-        };
-        (now + alone.times(slowness).max(crowd) <= access.due).then_some(source)
+        let slowness = Some(self.hosts[&source].slowness(now)).filter(|_| origin_open);
+        (now + alone.times(slowness.unwrap_or(1.0)).max(crowd) <= access.due).then_some(source)
     }
 
     /// Fills on the zone's link over those that fit at the pace of an answer.
@@ -1088,8 +1066,8 @@
 
     /// Whether the links between zones have room for it.
     fn fits(&self, now: Moment, access: &Access, plan: Plan) -> bool {
-        self.crossing(access, plan)
-            .is_none_or(|way| self.crossings.room(now, &way))
+        let way = self.crossing(access, plan);
+        way.is_none_or(|way| self.crossings.room(now, &way))
     }
 
     /// The one gate that every hand-off passes, with each rule at its own place.
