--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,18 +1,10 @@
-//! Every decision of a dispatcher, with its tables and tuned values.
-//!
-//! Call [`Dispatcher::new`] once, [`Dispatcher::take`] for each event of a batch, then
-//! [`Dispatcher::settle`] once: it answers with the actions that lead from what is out, held and
-//! timed to what should be. Events, actions and start settings are in [`crate::interface`].
+//! Every decision of a dispatcher, with its tables and tuned values. Call [`Dispatcher::new`] once,
+//! [`Dispatcher::take`] for each event of a batch, then [`Dispatcher::settle`] once: it answers with the
+//! actions that lead from what is out, held and timed to what should be.
 //!
 //! The design: a breaker per host over a sliding window, hash order over caches and parents, stale
-//! or rejection where every parent is open, return by one trial and a rising share. Beside it:
-//!
-//! 1. cold budget: a share of its work for a host that started lately, charged at send
-//! 2. due-time admission: what is predicted late is not taken, nor a fill asked for that would be
-//! 3. spill: past a crowded cache to the next in hash order, past them all straight to a parent
-//! 4. silence watch: overdue hand-offs count as failures of whoever was not heard, and are moved
-//! 5. origin shield: while the origin is open, parents are asked only for what they hold
-//! 6. keep-rank: objects seen again outrank those seen once
+//! or rejection where every parent is open, return by one trial and a rising share. Beside it stand the
+//! cold budget, due-time admission, spill, silence watch, origin shield, keep-rank and probes.
 
 use crate::interface::*;
 use crate::units::*;
@@ -43,37 +35,32 @@
 /// What an answer takes besides its sending, and what a fill does.
 const HOP: Span = Span::from_millis(40);
 const FILL_WAIT: Span = Span::from_millis(100);
-/// A hand-off is overdue after this many times its predicted sending and a part of the track's due
-/// time. Lower blames hosts that are only slow; higher lets a silent one hold on to its accesses.
+/// A hand-off is overdue after this many times its predicted sending and the longer of a part of the track's
+/// due time and so many usual waits for a fill. Lower blames the slow; higher holds on to the silent.
 const PATIENCE: f64 = 1.5;
 const WAIT_OF_DUE: f64 = 0.6;
 const USUAL_WAITS: f64 = 3.0;
-/// How long an access waits before it goes to the origin again, and a client that was rejected.
-const ORIGIN_WAIT: Span = Span::from_millis(60);
-const COME_BACK: Span = Span::from_millis(500);
+const ORIGIN_WAIT: Span = Span::from_millis(60); // between two hand-offs of an access to the origin
+const COME_BACK: Span = Span::from_millis(500); // how long a client that was rejected stays away
 /// What was known of a host is forgotten so long after it left the list; a late list may name it once more.
 const FORGET: Span = Span::from_secs(60);
-/// So many objects seen are remembered, before all are forgotten.
-const SEEN: usize = 50_000;
+const SEEN: usize = 50_000; // so many objects seen are remembered, before all are forgotten
 /// How much faster than an answer a fill runs at least: a fuller link delays answers. Higher fills the link.
 const FILL_PACE: f64 = 1.75;
-/// Weight of the newest answer in the share that needed a fill and in the slowness of a host; how far
-/// one hit counts, as its size may be guessed wrong; how soon averages over time are half forgotten.
+/// Weight of the newest answer in the share that needed a fill and in the slowness of a cache; how soon
+/// averages over time are half forgotten.
 const FIRST_MISSING: f64 = 0.4;
 const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
-const SLOW_HIT: f64 = 4.0;
 const HALVES: Span = Span::from_secs(2);
 const BIN: f64 = 1.7;
-/// Where sizes are not told, they are learnt from how busy hosts say they are: how often each is probed,
-/// what a cache and what a parent is taken for at first, and for how many busy seconds that counts.
-/// Probed more often, hosts work for it; a larger first guess risks cold hosts, a smaller rejects.
+/// How often a host is probed; what a cache and a parent of untold size is taken for, and for how many busy
+/// seconds that counts. Probes cost hosts work; a larger guess risks cold hosts, a smaller one rejects.
 const PROBE_EVERY: Span = Span::from_secs(2);
 const FIRST_SIZES: [f64; 3] = [4.0, 16.0, 16.0];
 const FIRST_COUNTS: f64 = 3.0;
-/// So many busy seconds are remembered of a kind; and what is busier than this sends at less than its pace.
+/// Busy seconds remembered of a kind. Up to AT_EASE hits come at full pace; a reckoned crowd counts in part.
 const REMEMBERED: f64 = 120.0;
-const AT_FULL_PACE: f64 = 0.7;
 const AT_EASE: f64 = 0.6;
 const ALL_IN_USE: f64 = 0.95;
 const FREE_COUNTS: f64 = 0.4;
@@ -232,16 +219,14 @@
     dispatchers: f64,
     breaker: Breaker,
     heard: Moment,
-    /// How many times longer than alone fills from here took lately, and when that was last told.
+    /// How many times longer than predicted hits here took lately, and when that was last told.
     slowness: (f64, Moment),
     out: u32,
-    /// How many answers it can send at full pace, as told or else as learnt.
-    size: f64,
+    size: f64, // how many answers it can send at full pace, as told or else as learnt
     /// How busy it last said it was, when, and what it has sent for this dispatcher since, in seconds.
     busy: Option<(f64, Moment)>,
     done: f64,
-    /// When it last left the list.
-    left: Moment,
+    left: Moment, // when it last left the list
     /// What is left of what it may be given while it is cold, and when that was reckoned.
     allowance: (f64, Moment),
 }
@@ -268,11 +253,6 @@
         (self.busy).map_or(1.0, |(busy, _)| crowd(busy).clamp(FREE_COUNTS, 1.0))
     }
 
-    fn slowed(&mut self, now: Moment, sample: f64) {
-        let before = self.slowness(now);
-        self.slowness = (before + (sample - before) * SLOWNESS_GAIN, now);
-    }
-
     fn slowness(&self, now: Moment) -> f64 {
         let halvings = now.since(self.slowness.1).as_secs_f64() / HALVES.as_secs_f64();
         1.0 + (self.slowness.0 - 1.0).max(0.0) * 0.5f64.powf(halvings)
@@ -307,12 +287,10 @@
 
 struct Access {
     asked: Arrival,
-    /// Predicted sending time alone, in seconds.
-    send: f64,
+    send: f64, // predicted sending time alone, in seconds
     due: Moment,
     limit: Moment,
     tries: Vec<Try>,
-    wait_until: Moment,
     lacking: bool,
     ended: bool,
 }
@@ -370,11 +348,9 @@
     armed: Option<Moment>,
     purges: BTreeMap<(GroupId, Option<ObjectId>), Moment>,
     seen: BTreeSet<(ObjectId, u32)>,
-    /// Sending times by track: their sum in seconds and their number.
-    sending: Vec<(f64, f64)>,
+    sending: Vec<(f64, f64)>, // sending times by track: their sum in seconds and their number
     pooled: [Histogram; 3],
-    /// How long fills took besides their sending.
-    waits: Histogram,
+    waits: Histogram, // how long fills took besides their sending
     /// Fills that are likely under way for this dispatcher, and the share that needed one lately.
     fills: Level,
     missing: f64,
@@ -398,6 +374,12 @@
     ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// Dispatchers in the own zone, or in all where that is not told.
+fn seats(terms: &Terms) -> f64 {
+    let own = terms.seats.get(usize::from(terms.zone.0));
+    f64::from(own.copied().unwrap_or(terms.dispatchers).max(1))
+}
+
 impl Dispatcher {
     pub fn new(terms: Terms, seed: u64) -> Dispatcher {
         Dispatcher::with(Free, terms, seed)
@@ -407,10 +389,9 @@
 impl<C: Crossings> Dispatcher<C> {
     pub fn with(crossings: C, terms: Terms, seed: u64) -> Dispatcher<C> {
         let first_guess = |track: &Track| (track.due.as_secs_f64() * 0.5, 1.0);
-        let seats = terms.seats.get(usize::from(terms.zone.0)).copied();
         Dispatcher {
             crossings,
-            own_seats: f64::from(seats.unwrap_or(terms.dispatchers).max(1)),
+            own_seats: seats(&terms),
             chance: fastrand::Rng::with_seed(seed),
             hosts: BTreeMap::new(),
             caches: Vec::new(),
@@ -487,7 +468,7 @@
                 _ => (Role::Cache, cache, own),
             };
             let before = self.hosts.get(&entry.host).map(|host| host.entry.started);
-            let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
+            let fresh = || Host {
                 entry,
                 role,
                 cold,
@@ -501,9 +482,11 @@
                 done: 0.0,
                 left: now,
                 allowance: (0.0, now),
-            });
+            };
+            let host = self.hosts.entry(entry.host).or_insert_with(fresh);
             host.list_as(now, entry.state);
-            host.entry = entry;
+            (host.entry, host.role) = (entry, role);
+            (host.cold, host.dispatchers) = (cold, dispatchers);
             let first = (FIRST_SIZES[role as usize] * FIRST_COUNTS, FIRST_COUNTS);
             let learnt = *self.learnt.entry(entry.kind).or_insert(first);
             let told = Some(entry.size).filter(|_| self.terms.sizes_tell);
@@ -517,9 +500,9 @@
         }
         let tries = self.accesses.values().flat_map(|access| &access.tries);
         let named: BTreeSet<_> = tries.flat_map(|t| [t.plan.host, t.plan.source]).collect();
-        let gone =
-            |host: &Host| host.entry.state == HostState::Gone && now.since(host.left) >= FORGET;
-        let kept = |id: &HostId, host: &Host| !gone(host) || named.contains(id);
+        let gone = |host: &Host| host.entry.state == HostState::Gone;
+        let over = |host: &Host| gone(host) && now.since(host.left) >= FORGET;
+        let kept = |id: &HostId, host: &Host| !over(host) || named.contains(id);
         self.hosts.retain(|id, host| kept(id, host));
         let ready = self.hosts.values().filter(|host| host.ready());
         let of = |role| ready.clone().filter(move |host| host.role == role);
@@ -533,39 +516,45 @@
 
     /// What hosts say when they are probed: how full the link is, how busy they are, or nothing.
     fn probed(&mut self, now: Moment, id: HostId, ending: Ending, load: Load) {
-        let Some(host) = self.hosts.get_mut(&id) else {
-            return;
-        };
         // A probe that fails blames nobody: hosts answer few at once, and a deep one waits behind accesses.
-        if ending != Ending::Done {
+        let answered = |_: &&mut Host| ending == Ending::Done;
+        let Some(host) = self.hosts.get_mut(&id).filter(answered) else {
             return;
-        }
-        if host.role == Role::Cache {
-            self.link_told = load.link_full.unwrap_or(self.link_told);
-        }
+        };
+        let told = load.link_full.filter(|_| host.role == Role::Cache);
+        self.link_told = told.unwrap_or(self.link_told);
         let Some(busy) = load.busy else { return };
-        let (before, done) = (
-            host.busy.replace((busy, now)),
-            std::mem::take(&mut host.done),
-        );
+        let done = std::mem::take(&mut host.done) * host.dispatchers;
         let usual = host.warmth(now) >= 1.0 && !host.sick();
-        let (dispatchers, kind) = (host.dispatchers, host.entry.kind);
-        let learnt = self.learnt.get_mut(&kind);
-        let Some((learnt, (was, at))) = learnt.zip(before).filter(|_| usual) else {
-            return;
-        };
-        let span = now.since(at).as_secs_f64();
-        *learnt = (
-            learnt.0 + done * dispatchers,
-            learnt.1 + (was + busy) / 2.0 * span,
-        );
-        let fade = if learnt.1 > REMEMBERED { 0.5 } else { 1.0 };
-        *learnt = (learnt.0 * fade, learnt.1 * fade);
-        let size = learnt.0 / learnt.1;
-        let untold = |host: &&mut Host| host.entry.kind == kind && !self.terms.sizes_tell;
-        let all = self.hosts.values_mut();
-        all.filter(untold).for_each(|host| host.size = size);
-        self.zone_size = self.caches.iter().map(|id| self.hosts[id].size).sum();
+        let before = host.busy.replace((busy, now)).filter(|_| usual);
+        let (kind, learnt) = (host.entry.kind, self.learnt.get_mut(&host.entry.kind));
+        if let Some((learnt, (was, at))) = learnt.zip(before) {
+            let spent = (was + busy) / 2.0 * now.since(at).as_secs_f64();
+            let kept = if learnt.1 > REMEMBERED { 0.5 } else { 1.0 };
+            *learnt = (learnt.0 * kept + done, learnt.1 * kept + spent);
+            let size = learnt.0 / learnt.1;
+            let untold = |host: &&mut Host| host.entry.kind == kind && !self.terms.sizes_tell;
+            (self.hosts.values_mut().filter(untold)).for_each(|host| host.size = size);
+            self.zone_size = self.caches.iter().map(|id| self.hosts[id].size).sum();
+        }
+    }
+
+    /// Other terms hold from now on, with the same tracks, zone and effects. What is open, the list with its
+    /// rules, purges and breakers stay; what was measured in another unit is learnt afresh.
+    pub fn follow(&mut self, now: Moment, terms: Terms) {
+        let paced = |terms: &Terms| (terms.flow_kb_per_s, terms.sizes_tell);
+        if paced(&terms) != paced(&self.terms) {
+            self.learnt.clear();
+        }
+        if terms.notes != self.terms.notes {
+            self.pooled = Default::default();
+            (self.hosts.values_mut()).for_each(|host| host.breaker.usual = Default::default());
+        }
+        (self.hosts.values_mut()).for_each(|host| (host.busy, host.done) = (None, 0.0));
+        (self.link_told, self.probe_at) = (0.0, now);
+        (self.own_seats, self.terms) = (seats(&terms), terms);
+        let entries = self.hosts.values().map(|host| host.entry).collect();
+        self.list(now, ListForm::Changes, entries);
     }
 
     /// One host after another is asked for its load, each as often as the others.
@@ -575,10 +564,8 @@
             return;
         }
         let next = all().filter(|id| **id > self.probed).min().or(all().min());
-        if let Some(&host) = next {
-            self.probed = host;
-            self.actions.push(Action::Probe { host });
-        }
+        self.probed = next.copied().unwrap_or_default();
+        (self.actions).extend(next.map(|&host| Action::Probe { host }));
         self.probe_at = now + PROBE_EVERY.times(1.0 / all().count().max(1) as f64);
     }
 
@@ -595,7 +582,6 @@
             due: limit.min(now + track.due + Span::from_secs_f64(send * track.due_stretch)),
             limit,
             tries: Vec::new(),
-            wait_until: now,
             lacking: false,
             ended: false,
         };
@@ -652,8 +638,6 @@
         self.learn(now, outcome, &attempt);
         if let Some(access) = self.accesses.get_mut(&id) {
             access.lacking |= ending == Ending::Missed && (attempt.held_only || own);
-            let again = Some(attempt.plan.host) == self.origin;
-            access.wait_until = if again { now + ORIGIN_WAIT } else { now };
         }
         self.touched.insert(id);
         if outcome.closed {
@@ -675,44 +659,35 @@
         let per = |span: Span| span.0 as f64 / size_kb.map_or(1.0, |kb| kb + 100.0);
         let per_byte = per(took);
         let latency = outcome.waited.map_or(per_byte, |waited| waited.0 as f64);
-        let stretch = self.stretch(now, &self.hosts[&host]);
-        let alone = Span::from_secs_f64(send * stretch) + HOP;
-        let predicted = per(alone);
+        let alone = Span::from_secs_f64(send * self.stretch(now, &self.hosts[&host])) + HOP;
         let of_cache = self.hosts[&host].role == Role::Cache;
         self.at_caches.add(now, if of_cache { -1.0 } else { 0.0 });
         if let Some(host) = self.hosts.get_mut(&host) {
             host.out -= 1;
             host.heard = if answered { now } else { host.heard };
             host.done += send * f64::from(u8::from(ending == Done));
-            let at_full_pace = host.busy.is_some_and(|(busy, _)| busy < AT_FULL_PACE);
+            let at_full_pace = host.busy.is_some_and(|(busy, _)| busy < AT_EASE);
             if hit && of_cache && size_kb.is_none() && at_full_pace {
                 let (sum, n) = &mut self.sending[usize::from(access.asked.track.0)];
                 (*sum, *n) = (*sum + took.as_secs_f64(), *n + 1.0);
             }
             if hit && of_cache {
-                let ratio = took.as_secs_f64() / alone.as_secs_f64();
-                host.slowed(now, ratio.min(SLOW_HIT));
+                let (ratio, before) = (took.0 as f64 / alone.0 as f64, host.slowness(now));
+                host.slowness = (before + (ratio - before) * SLOWNESS_GAIN, now);
             }
         }
         self.fills.add(now, -attempt.missing);
-        if ending == Done && attempt.missing > 0.0 && self.terms.notes != NoteLevel::None {
+        if ending == Done && attempt.missing > 0.0 && outcome.note != Note::Untold {
             self.missing += (f64::from(u8::from(!hit)) - self.missing) * MISSING_GAIN;
         }
         let told = outcome.load.link_full.filter(|_| of_cache);
         self.link_told = told.unwrap_or(self.link_told);
-        let straight = self.hosts[&host].role == Role::Parent;
-        let filler = if straight { host } else { source };
-        if let Some(source) = self.hosts.get_mut(&filler).filter(|_| straight || !own) {
-            let gave = f64::from(u8::from(ending == Done && !hit && !straight));
-            source.done += send * gave;
-            if hit && !straight {
+        if let Some(source) = self.hosts.get_mut(&source).filter(|_| of_cache && !own) {
+            source.done += send * f64::from(u8::from(ending == Done && !hit));
+            if hit {
                 source.allowance.0 += source.cost(now, send);
             } else if matches!(ending, Done | TimedOut) {
                 self.waits.add((took - alone).0 as f64);
-                let waited = outcome.waited.filter(|_| size_kb.is_none());
-                let fill = waited.map_or(took, |waited| waited + Span::from_secs_f64(send));
-                let sample = fill.as_secs_f64() / (send + FILL_WAIT.as_secs_f64());
-                source.slowed(now, sample);
             }
         }
         let good = |latency| Some(Good(latency));
@@ -730,7 +705,7 @@
             (Full, _) if own && !of_cache => (crowded, None, None),
             (Done, _) if own && attempt.blamed => (vague, None, None),
             // Within its prediction no hit is slow: how many times quicker others were is chance there.
-            (Done, _) if own => (good(Some(per_byte.max(predicted))), None, None),
+            (Done, _) if own => (good(Some(per_byte.max(per(alone)))), None, None),
             (Done, Note::Untold) if filled => (alive, good(size_kb.map(|_| latency)), None),
             (Error, Note::Untold) if !own && self.origin_hides(attempt) => (alive, None, None),
             // Either may be at fault, or one drains before the list tells: who answers others ends its run.
@@ -883,8 +858,10 @@
         if access.tries.len() >= self.terms.max_hand_offs {
             return Step::GiveUp;
         }
-        if now < access.wait_until {
-            return Step::Wait(access.wait_until.min(access.limit));
+        let last = (access.tries.last()).filter(|last| Some(last.plan.host) == self.origin);
+        let again = last.map_or(now, |last| last.sent + ORIGIN_WAIT);
+        if now < again {
+            return Step::Wait(again.min(access.limit));
         }
         self.plan(now, id).map_or(Step::GiveUp, Step::Send)
     }
@@ -938,26 +915,20 @@
         if written {
             return cache.zip(open).map(|(host, source)| Plan { host, source });
         }
-        let source = self.pick_source(now, access, cache, open.is_some() || origin.is_none());
+        let source = self.pick_source(now, access, cache);
         // With no cache to go to, an access passes them by, straight to where it would be filled.
         let lost = || self.caches.iter().all(|id| self.hosts[id].sick());
         let Some(host) = cache else {
-            let may = self.terms.straight && lost();
-            let host = source.filter(|_| may)?;
+            let host = source.filter(|_| self.terms.straight && lost())?;
             let source = open.unwrap_or(host);
             return Some(Plan { host, source });
         };
-        source.or(Some(host)).map(|source| Plan { host, source })
+        let source = source.unwrap_or(host);
+        Some(Plan { host, source })
     }
 
     /// The first open parent, or the origin where none is, if a fill from there would be in time.
-    fn pick_source(
-        &self,
-        now: Moment,
-        access: &Access,
-        cache: Option<HostId>,
-        origin_open: bool,
-    ) -> Option<HostId> {
+    fn pick_source(&self, now: Moment, access: &Access, cache: Option<HostId>) -> Option<HostId> {
         let has_room = |id: &HostId| {
             let (host, source) = (cache.unwrap_or(*id), *id);
             let has_budget = self.hosts[id].within_budget(now, access.send);
@@ -967,11 +938,8 @@
         let parents = self.in_hash_order(access, Role::Parent);
         let parent = parents.into_iter().find(has_room);
         let source = parent.or(self.origin.filter(has_room))?;
-        let alone = Span::from_secs_f64(access.send) + FILL_WAIT;
         let crowd = Span::from_secs_f64(access.send * self.link_crowd().max(1.0)) + FILL_WAIT;
-        // What a parent holds comes no later for a sick origin behind it.
-        let slowness = Some(self.hosts[&source].slowness(now)).filter(|_| origin_open);
-        (now + alone.times(slowness.unwrap_or(1.0)).max(crowd) <= access.due).then_some(source)
+        (now + crowd <= access.due).then_some(source)
     }
 
     /// Fills on the zone's link over those that fit at the pace of an answer.
@@ -1051,7 +1019,7 @@
         let straight = at != own;
         let (source, from) = if straight { (host, at) } else { (source, fill) };
         let (asked, hand_off) = (access.asked, HandOffNo(access.tries.len() as u8));
-        let kb = asked.size_kb;
+        let usual = access.send * self.terms.flow_kb_per_s;
         (from != own).then(|| Crossing {
             asked,
             hand_off,
@@ -1059,7 +1027,7 @@
             source,
             from,
             to: own,
-            kb: kb.unwrap_or(access.send * self.terms.flow_kb_per_s),
+            kb: asked.size_kb.unwrap_or(usual),
             join: self.terms.joins && !straight && !self.track(access).written,
         })
     }
@@ -1114,11 +1082,9 @@
         let usual = self.waits.above(2).map_or(0.0, |wait| wait * USUAL_WAITS);
         let wait = track.due.times(WAIT_OF_DUE).max(Span(usual as u64));
         let overdue_at = now + sending.times(PATIENCE) + wait;
-        let missing = match host.role {
-            Role::Cache if own || written => 0.0,
-            Role::Cache => self.missing,
-            Role::Parent | Role::Origin => f64::from(u8::from(!written)),
-        };
+        let fills = if of_cache { self.missing } else { 1.0 };
+        let none = written || own && of_cache;
+        let missing = if none { 0.0 } else { fills };
         let (work, send) = (self.work(access), access.send);
         let charges = [(plan.host, work, 1), (plan.source, send, 0)];
         let mut trial_of = None;
