--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -19,7 +19,7 @@
 type Read1<T> = Result<T, Unreadable>;
 
 /// What a socket layer needs of the settings besides [`Terms`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
     pub track_names: Vec<String>,
     pub zone_names: Vec<String>,
@@ -32,6 +32,19 @@
     pub max_open: usize,
 }
 
+/// What load reports may hold; the decisions read the share that is in use and how full a link is.
+const REPORTED: [&str; 8] = [
+    "inflight",
+    "queue",
+    "util",
+    "latency_ms",
+    "qps",
+    "eps",
+    "x0",
+    "x1",
+];
+const WEIGHTS: [&str; 4] = ["silent", "nominal", "rough", "live"];
+
 /// Where in a load report the values stand that the decisions read.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
@@ -120,6 +133,19 @@
         Ok(self.maybe(path)?.unwrap_or(absent))
     }
 
+    /// One of the words that are accepted there; `None` where nothing is told.
+    fn one_of<'a>(&self, path: &str, accepted: &[&'a str]) -> Read1<Option<&'a str>> {
+        let Some(text) = self.text(path).filter(|text| !text.is_empty()) else {
+            return Ok(None);
+        };
+        let found = accepted.iter().find(|word| **word == text);
+        let list = accepted.join(", ");
+        found
+            .copied()
+            .map(Some)
+            .ok_or_else(|| Unreadable(format!("setting {path} is {text:?}; accepted are {list}")))
+    }
+
     fn span(&self, path: &str) -> Read1<Span> {
         Ok(Span(self.must(path)?))
     }
@@ -227,13 +253,19 @@
     let links: Vec<f64> = lines.list("family_info.feed_kb_per_s")?;
     let retry_after = lines.or("ceilings.retry_after", false)?;
     let class_count = lines.class_count()?;
-    let may_probe = lines.or("ceilings.may_probe", false)?;
-    let probes = may_probe && lines.text("report.via") == Some("pull");
-    let reported: Vec<String> = match lines.text("report.via") {
-        Some("piggyback") => lines.list("report.fields")?,
-        Some("pull") if probes => lines.list("report.fields")?,
-        _ => Vec::new(),
+    let via = lines.one_of("report.via", &["piggyback", "pull", "silent"])?;
+    let probes = via == Some("pull") && lines.or("ceilings.may_probe", false)?;
+    let reported: Vec<String> = match probes || via == Some("piggyback") {
+        true => lines.list("report.fields")?,
+        false => Vec::new(),
     };
+    if let Some(field) = reported
+        .iter()
+        .find(|field| !REPORTED.contains(&field.as_str()))
+    {
+        let list = REPORTED.join(", ");
+        return Err(format!("setting report.fields has {field:?}; accepted are {list}").into());
+    }
     let at = |name: &str| reported.iter().position(|reported| reported == name);
     let reports = Reports {
         busy_at: at("util"),
@@ -252,7 +284,7 @@
         link_kb_per_s: links.get(usize::from(zone)).copied().filter(|&kb| kb > 0.0),
         link_told: reports.link_full_at.is_some(),
         probes,
-        sizes_tell: !matches!(lines.text("weights"), Some("silent")),
+        sizes_tell: lines.one_of("weights", &WEIGHTS)? != Some("silent"),
         joins: lines.or("family_info.joins", false)?,
         straight: lines.or("family_info.straight", false)?,
         notes: match lines.text("family_info.note_level") {
--- a/crates/terms/tests/forms.rs
+++ b/crates/terms/tests/forms.rs
@@ -62,7 +62,11 @@
 fn what_is_wrong_is_named() {
     let said = |pointer: &str, value| {
         let mut settings = nested();
-        *settings.pointer_mut(pointer).expect("a place") = value;
+        let name = pointer.trim_start_matches('/');
+        match settings.pointer_mut(pointer) {
+            Some(place) => *place = value,
+            None => settings[name] = value,
+        }
         let Unreadable(why) = read_terms(&Lines::from_json(&settings)).expect_err("it is wrong");
         why
     };
@@ -76,4 +80,36 @@
         said("/family_info/seats_by_zone", json!(["y"]))
             .contains("seats_by_zone has an unreadable")
     );
+    assert_eq!(
+        said("/weights", json!("heavy")),
+        "setting weights is \"heavy\"; accepted are silent, nominal, rough, live"
+    );
+    let told = |via: &str, fields| json!({"via": via, "fields": fields});
+    assert!(said("/report", told("often", json!([]))).contains("are piggyback, pull, silent"));
+    assert!(said("/report", told("piggyback", json!(["load"]))).contains("\"load\"; accepted are"));
+}
+
+#[test]
+fn hosts_are_probed_only_where_that_is_allowed_and_the_report_is_read_by_its_fields() {
+    let read = |via: &str, may: bool| {
+        let mut settings = nested();
+        settings["report"] = json!({"via": via, "fields": ["inflight", "util", "x1", "x0"]});
+        settings["ceilings"]["may_probe"] = json!(may);
+        settings["weights"] = json!("silent");
+        read_terms(&Lines::from_json(&settings)).expect("terms")
+    };
+    let (terms, reports) = read("pull", true);
+    assert!(terms.probes && terms.link_told && !terms.sizes_tell);
+    let load = reports.load(&[3.0, 0.5, 1.25, 0.7]);
+    assert_eq!((load.busy, load.link_full), (Some(0.5), Some(1.25)));
+    assert_eq!(
+        reports.load(&[3.0, -1.0]).busy,
+        None,
+        "no share is below zero"
+    );
+    let (terms, reports) = read("pull", false);
+    assert!(!terms.probes && !terms.link_told);
+    assert_eq!(reports.load(&[3.0, 0.5, 1.25, 0.7]).busy, None);
+    let (terms, _) = read("piggyback", true);
+    assert!(!terms.probes && terms.link_told);
 }
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -154,6 +154,20 @@
         }
     }
 
+    /// Other settings, with the same tracks, zone, kinds and bounds: what is open goes on. Budgets of traffic
+    /// between zones start afresh, when the operator's file is read again behind this.
+    fn follow(&mut self, now: Moment, (terms, reports): (Terms, Reports)) {
+        info!(self.log, "settings followed"; "probes" => terms.probes, "sizes_told" => terms.sizes_tell,
+            "link_told" => terms.link_told, "straight" => terms.straight, "open" => self.state.accesses.len());
+        self.reports = reports;
+        if let Some((_, known, _)) = &mut self.accounts {
+            *known = terms.clone();
+        }
+        self.decisions.crossings = None;
+        self.decisions.follow(now, terms);
+        self.state.told = true;
+    }
+
     /// What the operator's file says of traffic between zones: counts and what is open are kept.
     pub fn zones(&mut self, told: Told) {
         let now = self.clock.moment(Instant::now());
@@ -245,6 +259,7 @@
                 }
             }
             Inbound::Journal(entry) => self.journal(now, entry),
+            Inbound::Terms(told) => self.follow(now, *told),
             Inbound::Zones(told) => self.zones(told),
             Inbound::Terminate => {
                 info!(self.log, "asked to end"; "open" => self.state.accesses.len());
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -32,7 +32,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
+use trailproxy::interface::Terms;
 use trailproxy::logic::Dispatcher;
+use trailproxy_terms::Bounds;
 use trailproxyd::{held, msgpack, resp, ring};
 
 /// Lines that wait for the log's own thread; more are dropped and their number is logged.
@@ -154,11 +156,19 @@
     tokio::task::spawn_local(list::follow(journal, moves));
     let mut hangup =
         signal(SignalKind::hangup()).map_err(|e| format!("signals can't be heard: {e}"))?;
-    let (mut file, noted) = (start.file, log.clone());
+    let mut running = Running {
+        file: start.file,
+        terms: start.terms.clone(),
+        bounds: start.bounds.clone(),
+    };
+    let noted = log.clone();
     let (known, again) = (names.clone(), queue.clone());
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
-            if let Some(source) = read_again(&mut file, &moved, &noted) {
+            if let Some((source, other)) = read_again(&mut running, &moved, &noted) {
+                if let Some(other) = other {
+                    let _ = again.send(Inbound::Terms(Box::new(other)));
+                }
                 let told = match &source {
                     Some(source) => source.read(&known).await,
                     None => Ok(None),
@@ -217,14 +227,41 @@
     Ok(())
 }
 
-/// What a new file says of the journal service holds at once; what else it changes needs a new start.
-/// One that can't be read changes nothing. What comes back is the operator's own file, if it
-/// names one, to be read again as well.
+/// What the dispatcher runs by.
+struct Running {
+    file: Value,
+    terms: Terms,
+    bounds: Bounds,
+}
+
+impl Running {
+    /// Why other settings can't be followed without a new start: accesses that are open, and host entries that
+    /// are known, name tracks, zones and kinds by their places, and sockets keep their bounds.
+    fn differs(&self, start: &startup::Start) -> Option<&'static str> {
+        let effects = |terms: &Terms| terms.tracks.iter().map(|t| t.effect).collect::<Vec<_>>();
+        let kinds = |terms: &Terms| (terms.parent_kind, terms.origin_kind, terms.zone);
+        if self.bounds != start.bounds {
+            Some("names of tracks, zones or kinds, outer limits, or bounds of sockets")
+        } else if effects(&self.terms) != effects(&start.terms) {
+            Some("whether a track may run again")
+        } else if kinds(&self.terms) != kinds(&start.terms) {
+            Some("the own zone, or which kinds are parents and the origin")
+        } else {
+            None
+        }
+    }
+}
+
+type Other = (Terms, trailproxy_terms::Reports);
+
+/// What a new file says of the journal service holds at once, and other settings do if what is open can go on
+/// under them; what else it changes needs a new start. One that can't be read changes nothing. What comes back
+/// is the operator's own file, if it names one, to be read again as well, and the settings to follow.
 fn read_again(
-    file: &mut Value,
+    running: &mut Running,
     moved: &mpsc::Sender<list::Moved>,
     log: &Logger,
-) -> Option<Option<operator::Source>> {
+) -> Option<(Option<operator::Source>, Option<Other>)> {
     let start = match startup::read() {
         Ok(start) => start,
         Err(why) => {
@@ -232,17 +269,32 @@
             return None;
         }
     };
-    let changed = |name: &&str| file.get(name) != start.file.get(name);
+    let changed = |name: &&str| running.file.get(name) != start.file.get(name);
+    let differs = running.differs(&start);
+    let follows = changed(&"settings") && differs.is_none();
     let fixed = ["settings", "limits", "listen", "name"].into_iter();
-    let waiting = fixed.filter(changed).collect::<Vec<_>>().join(" ");
+    let waits = |name: &&str| changed(name) && !(follows && *name == "settings");
+    let waiting = fixed.filter(waits).collect::<Vec<_>>().join(" ");
+    if let Some(why) = differs {
+        warn!(log, "settings wait for a new start"; "what" => why);
+    }
     info!(log, "configuration read again"; "journal" => start.journal.map(|at| at.to_string()),
         "known" => start.known_until, "needs_a_new_start" => waiting);
-    *file = start.file;
+    let mut file = start.file;
+    if !follows {
+        // What is not followed still counts as changed when the file is read next.
+        file["settings"] = running.file["settings"].clone();
+    }
+    running.file = file;
     let _ = moved.send(list::Moved {
         address: start.journal,
         known: start.known,
     });
-    Some(start.operator)
+    let other = follows.then(|| {
+        running.terms = start.terms.clone();
+        (start.terms, start.reports)
+    });
+    Some((start.operator, other))
 }
 
 fn bind(listen: std::net::SocketAddr) -> std::io::Result<TcpListener> {
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use trailproxy::interface::*;
 use trailproxy::units::*;
+use trailproxy_terms::Reports;
 
 pub type Queue = mpsc::Sender<Inbound>;
 
@@ -19,6 +20,8 @@
     Client(FromClient),
     Server(FromServer),
     Journal(Entry),
+    /// Other settings hold from now on.
+    Terms(Box<(Terms, Reports)>),
     /// The operator's file was read again: what it says of traffic between zones now.
     Zones(Told),
     /// Asked to end: whatever is open is finished first.
--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -38,8 +38,29 @@
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path} can't be read: {e}"))?;
     let json: Value =
         serde_json::from_str(&text).map_err(|e| format!("{path} is not JSON: {e}"))?;
-    from_json(&json, variable("RELAY_NAME"), variable("RELAY_LISTEN"))
-        .map_err(|why| format!("{path}: {why}"))
+    from_json(&json, variable("RELAY_NAME"), variable("RELAY_LISTEN")).map_err(|why| match line_of(
+        &text, &why,
+    ) {
+        Some(line) => format!("{path}, line {line}: {why}"),
+        None => format!("{path}: {why}"),
+    })
+}
+
+/// The line of the setting that a message names: of its names in turn, each behind the one before, and of
+/// several in a list the one at its place.
+fn line_of(text: &str, why: &str) -> Option<usize> {
+    let path = why.strip_prefix("setting ")?.split_whitespace().next()?;
+    let (mut at, mut skip) = (text.find("\"settings\"")?, 0);
+    for name in path.split('.') {
+        if let Ok(place) = name.parse() {
+            skip = place;
+            continue;
+        }
+        let quoted = format!("\"{name}\"");
+        let mut found = text[at..].match_indices(&quoted);
+        at += found.nth(std::mem::take(&mut skip))?.0;
+    }
+    Some(text[..at].lines().count())
 }
 
 fn variable(name: &str) -> Option<String> {
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod stage;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use stage::*;
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
@@ -633,6 +633,13 @@
         &free,
         "setting az can't be read",
     );
+    let mut wrong = stage.config.clone();
+    wrong["settings"]["weights"] = json!("heavy");
+    fails(
+        Some(&serde_json::to_string_pretty(&wrong).expect("a text")),
+        &free,
+        ": setting weights is \"heavy\"; accepted are silent, nominal, rough, live",
+    );
     fails(Some(&sound), "nowhere", "is not an address");
     fails(
         Some(&sound),
@@ -968,3 +975,133 @@
         heard.host == "p1"
     });
 }
+
+/// The settings of a deployment whose hosts tell their load when probed, and whose list tells no sizes.
+fn moved(config: &Value) -> Value {
+    let mut config = config.clone();
+    config["settings"]["weights"] = json!("silent");
+    config["settings"]["report"] = json!({"via": "pull", "fields": ["util", "x1"]});
+    config["settings"]["ceilings"]["may_probe"] = json!(true);
+    config
+}
+
+#[test]
+fn hosts_are_probed_where_the_settings_say_so_and_one_that_stays_silent_is_asked_again() {
+    let stage = Stage::with(|config, _| *config = moved(config));
+    let (mut heard, until) = (Vec::new(), Instant::now() + SOON);
+    // Each of two caches and a parent, though none answers at first, and all of them again after that.
+    while heard.len() < 9 && Instant::now() < until {
+        let probe = stage.hear();
+        assert_eq!((probe.word.as_str(), probe.fields.len()), ("METER", 0));
+        if heard.len() >= 3 {
+            probe.answer("well", "rep=util:0.5;x1:0.2", b"");
+        }
+        heard.push(probe.host);
+    }
+    for host in ["c1", "c2", "p1"] {
+        assert!(
+            heard.iter().filter(|&&known| known == host).count() >= 2,
+            "{heard:?}"
+        );
+    }
+    assert!(!heard.contains(&"o1"), "the origin tells nothing of use");
+    // A report that can't be read spoils nothing else on its connection.
+    let mut client = stage.client();
+    client.ask("image", 7, 3000);
+    let pull = loop {
+        let heard = stage.hear();
+        match heard.word.as_str() {
+            "PULL" => break heard,
+            _ => heard.answer("well", "rep=\u{fffd};;nonsense", b""),
+        }
+    };
+    pull.hit(b"kept");
+    assert_eq!(client.answer().1, Final::done(b"kept"));
+}
+
+#[test]
+fn in_the_first_seconds_after_the_switch_what_is_open_ends_and_what_drains_or_was_open_stays_so() {
+    let stage = Stage::new();
+    let mut line = stage.journal();
+    let mut client = stage.client();
+    // A parent fails, as the dispatcher learns before the switch.
+    let mut opened = 0;
+    while !stage.program.logged("Parent") && opened < 60 {
+        opened += 1;
+        client.ask("image", 1000 + opened, 1500);
+        let pull = stage.pull();
+        match (pull.host, pull.field("via")) {
+            ("p1", _) => pull.hang_up(),
+            (_, Some("p1")) => pull.answer("failed", "-", b""),
+            _ => pull.hit(b"x"),
+        }
+        while let Some(again) = stage.pull_within(Duration::from_millis(20)) {
+            again.hit(b"x");
+        }
+        client.answer();
+    }
+    assert!(stage.program.logged("breaker open"), "after {opened}");
+    line.tell(&hosts(
+        2,
+        false,
+        &[member("c1", stage.addresses["c1"], "draining", 0)],
+    ));
+    let asked = wait_for_draining(&stage, &mut client);
+    // An access is out at the switch.
+    client.ask("image", 5, 3000);
+    let pull = stage.pull();
+    let config = moved(&stage.config);
+    stage.program.configure(&config.to_string());
+    wait_for("it follows", || stage.program.logged("settings followed"));
+    pull.hit(b"kept");
+    assert_eq!(client.answer().1, Final::done(b"kept"));
+    // From the first access on: nothing to the cache that drains, nothing by the parent that was open.
+    for object in 0..20 {
+        client.ask("image", 2000 + object, 1500);
+        let pull = loop {
+            let heard = stage.hear();
+            match heard.word.as_str() {
+                "PULL" => break heard,
+                "METER" => heard.answer("well", "rep=0.3;0.1", b""),
+                _ => {}
+            }
+        };
+        assert_ne!(
+            pull.host, "c1",
+            "it drained {asked} accesses before the switch"
+        );
+        assert_ne!(pull.field("via"), Some("p1"), "its breaker was open");
+        pull.hit(b"x");
+        client.answer();
+    }
+    // The same file with another zone is not followed; it says so, and the present settings go on.
+    let mut other = config.clone();
+    other["settings"]["az"] = json!(0);
+    stage.program.configure(&other.to_string());
+    wait_for("it says so", || {
+        stage.program.logged("settings wait for a new start")
+    });
+    // And back: the probes end.
+    stage.program.configure(&stage.config.to_string());
+    wait_for("it follows", || stage.program.logged("probes: false"));
+    std::thread::sleep(Duration::from_millis(200));
+    while stage.pull_within(Duration::from_millis(5)).is_some() {}
+    client.ask("image", 3000, 1500);
+    stage.pull().hit(b"back");
+    assert_eq!(client.answer().1, Final::done(b"back"));
+}
+
+/// How many accesses went by until the first cache got no more.
+fn wait_for_draining(stage: &Stage, client: &mut stage::Client) -> u64 {
+    let (mut asked, mut clean) = (0, 0);
+    while clean < 12 {
+        asked += 1;
+        client.ask("image", 4000 + asked, 1500);
+        let pull = stage.pull();
+        clean = if pull.host == "c1" { 0 } else { clean + 1 };
+        pull.hit(b"x");
+        client.answer();
+        assert!(asked < 500, "the list is not heard");
+    }
+    asked
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -917,7 +917,8 @@
         }
         let source = self.pick_source(now, access, cache);
         // With no cache to go to, an access passes them by, straight to where it would be filled.
-        let lost = || self.caches.iter().all(|id| self.hosts[id].sick());
+        let lost_at = |id: &HostId| access.failed_at(*id) || self.hosts[id].sick();
+        let lost = || self.caches.iter().all(lost_at);
         let Some(host) = cache else {
             let host = source.filter(|_| self.terms.straight && lost())?;
             let source = open.unwrap_or(host);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -833,3 +833,212 @@
     assert!(!opened(&mut stage, 2_000, ms(30)));
     assert!(opened(&mut stage, 5_000, ms(1_000)));
 }
+
+/// One of ten dispatchers at a zone whose hosts tell their load when probed, and whose list tells no sizes.
+fn probing() -> Terms {
+    Terms {
+        probes: true,
+        sizes_tell: false,
+        ..one_of_many()
+    }
+}
+
+/// Each cache is hit by as much as keeps this part of `size` busy, seen by one of ten, for a minute.
+fn learn_size(stage: &mut Stage, size: f64, busy: f64) {
+    let (mut object, mut told) = (0, stage.probed.len());
+    for _ in 0..300 {
+        // A tenth of what is sent in 200 ms, in answers of 50 ms.
+        let share = (3.0 * size * busy * 0.2 / 0.05 / 10.0).round() as u64;
+        for _ in 0..share {
+            object += 1;
+            stage.play(object, Ending::Done, Note::Hit, Span::ZERO);
+        }
+        stage.pass(ms(200));
+        for (_, host) in stage.probed[told..].to_vec() {
+            let load = Load {
+                busy: Some(busy),
+                ..Load::default()
+            };
+            stage.event(Event::Probed {
+                host,
+                ending: Ending::Done,
+                load,
+            });
+        }
+        told = stage.probed.len();
+    }
+}
+
+/// How many accesses of half a second are taken at once.
+fn taken_at_once(stage: &mut Stage) -> usize {
+    let accesses: Vec<_> = (0..200)
+        .map(|object| stage.arrive_part(READS, 90_000 + object, 0, Some(500.0)))
+        .collect();
+    let taken = accesses.iter().filter(|&&id| !stage.rejected(id)).count();
+    let out: Vec<_> = accesses
+        .into_iter()
+        .filter(|&id| stage.count(id) > 0)
+        .collect();
+    for id in out {
+        stage.event(Event::Left { id });
+        stage.answer(id, Ending::Withdrawn, Note::Untold, ms(1));
+    }
+    taken
+}
+
+#[test]
+fn where_sizes_are_not_told_they_are_learnt_from_how_busy_hosts_are() {
+    let taken = |sizes_tell: bool| {
+        [3.0, 12.0].map(|size| {
+            let mut stage = Stage::new(Terms {
+                sizes_tell,
+                ..probing()
+            });
+            learn_size(&mut stage, size, 0.5);
+            taken_at_once(&mut stage)
+        })
+    };
+    let [small, large] = taken(false);
+    assert!(large >= small * 2, "{small} and {large}");
+    let [small, large] = taken(true);
+    assert_eq!(small, large, "what the list tells stands");
+}
+
+#[test]
+fn every_cache_and_parent_is_probed_in_its_turn_and_no_other() {
+    let mut stage = Stage::new(probing());
+    stage.pass(Span::from_secs(20));
+    for host in CACHES.iter().chain(&PARENTS) {
+        let times = stage.probed.iter().filter(|(_, probed)| probed == host);
+        assert!((9..=11).contains(&times.count()), "{:?}", stage.probed);
+    }
+    assert!(stage.probed.iter().all(|(_, host)| *host != ORIGIN));
+    let mut silent = Stage::new(one_of_many());
+    silent.pass(Span::from_secs(20));
+    assert!(silent.probed.is_empty());
+}
+
+#[test]
+fn probes_that_fail_blame_no_host() {
+    let mut stage = Stage::new(probing());
+    for ending in [
+        Ending::TimedOut,
+        Ending::NoConnection,
+        Ending::Error,
+        Ending::Lost,
+    ] {
+        for _ in 0..20 {
+            let (host, load) = (PARENTS[0], Load::default());
+            stage.event(Event::Probed { host, ending, load });
+        }
+    }
+    assert!(stage.logged.is_empty(), "{:?}", stage.logged);
+}
+
+/// Where fills usually take longer than a part of the due time, that alone is no failure of the origin.
+#[test]
+fn fills_that_always_take_long_thin_out_nothing() {
+    let mut stage = Stage::new(Terms {
+        notes: NoteLevel::Hits,
+        ..terms()
+    });
+    for object in 0..30 {
+        stage.play(object, Ending::Done, Note::Filled, ms(330));
+    }
+    let late: Vec<_> = (100..110)
+        .map(|object| stage.arrive(READS, object))
+        .collect();
+    stage.pass(ms(600));
+    stage.play(200, Ending::Done, Note::Hit, ms(10));
+    late.into_iter()
+        .for_each(|id| stage.answer(id, Ending::Done, Note::Filled, ms(610)));
+    let id = stage.arrive(READS, 300);
+    assert!(!stage.last(id).fill.expect("a plain look").held_only);
+}
+
+#[test]
+fn a_cache_that_says_it_is_free_is_no_crowd_however_many_wait_for_fills_there() {
+    let waiting = |busy: f64| {
+        let mut stage = Stage::new(Terms {
+            probes: true,
+            ..one_of_many()
+        });
+        for host in CACHES {
+            let load = Load {
+                busy: Some(busy),
+                ..Load::default()
+            };
+            stage.event(Event::Probed {
+                host,
+                ending: Ending::Done,
+                load,
+            });
+        }
+        taken_at_once(&mut stage)
+    };
+    let (free, full) = (waiting(0.3), waiting(1.0));
+    assert!(free > full, "{free} and {full}");
+}
+
+/// A move of the settings while it runs: breakers, drains and purges hold in the first moment after it.
+#[test]
+fn what_still_means_the_same_is_kept_when_the_terms_change() {
+    let mut stage = Stage::new(terms());
+    for object in stage.objects_of(PARENTS[0], 1000, 3) {
+        stage.play(object, Ending::Error, Note::SourceLost, ms(20));
+    }
+    assert_eq!(stage.logged, ["Parent 15 breaker open"]);
+    let drains = HostEntry {
+        state: HostState::Draining,
+        ..entry(CACHES[0])
+    };
+    stage.list(ListForm::Changes, vec![drains]);
+    stage.event(Event::Purged {
+        object: Some(ObjectId(5)),
+        group: GroupId(0),
+        ago: ms(100),
+    });
+    let open = stage.arrive(READS, 7);
+    stage.dispatcher.follow(stage.now, probing());
+    stage.answer(open, Ending::Done, Note::Hit, ms(20));
+    for object in 0..40 {
+        let id = stage.arrive(READS, object);
+        assert!(stage.last(id).host != CACHES[0] && stage.source(id) != PARENTS[0]);
+        stage.answer(id, Ending::Done, Note::Hit, ms(20));
+    }
+    let purged = stage.arrive(READS, 5);
+    let oldest = stage.last(purged).fill.and_then(|fill| fill.oldest);
+    assert!(
+        oldest.is_some_and(|oldest| oldest <= ms(5_000)),
+        "{oldest:?}"
+    );
+    stage.pass(Span::from_secs(3));
+    assert!(!stage.probed.is_empty(), "and it probes from now on");
+}
+
+#[test]
+fn a_cold_cache_stays_within_its_budget_when_the_terms_change() {
+    let started = |stage: &Stage, host| HostEntry {
+        started: Some(stage.now),
+        ..entry(host)
+    };
+    let burst = |stage: &mut Stage| {
+        let before = stage.handed.len();
+        for object in 0..60 {
+            stage.arrive_part(READS, 500 + object, 0, Some(500.0));
+        }
+        stage.handed.len() - before
+    };
+    let mut stage = Stage::new(one_of_many());
+    let cold = CACHES.map(|host| started(&stage, host)).to_vec();
+    stage.list(ListForm::Changes, cold);
+    stage.pass(Span::from_secs(2));
+    let first = burst(&mut stage);
+    assert!(first > 0, "something is let through");
+    stage.dispatcher.follow(stage.now, one_of_many());
+    assert_eq!(
+        burst(&mut stage),
+        0,
+        "the budget was spent before the change and still is"
+    );
+}
