--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -854,7 +854,8 @@
             stage.play(object, Ending::Done, Note::Hit, Span::ZERO);
         }
         stage.pass(ms(200));
-        for (_, host) in stage.probed[told..].to_vec() {
+        let hosts: Vec<HostId> = stage.probed[told..].iter().map(|probed| probed.1).collect();
+        for host in hosts {
             let load = Load {
                 busy: Some(busy),
                 ..Load::default()
