--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,9 +32,8 @@
 const GUESS_MARGIN: f64 = 1.3;
 /// Part of a cold host's told limit that all use together. Higher risks it, lower warms it later.
 const COLD_USE: f64 = 0.4;
-/// What an answer takes besides its sending, and what a fill does.
-const HOP: Span = Span::from_millis(40);
-const FILL_WAIT: Span = Span::from_millis(100);
+const HOP: Span = Span::from_millis(40); // what an answer takes besides its sending
+const FILL_WAIT: Span = Span::from_millis(100); // what a fill takes besides its sending
 /// A hand-off is overdue after this many times its predicted sending and the longer of a part of the track's
 /// due time and so many usual waits for a fill. Lower blames the slow; higher holds on to the silent.
 const PATIENCE: f64 = 1.5;
@@ -917,10 +916,11 @@
         }
         let source = self.pick_source(now, access, cache);
         // With no cache to go to, an access passes them by, straight to where it would be filled.
-        let lost_at = |id: &HostId| access.failed_at(*id) || self.hosts[id].sick();
-        let lost = || self.caches.iter().all(lost_at);
+        let work = self.work(access);
+        let no_use = |host: &Host| host.sick() || !host.within_budget(now, work);
+        let lost = |id: &HostId| access.failed_at(*id) || no_use(&self.hosts[id]);
         let Some(host) = cache else {
-            let host = source.filter(|_| self.terms.straight && lost())?;
+            let host = source.filter(|_| self.terms.straight && self.caches.iter().all(lost))?;
             let source = open.unwrap_or(host);
             return Some(Plan { host, source });
         };
