--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,8 +25,7 @@
 /// a hard one has 4, one overdue, lost or maybe another's 2, a slow one 1. Lower acts on chance, higher late.
 const RUN_ACTS: u32 = 10;
 const CROWD_KEEPS: f64 = 0.25;
-/// Up to this predicted stretch an access stays at its first cache. Lower loses hits, as waits for
-/// fills look like a crowd, spill, miss and fill the link further; higher loses time.
+/// Up to this predicted stretch an access stays at its first cache. Lower loses hits, higher loses time.
 const SPILL_AT: f64 = 3.0;
 /// Added to a sending time of guessed size. Lower lets large ones crowd caches, higher rejects small.
 const GUESS_MARGIN: f64 = 1.3;
@@ -544,6 +543,7 @@
         let paced = |terms: &Terms| (terms.flow_kb_per_s, terms.sizes_tell);
         if paced(&terms) != paced(&self.terms) {
             self.learnt.clear();
+            (self.sending.iter_mut()).for_each(|(sum, n)| (*sum, *n) = (*sum / *n, 1.0));
         }
         if terms.notes != self.terms.notes {
             self.pooled = Default::default();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -843,6 +843,15 @@
     }
 }
 
+fn say_busy(stage: &mut Stage, host: HostId, busy: f64) {
+    let (ending, busy) = (Ending::Done, Some(busy));
+    let load = Load {
+        busy,
+        ..Load::default()
+    };
+    stage.event(Event::Probed { host, ending, load });
+}
+
 /// Each cache is hit by as much as keeps this part of `size` busy, seen by one of ten, for a minute.
 fn learn_size(stage: &mut Stage, size: f64, busy: f64) {
     let (mut object, mut told) = (0, stage.probed.len());
@@ -856,15 +865,7 @@
         stage.pass(ms(200));
         let hosts: Vec<HostId> = stage.probed[told..].iter().map(|probed| probed.1).collect();
         for host in hosts {
-            let load = Load {
-                busy: Some(busy),
-                ..Load::default()
-            };
-            stage.event(Event::Probed {
-                host,
-                ending: Ending::Done,
-                load,
-            });
+            say_busy(stage, host, busy);
         }
         told = stage.probed.len();
     }
@@ -965,15 +966,7 @@
             ..one_of_many()
         });
         for host in CACHES {
-            let load = Load {
-                busy: Some(busy),
-                ..Load::default()
-            };
-            stage.event(Event::Probed {
-                host,
-                ending: Ending::Done,
-                load,
-            });
+            say_busy(&mut stage, host, busy);
         }
         taken_at_once(&mut stage)
     };
