--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -254,7 +254,8 @@
     let retry_after = lines.or("ceilings.retry_after", false)?;
     let class_count = lines.class_count()?;
     let via = lines.one_of("report.via", &["piggyback", "pull", "silent"])?;
-    let probes = via == Some("pull") && lines.or("ceilings.may_probe", false)?;
+    let may_probe = lines.one_of("ceilings.may_probe", &["true", "false"])?;
+    let probes = via == Some("pull") && may_probe == Some("true");
     let reported: Vec<String> = match probes || via == Some("piggyback") {
         true => lines.list("report.fields")?,
         false => Vec::new(),
--- a/crates/terms/tests/forms.rs
+++ b/crates/terms/tests/forms.rs
@@ -65,7 +65,10 @@
         let name = pointer.trim_start_matches('/');
         match settings.pointer_mut(pointer) {
             Some(place) => *place = value,
-            None => settings[name] = value,
+            None => match name.split_once('/') {
+                Some((part, name)) => settings[part][name] = value,
+                None => settings[name] = value,
+            },
         }
         let Unreadable(why) = read_terms(&Lines::from_json(&settings)).expect_err("it is wrong");
         why
@@ -84,6 +87,10 @@
         said("/weights", json!("heavy")),
         "setting weights is \"heavy\"; accepted are silent, nominal, rough, live"
     );
+    assert_eq!(
+        said("/ceilings/may_probe", json!("often")),
+        "setting ceilings.may_probe is \"often\"; accepted are true, false"
+    );
     let told = |via: &str, fields| json!({"via": via, "fields": fields});
     assert!(said("/report", told("often", json!([]))).contains("are piggyback, pull, silent"));
     assert!(said("/report", told("piggyback", json!(["load"]))).contains("\"load\"; accepted are"));
