A probe that is never answered is forgotten with the next; settings hold only with the operator's file

Found on rereading: a connection kept every unanswered probe's tag, one every two seconds for as long as its host answers accesses and no probes, and was never idle. A late answer to a probe whose end was told is passed over by its tag's form, so that it can't be taken for damage. A settings change whose operator's file is refused had dropped the budgets.

--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -22,6 +22,8 @@
 /// The bytes of an object, by the protocol, and of the words beside it.
 const LONGEST_WORD: usize = 240_000;
 const WORDS: usize = 4;
+/// Tags of probes begin so; ids of requests are hex digits.
+const PROBE: &str = "probe-";
 /// How often a reader looks whether memory is free again.
 const READ_AGAIN: Duration = Duration::from_millis(5);
 
@@ -58,8 +60,8 @@
     unsent: VecDeque<Packet>,
     /// By the id of the request; one that is in the ring and not begun is here, too.
     open: BTreeMap<Rc<str>, OpenHandOff>,
-    /// Probes not answered yet, by their tags; a pool has one out at a time.
-    probes: BTreeMap<String, ProbeId>,
+    /// The last probe, until it is answered; one before it has its end already.
+    probe: Option<ProbeId>,
     /// Given up, and when the host knows.
     withdrawn: VecDeque<(Instant, HandOffId)>,
     heard: Instant,
@@ -89,7 +91,7 @@
             begun: false,
             unsent: VecDeque::new(),
             open: BTreeMap::new(),
-            probes: BTreeMap::new(),
+            probe: None,
             withdrawn: VecDeque::new(),
             heard: Instant::now(),
             active: Instant::now(),
@@ -138,7 +140,7 @@
         for packet in std::mem::take(&mut self.unsent) {
             self.drop_packet(packet);
         }
-        for id in std::mem::take(&mut self.probes).into_values() {
+        if let Some(id) = self.probe.take() {
             self.probed(id, Ending::Lost, vec![]);
         }
         while let Some(order) = next_now(&mut self.orders) {
@@ -193,7 +195,6 @@
             self.end(id, Ending::Withdrawn);
         }
         let idle = self.open.is_empty()
-            && self.probes.is_empty()
             && self.unsent.is_empty()
             && self.outgoing.is_empty()
             && self.withdrawn.is_empty();
@@ -320,11 +321,11 @@
                 resp::put_word(&mut out, reference.as_bytes());
             }
             Packet::Probe(id) => {
-                let tag = format!("probe-{}", id.0);
+                let tag = format!("{PROBE}{}", id.0);
                 resp::put_array(&mut out, 2);
                 resp::put_word(&mut out, b"METER");
                 resp::put_word(&mut out, tag.as_bytes());
-                self.probes.insert(tag, id);
+                self.probe = Some(id);
             }
             Packet::Sending(sending) => {
                 let (now, call) = (Instant::now(), &sending.call);
@@ -381,11 +382,15 @@
                 }
                 Err(Fault::Malformed(why)) => return self.bad(why),
             };
-            let probe = words.first().copied().unwrap_or_default();
-            let probe = std::str::from_utf8(probe).ok();
-            if let Some(id) = probe.and_then(|tag| self.probes.remove(tag)) {
-                let (ending, report) = read_probe(&words);
-                self.probed(id, ending, report);
+            let probe = words
+                .first()
+                .and_then(|word| std::str::from_utf8(word).ok());
+            if let Some(number) = probe.and_then(|tag| tag.strip_prefix(PROBE)) {
+                let last = |id: &mut ProbeId| number.parse() == Ok(id.0);
+                if let Some(id) = self.probe.take_if(last) {
+                    let (ending, report) = read_probe(&words);
+                    self.probed(id, ending, report);
+                }
                 self.incoming.consume(n);
                 self.wants = 1;
                 continue;
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -166,16 +166,24 @@
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             if let Some((source, other)) = read_again(&mut running, &moved, &noted) {
-                if let Some(other) = other {
-                    let _ = again.send(Inbound::Terms(Box::new(other)));
-                }
                 let told = match &source {
                     Some(source) => source.read(&known).await,
                     None => Ok(None),
                 };
                 match told {
-                    Ok(told) => drop(again.send(Inbound::Zones(told))),
-                    Err(why) => warn!(noted, "operator's file refused"; "why" => why),
+                    Ok(told) => {
+                        if let Some(other) = other {
+                            let _ = again.send(Inbound::Terms(Box::new(other)));
+                        }
+                        drop(again.send(Inbound::Zones(told)));
+                    }
+                    Err(why) => {
+                        warn!(noted, "operator's file refused"; "why" => why);
+                        // Neither file holds, and the settings count as changed when they are read next.
+                        if other.is_some() {
+                            running.file["settings"] = Value::Null;
+                        }
+                    }
                 }
             }
         }
