--- a/crates/terms/tests/forms.rs
+++ b/crates/terms/tests/forms.rs
@@ -20,7 +20,7 @@
 
 fn nested() -> serde_json::Value {
     json!({
-        "az": 1, "balancers": 3, "customers": [], "failure_domains": ["hub", "depot"],
+        "az": 1, "balancers": 3, "customers": [], "weights": null, "report": null, "failure_domains": ["hub", "depot"],
         "machine_types": ["cache", "parent", "origin"],
         "classes": [
             {"name": "small file", "on_time_us": 300000, "aim_stretch": 1.6, "semantics": "repeatable",
@@ -30,7 +30,7 @@
         ],
         "ceilings": {"max_attempts": 6, "cancel": true, "retry_after": true,
             "max_retry_after_us": 2000000, "dial_timeout_us": 400000, "idle_close_us": 30000000,
-            "max_streams": 32, "max_open": 20000},
+            "max_streams": 32, "max_open": 20000, "may_probe": null},
         "family_info": {"second_tier_kind": 1, "master_kind": 2, "parent_starts_at": 0.082,
             "parent_ramp_us": 20000000, "upper_fall_multiple": 2.0, "stream_kb_per_s": 3600.0,
             "feed_kb_per_s": [0.0, 35168.5], "seats_by_zone": [0, 3], "max_age_us": [8000000, 0],
@@ -62,14 +62,7 @@
 fn what_is_wrong_is_named() {
     let said = |pointer: &str, value| {
         let mut settings = nested();
-        let name = pointer.trim_start_matches('/');
-        match settings.pointer_mut(pointer) {
-            Some(place) => *place = value,
-            None => match name.split_once('/') {
-                Some((part, name)) => settings[part][name] = value,
-                None => settings[name] = value,
-            },
-        }
+        *settings.pointer_mut(pointer).expect("a place") = value;
         let Unreadable(why) = read_terms(&Lines::from_json(&settings)).expect_err("it is wrong");
         why
     };
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -141,12 +141,12 @@
             self.drop_packet(packet);
         }
         if let Some(id) = self.probe.take() {
-            self.probed(id, Ending::Lost, vec![]);
+            self.shared.probed(id, self.host, Ending::Lost, vec![]);
         }
         while let Some(order) = next_now(&mut self.orders) {
             match order {
                 ToServer::Send(sending) => self.end(sending.id, Ending::NotSent),
-                ToServer::Probe(id) => self.probed(id, Ending::NotSent, vec![]),
+                ToServer::Probe(id) => self.shared.probed(id, self.host, Ending::NotSent, vec![]),
                 _ => {}
             }
         }
@@ -162,21 +162,10 @@
         self.shared.end(id, self.host, Some(self.id), answer);
     }
 
-    fn probed(&self, id: ProbeId, ending: Ending, report: Vec<f64>) {
-        let host = self.host;
-        let probed = FromServer::Probed {
-            id,
-            host,
-            ending,
-            report,
-        };
-        let _ = self.shared.queue.send(Inbound::Server(probed));
-    }
-
     fn drop_packet(&self, packet: Packet) {
         match packet {
             Packet::Sending(sending) => self.end(sending.id, Ending::NotSent),
-            Packet::Probe(id) => self.probed(id, Ending::NotSent, vec![]),
+            Packet::Probe(id) => self.shared.probed(id, self.host, Ending::NotSent, vec![]),
             Packet::Kill(_) => {}
         }
     }
@@ -389,7 +378,7 @@
                 let last = |id: &mut ProbeId| number.parse() == Ok(id.0);
                 if let Some(id) = self.probe.take_if(last) {
                     let (ending, report) = read_probe(&words);
-                    self.probed(id, ending, report);
+                    self.shared.probed(id, self.host, ending, report);
                 }
                 self.incoming.consume(n);
                 self.wants = 1;
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -172,18 +172,14 @@
                 };
                 match told {
                     Ok(told) => {
-                        if let Some(other) = other {
+                        if let Some((settings, other)) = other {
+                            running.file["settings"] = settings;
                             let _ = again.send(Inbound::Terms(Box::new(other)));
                         }
                         drop(again.send(Inbound::Zones(told)));
                     }
-                    Err(why) => {
-                        warn!(noted, "operator's file refused"; "why" => why);
-                        // Neither file holds, and the settings count as changed when they are read next.
-                        if other.is_some() {
-                            running.file["settings"] = Value::Null;
-                        }
-                    }
+                    // The settings read with it do not hold either.
+                    Err(why) => warn!(noted, "operator's file refused"; "why" => why),
                 }
             }
         }
@@ -235,7 +231,8 @@
     Ok(())
 }
 
-/// What the dispatcher runs by.
+/// What the dispatcher runs by: the file that was read last, with the settings that hold, and what of its start
+/// settings that are followed have in common with them.
 struct Running {
     file: Value,
     terms: Terms,
@@ -260,7 +257,8 @@
     }
 }
 
-type Other = (Terms, trailproxy_terms::Reports);
+/// Settings to follow, as the file has them and as they are read.
+type Other = (Value, (Terms, trailproxy_terms::Reports));
 
 /// What a new file says of the journal service holds at once, and other settings do if what is open can go on
 /// under them; what else it changes needs a new start. One that can't be read changes nothing. What comes back
@@ -288,20 +286,15 @@
     }
     info!(log, "configuration read again"; "journal" => start.journal.map(|at| at.to_string()),
         "known" => start.known_until, "needs_a_new_start" => waiting);
+    // Until others are followed, those that hold are what the next file is held against.
     let mut file = start.file;
-    if !follows {
-        // What is not followed still counts as changed when the file is read next.
-        file["settings"] = running.file["settings"].clone();
-    }
+    let settings = std::mem::replace(&mut file["settings"], running.file["settings"].take());
     running.file = file;
     let _ = moved.send(list::Moved {
         address: start.journal,
         known: start.known,
     });
-    let other = follows.then(|| {
-        running.terms = start.terms.clone();
-        (start.terms, start.reports)
-    });
+    let other = follows.then_some((settings, (start.terms, start.reports)));
     Some((start.operator, other))
 }
 
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -80,14 +80,7 @@
         let _ = self.queue.send(Inbound::Server(ended));
     }
 
-    /// Tells the end of a probe that no answer ended, once.
-    fn probe_ended(&self, host: HostId, probe: &mut Probe, out: Ending) {
-        let (id, report) = (probe.id, vec![]);
-        let ending = match std::mem::replace(&mut probe.is, ProbeIs::Over) {
-            ProbeIs::Waiting => Ending::NoConnection,
-            ProbeIs::Out => out,
-            ProbeIs::Over => return,
-        };
+    pub fn probed(&self, id: ProbeId, host: HostId, ending: Ending, report: Vec<f64>) {
         let probed = FromServer::Probed {
             id,
             host,
@@ -97,6 +90,16 @@
         let _ = self.queue.send(Inbound::Server(probed));
     }
 
+    /// Tells the end of a probe that no answer ended, once.
+    fn probe_ended(&self, host: HostId, probe: &mut Probe) {
+        let ending = match std::mem::replace(&mut probe.is, ProbeIs::Over) {
+            ProbeIs::Waiting => Ending::NoConnection,
+            ProbeIs::Out => Ending::TimedOut,
+            ProbeIs::Over => return,
+        };
+        self.probed(probe.id, host, ending, vec![]);
+    }
+
     fn dropped(&self, sending: &Sending, ending: Ending) {
         self.end(sending.id, sending.host, None, Answer::bare(ending));
     }
@@ -283,7 +286,7 @@
         for (&host, pool) in &mut self.pools {
             let due = |probe: &&mut Probe| probe.until <= now;
             if let Some(probe) = pool.probe.as_mut().filter(due) {
-                shared.probe_ended(host, probe, Ending::TimedOut);
+                shared.probe_ended(host, probe);
             }
             pool.waiting.retain(|(until, sending)| {
                 match (sending.is_late(now), *until <= now) {
@@ -416,7 +419,7 @@
                 if refused {
                     let waits = |probe: &&mut Probe| probe.is == ProbeIs::Waiting;
                     if let Some(probe) = pool.probe.as_mut().filter(waits) {
-                        self.shared.probe_ended(host, probe, Ending::NoConnection);
+                        self.shared.probe_ended(host, probe);
                     }
                     for (_, sending) in pool.waiting.drain(..) {
                         self.shared.dropped(&sending, Ending::NoConnection);
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -1008,13 +1008,7 @@
     // A report that can't be read spoils nothing else on its connection.
     let mut client = stage.client();
     client.ask("image", 7, 3000);
-    let pull = loop {
-        let heard = stage.hear();
-        match heard.word.as_str() {
-            "PULL" => break heard,
-            _ => heard.answer("well", "rep=\u{fffd};;nonsense", b""),
-        }
-    };
+    let pull = pull_past_probes(&stage, "rep=\u{fffd};;nonsense");
     pull.hit(b"kept");
     assert_eq!(client.answer().1, Final::done(b"kept"));
 }
@@ -1058,14 +1052,7 @@
     // From the first access on: nothing to the cache that drains, nothing by the parent that was open.
     for object in 0..20 {
         client.ask("image", 2000 + object, 1500);
-        let pull = loop {
-            let heard = stage.hear();
-            match heard.word.as_str() {
-                "PULL" => break heard,
-                "METER" => heard.answer("well", "rep=0.3;0.1", b""),
-                _ => {}
-            }
-        };
+        let pull = pull_past_probes(&stage, "rep=0.3;0.1");
         assert_ne!(
             pull.host, "c1",
             "it drained {asked} accesses before the switch"
@@ -1091,6 +1078,33 @@
     assert_eq!(client.answer().1, Final::done(b"back"));
 }
 
+#[test]
+fn settings_whose_operators_file_is_refused_do_not_hold_either() {
+    let stage = Stage::new();
+    let mut config = moved(&stage.config);
+    config["operator"] = json!("nowhere.json");
+    stage.program.configure(&config.to_string());
+    wait_for("it says so", || {
+        stage.program.logged("operator's file refused")
+    });
+    assert!(!stage.program.logged("settings followed"));
+    // Read again without it, they are still other settings than those that hold.
+    stage.program.configure(&moved(&stage.config).to_string());
+    wait_for("it follows", || stage.program.logged("settings followed"));
+}
+
+/// The next request at a host; probes that come before it are answered with this report.
+fn pull_past_probes(stage: &Stage, report: &str) -> Heard {
+    loop {
+        let heard = stage.hear();
+        match heard.word.as_str() {
+            "PULL" => return heard,
+            "METER" => heard.answer("well", report, b""),
+            _ => {}
+        }
+    }
+}
+
 /// How many accesses went by until the first cache got no more.
 fn wait_for_draining(stage: &Stage, client: &mut stage::Client) -> u64 {
     let (mut asked, mut clean) = (0, 0);
