Dispatchers share records, hints and purges in Redis, where the operator's file says so

trailproxyd: store.rs carries operations by the redis library on the same thread, beside.rs holds an access back for as long as the decisions allow (wait_ms at most, or a quarter of its due time where another has its key under way), dispatch hands it on with the time that is left. The operator's section store; off without it: nothing is connected. trailproxy store check, show and drain.

On loopback (sockets): two dispatchers and the stand-in of Redis; a retry elsewhere reaches no host, one at the same time joins; under pause, dropped answers, garbage, closed connections, a wipe and a restart with a clock 500 ms off the next change is sent on within 250 ms and answered once; a wrong password is told once and mended without a restart. Not done here: leases are decided and tested in virtual time, and not offered by the section yet; TLS.

--- a/crates/shared-store/src/lib.rs
+++ b/crates/shared-store/src/lib.rs
@@ -5,4 +5,5 @@
 //! of a Redis server and reads the answers. Neither opens a socket nor reads a clock.
 
 pub mod decide;
+pub mod sheet;
 pub mod words;
--- a/crates/trailproxy-cli/src/main.rs
+++ b/crates/trailproxy-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod lab;
 mod out;
+mod store;
 mod zones;
 
 use clap::{Parser, Subcommand};
@@ -27,6 +28,9 @@
     /// Traffic between zones: sections, reports, the planner, and what they are worth.
     #[command(subcommand)]
     Zones(zones::Task),
+    /// The store that dispatchers share: whether it can be used, what it holds, and how to leave it.
+    #[command(subcommand)]
+    Store(store::Task),
 }
 
 /// How a task ended; the numbers are the exit codes.
@@ -43,6 +47,7 @@
     lab::KIND,
     trailproxy_zones_tools::sections::KINDS[0],
     trailproxy_zones_tools::sections::KINDS[1],
+    store::KIND,
 ];
 
 fn main() -> ExitCode {
@@ -50,6 +55,7 @@
         Task::Check { file } => check(&file),
         Task::Lab(task) => lab::run(task),
         Task::Zones(task) => zones::run(task),
+        Task::Store(task) => store::run(task),
     };
     match end {
         End::Well => ExitCode::SUCCESS,
--- a/crates/trailproxy-cli/src/zones.rs
+++ b/crates/trailproxy-cli/src/zones.rs
@@ -131,10 +131,15 @@
                 .map_err(|unfit| unfit.to_string())?;
         }
     }
-    println!(
-        "{}",
-        serde_json::to_string(&sheet).map_err(|e| e.to_string())?
-    );
+    let mut all = serde_json::to_value(&sheet).map_err(|e| e.to_string())?;
+    // The dispatcher takes one answer for the whole file.
+    if let Some(store) = crate::store::sheet(&script) {
+        if all.is_null() {
+            all = serde_json::json!({});
+        }
+        all["store"] = serde_json::to_value(store).map_err(|e| e.to_string())?;
+    }
+    println!("{all}");
     Ok(End::Well)
 }
 
--- /dev/null
+++ b/crates/trailproxyd/src/beside.rs
@@ -0,0 +1,232 @@
+//! What stands beside the decisions, each part there only while it is switched on: traffic between zones, and what is
+//! shared with other dispatchers.
+
+use crate::store::{FromStore, ToStore};
+use local_channel::mpsc;
+use slog::{Logger, info};
+use std::collections::{BTreeMap, VecDeque};
+use trailproxy::interface::*;
+use trailproxy::units::*;
+use trailproxy_shared_store::decide::records::{Came, Key, MOST_BODY, Verdict};
+use trailproxy_shared_store::decide::{Act, Sharing};
+use trailproxy_shared_store::sheet::Sheet;
+use trailproxy_shared_store::words::{Under, request};
+use trailproxy_zones::Zones;
+
+#[derive(Default)]
+pub struct Beside {
+    pub zones: Option<Zones>,
+    pub shared: Option<Shared>,
+}
+
+/// Sharing as long as it is on, with the way to the store and what is held back for it.
+pub struct Shared {
+    pub sheet: Sheet,
+    sharing: Sharing,
+    to: mpsc::Sender<ToStore>,
+    run: String,
+    held: BTreeMap<AccessId, Arrival>,
+    hosts: BTreeMap<HostId, (ZoneId, CellId)>,
+    /// By track.
+    dues: Vec<Span>,
+    out: VecDeque<Due>,
+    log: Logger,
+}
+
+/// What the one task has to do for it.
+pub enum Due {
+    /// An access goes to the decisions now.
+    Arrived(Arrival),
+    /// An access is answered from a record.
+    Answered(AccessId, Vec<u8>),
+    Tell(Event),
+}
+
+impl Shared {
+    pub fn new(
+        sheet: Sheet,
+        sharing: Sharing,
+        to: mpsc::Sender<ToStore>,
+        dues: Vec<Span>,
+        log: Logger,
+    ) -> Shared {
+        Shared {
+            sheet,
+            sharing,
+            to,
+            run: String::new(),
+            held: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            dues,
+            out: VecDeque::new(),
+            log,
+        }
+    }
+
+    /// An access comes: one with a key waits for the store for as long as that may take.
+    pub fn come(&mut self, now: Moment, arrival: Arrival, mark: &str) {
+        let due = now + self.dues[usize::from(arrival.track.0)].min(arrival.left);
+        self.held.insert(arrival.id, arrival);
+        let key = Key::of(arrival.track, mark);
+        self.sharing.come(now, arrival.id, key, due);
+        self.act();
+    }
+
+    pub fn sent(&mut self, now: Moment, id: AccessId, host: HostId) {
+        if let Some(&place) = self.hosts.get(&host) {
+            self.sharing.hand_off(now, id, place);
+            self.act();
+        }
+    }
+
+    /// It has its final answer, or its client left; the decisions may never have heard of it.
+    pub fn ended(&mut self, now: Moment, id: AccessId, came: Came) {
+        self.held.remove(&id);
+        self.sharing.ended(now, id, came);
+        self.act();
+    }
+
+    /// Nothing is shared any more: whoever waits goes on.
+    pub fn end(self) -> impl Iterator<Item = Arrival> {
+        self.held.into_values()
+    }
+
+    pub fn told(&mut self, now: Moment, told: FromStore) {
+        match told {
+            FromStore::Connected { run } => {
+                self.run = run;
+                self.sharing.connected(now);
+            }
+            FromStore::Broken => self.sharing.broken(now),
+            FromStore::Answered(id, reply) => self.sharing.answered(now, id, reply),
+        }
+        self.act();
+    }
+
+    pub fn next(&self) -> Option<Moment> {
+        self.sharing.next()
+    }
+
+    pub fn advance(&mut self, now: Moment) {
+        if self.sharing.next().is_some_and(|at| at <= now) {
+            self.sharing.advance(now);
+            self.act();
+        }
+    }
+
+    pub fn take(&mut self) -> Option<Due> {
+        self.out.pop_front()
+    }
+
+    pub fn figures(&self) -> String {
+        let (records, under_way, news) = self.sharing.kept();
+        let counts = self.sharing.counts();
+        let trust = self.sharing.trust().word();
+        format!("trust={trust} records={records} under_way={under_way} words={news} {counts:?}")
+    }
+
+    fn act(&mut self) {
+        for act in self.sharing.take() {
+            match act {
+                Act::Connect => drop(self.to.send(ToStore::Connect)),
+                Act::Disconnect => drop(self.to.send(ToStore::Disconnect)),
+                Act::Ask {
+                    id,
+                    op,
+                    epoch,
+                    not_after_ms,
+                } => {
+                    let (prefix, run) = (self.sheet.prefix.as_str(), self.run.as_str());
+                    let under = Under {
+                        prefix,
+                        run,
+                        epoch,
+                        not_after_ms,
+                    };
+                    let request = Box::new(request(&op, &under));
+                    let _ = self.to.send(ToStore::Ask(id, request));
+                }
+                Act::Decided { id, verdict } => {
+                    let Some(arrival) = self.held.remove(&id) else {
+                        continue;
+                    };
+                    self.out.push_back(match verdict {
+                        Verdict::Go => Due::Arrived(arrival),
+                        Verdict::Answer(body) => Due::Answered(id, body),
+                    });
+                }
+                Act::Purged { object, group, ago } => {
+                    self.out
+                        .push_back(Due::Tell(Event::Purged { object, group, ago }));
+                }
+                Act::Hinted { host } => self.out.push_back(Due::Tell(Event::Hinted { host })),
+                // Budgets of traffic between zones follow their parts when they are shared.
+                Act::Part { .. } => {}
+                Act::Turned { trust, cause } => {
+                    info!(self.log, "store"; "trust" => trust.word(), "why" => cause.word());
+                }
+            }
+        }
+    }
+
+    pub fn heard(&mut self, now: Moment, event: &Event) {
+        match event {
+            Event::Hosts { entries, .. } => {
+                for entry in entries {
+                    match entry.state {
+                        HostState::Gone => drop(self.hosts.remove(&entry.host)),
+                        _ => drop(self.hosts.insert(entry.host, (entry.zone, entry.cell))),
+                    }
+                }
+            }
+            Event::Purged { object, group, ago } => {
+                self.sharing.purged(now, *object, *group, *ago);
+                self.act();
+            }
+            _ => {}
+        }
+    }
+}
+
+/// What came of an access, by what became of its hand-offs.
+pub fn came(done: Option<&[u8]>, ran: bool) -> Came {
+    match done {
+        Some(body) => Came::Done(Some(body.to_vec()).filter(|body| body.len() <= MOST_BODY)),
+        None if ran => Came::Unknown,
+        None => Came::NeverRan,
+    }
+}
+
+impl Crossings for Beside {
+    fn heard(&mut self, now: Moment, event: &Event) {
+        self.zones.heard(now, event);
+        self.shared
+            .iter_mut()
+            .for_each(|shared| shared.heard(now, event));
+    }
+
+    fn room(&self, now: Moment, crossing: &Crossing) -> bool {
+        self.zones.room(now, crossing)
+    }
+
+    fn sent(&mut self, now: Moment, crossing: &Crossing) {
+        self.zones.sent(now, crossing);
+    }
+
+    fn come_back(&self, now: Moment, track: TrackId) -> Option<Span> {
+        self.zones.come_back(now, track)
+    }
+}
+
+impl Others for Beside {
+    fn earlier(&self, id: AccessId) -> Option<Earlier> {
+        self.shared.as_ref()?.sharing.earlier(id)
+    }
+
+    fn turned(&mut self, now: Moment, host: HostEntry, open: bool) {
+        if let Some(shared) = self.shared.as_mut().filter(|_| open) {
+            shared.sharing.opened(now, host);
+            shared.act();
+        }
+    }
+}
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -2,12 +2,15 @@
 //! actions. It keeps the open accesses and the timers.
 
 use crate::accounts::Accounts;
+use crate::beside::{Beside, Due, Shared, came};
 use crate::checks::{Counts, count, must};
+use crate::held::Parcel;
 use crate::messages::*;
 use crate::operator::Told;
 use crate::servers::Pools;
+use crate::store;
 use local_channel::mpsc;
-use slog::{Logger, debug, info};
+use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,8 +18,11 @@
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
+use trailproxy_shared_store::decide::Sharing;
+use trailproxy_shared_store::sheet::Sheet as StoreSheet;
 use trailproxy_terms::Reports;
-use trailproxy_zones::Zones;
+use trailproxy_zones::decide::sheet::Sheet as ZonesSheet;
+use trailproxy_zones::{Rules, Zones};
 
 /// Requests still come for so long after the signal to end.
 const STILL_COMING: Duration = Duration::from_millis(700);
@@ -47,7 +53,7 @@
 }
 
 pub struct Dispatch {
-    pub decisions: Dispatcher<Option<Zones>>,
+    pub decisions: Dispatcher<Beside>,
     /// What tells of traffic between zones, with what a new account of it is made of.
     pub accounts: Option<(Accounts, Terms, u64)>,
     pub pools: Pools,
@@ -80,7 +86,7 @@
 
 impl Dispatch {
     pub fn new(
-        decisions: Dispatcher<Option<Zones>>,
+        decisions: Dispatcher<Beside>,
         pools: Pools,
         reports: Reports,
         effects: Vec<Effect>,
@@ -135,7 +141,7 @@
             let accounts = self
                 .accounts
                 .as_ref()
-                .filter(|_| self.decisions.crossings.is_some());
+                .filter(|_| self.decisions.crossings.zones.is_some());
             let account_at = accounts.map_or(report_at, |(accounts, ..)| accounts.next());
             let until = self.next_timer().min(report_at).min(account_at);
             let first = tokio::select! {
@@ -163,18 +169,104 @@
         if let Some((_, known, _)) = &mut self.accounts {
             *known = terms.clone();
         }
-        self.decisions.crossings = None;
+        self.decisions.crossings.zones = None;
         self.decisions.follow(now, terms);
         self.state.told = true;
     }
 
+    /// What the operator's file says: each subsystem is switched on, changed or off.
+    pub fn operator(&mut self, told: Told) {
+        self.zones(told.zones);
+        self.store(told.store);
+    }
+
+    /// What dispatchers share: another section begins anew, and whoever waited for the store goes on.
+    fn store(&mut self, told: Option<Box<StoreSheet>>) {
+        let now = self.clock.moment(Instant::now());
+        let Some((_, terms, seed)) = &self.accounts else {
+            return;
+        };
+        let shared = &mut self.decisions.crossings.shared;
+        if shared.as_ref().map(|shared| &shared.sheet) == told.as_deref() {
+            return;
+        }
+        let ended = shared.take();
+        if let Some(sheet) = told {
+            let longest = self.pools.shared.bounds.longest_limit;
+            let windows = terms.tracks.iter().map(|track| match track.effect {
+                Effect::Fingerprinted { window, .. } => window + longest,
+                _ => Span::ZERO,
+            });
+            match sheet.rules(windows.max().unwrap_or_default(), terms.purge_done) {
+                Ok(rules) => {
+                    // Never the same for two processes, or one would take another's records for its own.
+                    let life = *seed ^ now.0.rotate_left(20) ^ u64::from(std::process::id());
+                    let (to, asked) = mpsc::channel();
+                    let (queue, log) = (self.pools.shared.queue.clone(), self.log.clone());
+                    tokio::task::spawn_local(store::carry(
+                        *sheet.clone(),
+                        queue,
+                        asked,
+                        log.clone(),
+                    ));
+                    info!(log, "store is on"; "file" => &sheet.file, "host" => &sheet.host, "port" => sheet.port);
+                    let dues = terms.tracks.iter().map(|track| track.due).collect();
+                    let mut begun =
+                        Shared::new(*sheet, Sharing::new(now, rules, life), to, dues, log);
+                    let (form, entries) = (ListForm::Whole, self.pools.entries());
+                    begun.heard(now, &Event::Hosts { form, entries });
+                    *shared = Some(begun);
+                }
+                Err(why) => warn!(self.log, "operator's file refused"; "why" => why),
+            }
+        } else {
+            info!(self.log, "store is off");
+        }
+        for arrival in ended.into_iter().flat_map(Shared::end) {
+            self.go(now, arrival);
+        }
+    }
+
+    /// An access goes to the decisions, with the time that is left of it.
+    fn go(&mut self, now: Moment, mut arrival: Arrival) {
+        let access = self.state.accesses.get(&arrival.id);
+        if let Some(access) = access.filter(|access| !access.closed) {
+            arrival.left = access.limit.since(now);
+            self.tell(now, Event::Arrived(arrival));
+        }
+    }
+
+    /// What the store's answers, or their absence, lead to.
+    fn share(&mut self, now: Moment) {
+        if let Some(shared) = &mut self.decisions.crossings.shared {
+            shared.advance(now);
+        }
+        while let Some(due) = self
+            .decisions
+            .crossings
+            .shared
+            .as_mut()
+            .and_then(Shared::take)
+        {
+            match due {
+                Due::Arrived(arrival) => self.go(now, arrival),
+                Due::Answered(id, body) => {
+                    let body = Parcel::new(&body, &self.pools.shared.held);
+                    self.answer(now, id, Reply::Done(body));
+                    self.forget(id);
+                }
+                Due::Tell(event) => self.tell(now, event),
+            }
+        }
+    }
+
     /// What the operator's file says of traffic between zones: counts and what is open are kept.
-    pub fn zones(&mut self, told: Told) {
+    fn zones(&mut self, told: Option<Box<(ZonesSheet, Rules)>>) {
         let now = self.clock.moment(Instant::now());
         let Some((accounts, terms, seed)) = &mut self.accounts else {
             return;
         };
-        let crossings = &mut self.decisions.crossings;
+        let crossings = &mut self.decisions.crossings.zones;
         let Some(told) = told else {
             if crossings.take().is_some() {
                 info!(self.log, "zones are off");
@@ -199,7 +291,7 @@
     fn account(&mut self, instant: Instant) {
         let now = self.clock.moment(instant);
         if let (Some((accounts, ..)), Some(zones)) =
-            (&mut self.accounts, &mut self.decisions.crossings)
+            (&mut self.accounts, &mut self.decisions.crossings.zones)
         {
             accounts.advance(zones, now, instant);
         }
@@ -208,7 +300,7 @@
     fn last_account(&mut self) {
         let now = self.clock.moment(Instant::now());
         if let (Some((accounts, ..)), Some(zones)) =
-            (&mut self.accounts, &mut self.decisions.crossings)
+            (&mut self.accounts, &mut self.decisions.crossings.zones)
         {
             accounts.tell(zones, now);
         }
@@ -222,7 +314,13 @@
         let state = &self.state;
         let limit = state.limits.first().map(|&(at, _)| at);
         let wake = state.wakes.first().map(|&(at, _)| at);
-        let timed = [limit, wake]
+        let shared = self
+            .decisions
+            .crossings
+            .shared
+            .as_ref()
+            .and_then(Shared::next);
+        let timed = [limit, wake, shared]
             .into_iter()
             .flatten()
             .map(|at| self.clock.instant(at));
@@ -260,7 +358,12 @@
             }
             Inbound::Journal(entry) => self.journal(now, entry),
             Inbound::Terms(told) => self.follow(now, *told),
-            Inbound::Zones(told) => self.zones(told),
+            Inbound::Operator(told) => self.operator(told),
+            Inbound::Store(told) => {
+                if let Some(shared) = &mut self.decisions.crossings.shared {
+                    shared.told(now, told);
+                }
+            }
             Inbound::Terminate => {
                 info!(self.log, "asked to end"; "open" => self.state.accesses.len());
                 self.state.ending.get_or_insert_with(Instant::now);
@@ -319,6 +422,11 @@
         };
         self.state.limits.insert((limit, id));
         self.state.calls.insert(call.id, id);
+        let keyed = matches!(
+            self.effects[usize::from(call.track.0)],
+            Effect::Fingerprinted { .. }
+        );
+        let mark = call.mark.clone().filter(|_| keyed);
         let (closed, hand_offs) = (false, Vec::new());
         self.state.accesses.insert(
             id,
@@ -329,12 +437,16 @@
                 hand_offs,
             },
         );
-        self.tell(now, Event::Arrived(arrival));
+        match (mark, &mut self.decisions.crossings.shared) {
+            (Some(mark), Some(shared)) => shared.come(now, arrival, &mark),
+            _ => self.tell(now, Event::Arrived(arrival)),
+        }
     }
 
     fn left(&mut self, now: Moment, call: CallId) {
         if let Some(id) = self.state.calls.remove(&call) {
             count(&self.counts.left);
+            self.came(now, id, None);
             self.close(id);
             self.tell(now, Event::Left { id });
             self.forget(id);
@@ -370,6 +482,20 @@
         }
     }
 
+    /// Others are to know what came of it.
+    fn came(&mut self, now: Moment, id: AccessId, done: Option<&[u8]>) {
+        let (access, shared) = (
+            self.state.accesses.get(&id),
+            &mut self.decisions.crossings.shared,
+        );
+        if let Some((access, shared)) = access.zip(shared.as_mut())
+            && access.call.mark.is_some()
+        {
+            let ran = access.hand_offs.iter().any(|hand_off| hand_off.ran);
+            shared.ended(now, id, came(done, ran));
+        }
+    }
+
     /// The one final answer of an access.
     fn answer(&mut self, now: Moment, id: AccessId, reply: Reply) {
         let Some(access) = self.state.accesses.get(&id).filter(|access| !access.closed) else {
@@ -379,6 +505,14 @@
             count(&self.counts.late_finals);
         }
         let call = access.call.id;
+        self.came(
+            now,
+            id,
+            match &reply {
+                Reply::Done(body) => Some(body.bytes()),
+                _ => None,
+            },
+        );
         count(match &reply {
             Reply::Done(_) | Reply::Same => &self.counts.done,
             Reply::Rejected { .. } => &self.counts.rejected,
@@ -515,6 +649,7 @@
     }
 
     fn settle(&mut self, now: Moment) {
+        self.share(now);
         if !std::mem::take(&mut self.state.told) {
             return;
         }
@@ -592,6 +727,9 @@
             over: false,
             ran: true,
         });
+        if let Some(shared) = &mut self.decisions.crossings.shared {
+            shared.sent(now, id, host);
+        }
         self.pools.submit(sending);
     }
 
@@ -602,6 +740,9 @@
             "calls" => state.calls.len(), "clients" => state.clients.len(), "out" => out,
             "lines" => lines, "pools" => pools, "ids" => state.references.len(), "timers" => state.limits.len() + state.wakes.len(),
             "held" => self.pools.shared.held.bytes(), "process" => process_figures());
+        if let Some(shared) = &self.decisions.crossings.shared {
+            info!(self.log, "store counts"; "what" => shared.figures());
+        }
     }
 }
 
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -1,6 +1,7 @@
 //! A trailproxy dispatcher on sockets: clients in, cache hosts out, the journal service beside.
 
 mod accounts;
+mod beside;
 mod checks;
 mod clients;
 mod dispatch;
@@ -13,6 +14,7 @@
 mod servers;
 mod sse;
 mod startup;
+mod store;
 
 use accounts::Accounts;
 use checks::Counts;
@@ -34,6 +36,7 @@
 use tokio::time::Instant;
 use trailproxy::interface::Terms;
 use trailproxy::logic::Dispatcher;
+use trailproxy::units::Span;
 use trailproxy_terms::Bounds;
 use trailproxyd::{held, msgpack, resp, ring};
 
@@ -120,9 +123,18 @@
         zones: start.bounds.zone_names.clone(),
         tracks: start.bounds.track_names.clone(),
     };
+    let windows = start.terms.tracks.iter().map(|track| match track.effect {
+        trailproxy::interface::Effect::Fingerprinted { window, .. } => window,
+        _ => Span::ZERO,
+    });
+    let against = operator::Against {
+        names: names.clone(),
+        longest_window: windows.max().unwrap_or_default() + start.bounds.longest_limit,
+        purges_last: start.terms.purge_done,
+    };
     let told = match &start.operator {
-        Some(source) => source.read(&names).await?,
-        None => None,
+        Some(source) => source.read(&against).await?,
+        None => operator::Told::default(),
     };
     let listen = start.listen;
     let listener = bind(start.listen).map_err(|e| format!("can't listen on {listen}: {e}"))?;
@@ -162,13 +174,13 @@
         bounds: start.bounds.clone(),
     };
     let noted = log.clone();
-    let (known, again) = (names.clone(), queue.clone());
+    let (known, again) = (against, queue.clone());
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             if let Some((source, other)) = read_again(&mut running, &moved, &noted) {
                 let told = match &source {
                     Some(source) => source.read(&known).await,
-                    None => Ok(None),
+                    None => Ok(operator::Told::default()),
                 };
                 match told {
                     Ok(told) => {
@@ -176,7 +188,7 @@
                             running.file["settings"] = settings;
                             let _ = again.send(Inbound::Terms(Box::new(other)));
                         }
-                        drop(again.send(Inbound::Zones(told)));
+                        drop(again.send(Inbound::Operator(told)));
                     }
                     // The settings read with it do not hold either.
                     Err(why) => warn!(noted, "operator's file refused"; "why" => why),
@@ -209,7 +221,7 @@
         log.clone(),
     );
     let terms = start.terms.clone();
-    let decisions = Dispatcher::with(None, start.terms, start.seed);
+    let decisions = Dispatcher::with(beside::Beside::default(), start.terms, start.seed);
     let most_lines = start.descriptors.saturating_sub(most_clients + RESERVE);
     let pools = Pools::new(Rc::new(servers::Shared {
         queue,
@@ -224,7 +236,7 @@
     let mut dispatch = Dispatch::new(decisions, pools, start.reports, effects);
     // Its points in the budgets are drawn apart from the decisions' own chance.
     dispatch.accounts = Some((accounts, terms, !start.seed));
-    dispatch.zones(told);
+    dispatch.operator(told);
     dispatch
         .run(start.known, inbound, move || accepting.abort())
         .await;
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -3,6 +3,7 @@
 
 use crate::held::Parcel;
 use crate::operator::Told;
+use crate::store::FromStore;
 use local_channel::mpsc;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,8 +23,9 @@
     Journal(Entry),
     /// Other settings hold from now on.
     Terms(Box<(Terms, Reports)>),
-    /// The operator's file was read again: what it says of traffic between zones now.
-    Zones(Told),
+    /// The operator's file was read again.
+    Operator(Told),
+    Store(FromStore),
     /// Asked to end: whatever is open is finished first.
     Terminate,
 }
--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -8,6 +8,8 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::process::Command;
 use tokio::time::timeout;
+use trailproxy::units::Span;
+use trailproxy_shared_store::sheet::Sheet as StoreSheet;
 use trailproxy_zones::Rules;
 use trailproxy_zones::decide::sheet::{Names, Sheet};
 
@@ -25,7 +27,21 @@
     pub reader: PathBuf,
 }
 
-pub type Told = Option<Box<(Sheet, Rules)>>;
+/// What the file says of each subsystem: nothing where it is off.
+#[derive(Default)]
+pub struct Told {
+    pub zones: Option<Box<(Sheet, Rules)>>,
+    pub store: Option<Box<StoreSheet>>,
+}
+
+/// What the deployment's settings say that a file is held against.
+#[derive(Clone)]
+pub struct Against {
+    pub names: Names,
+    /// The longest window of a track with its outer limit.
+    pub longest_window: Span,
+    pub purges_last: Span,
+}
 
 impl Source {
     /// From `RELAY_OPERATOR` and `RELAY_READER`, or else `operator` and `reader` in the configuration; `None`: there is
@@ -43,19 +59,37 @@
     }
 
     /// What the file says; the message names file, line and field of what does not fit.
-    pub async fn read(&self, names: &Names) -> Result<Told, String> {
+    pub async fn read(&self, against: &Against) -> Result<Told, String> {
         let path = self.path.display();
         let text = match self.path.extension().is_some_and(|end| end == "json") {
             true => of_file(&self.path).map_err(|e| format!("{path} can't be read: {e}"))?,
             false => self.run().await?,
         };
-        let sheet: Option<Sheet> = serde_json::from_slice(&text)
-            .map_err(|e| format!("{path}: found no sections ({e})"))?;
-        let Some(sheet) = sheet.filter(|sheet| sheet.on) else {
-            return Ok(None);
+        let unread = |e| format!("{path}: found no sections ({e})");
+        let mut all: Value = serde_json::from_slice(&text).map_err(unread)?;
+        let store = all.as_object_mut().and_then(|all| all.remove("store"));
+        let store: Option<Box<StoreSheet>> = match store {
+            Some(store) => {
+                serde_json::from_value(store).map_err(|e| format!("{path}: section store: {e}"))?
+            }
+            None => None,
+        };
+        if let Some(store) = &store {
+            store.rules(against.longest_window, against.purges_last)?;
+        }
+        let empty = all.as_object().is_some_and(|all| all.is_empty());
+        let sheet: Option<Sheet> = match empty {
+            true => None,
+            false => serde_json::from_value(all).map_err(unread)?,
+        };
+        let zones = match sheet.filter(|sheet| sheet.on) {
+            Some(sheet) => {
+                let rules = sheet.resolve(&against.names);
+                Some(Box::new((sheet, rules.map_err(|unfit| unfit.to_string())?)))
+            }
+            None => None,
         };
-        let rules = sheet.resolve(names).map_err(|unfit| unfit.to_string())?;
-        Ok(Some(Box::new((sheet, rules))))
+        Ok(Told { zones, store })
     }
 
     async fn run(&self) -> Result<Vec<u8>, String> {
--- /dev/null
+++ b/crates/trailproxyd/tests/store.rs
@@ -0,0 +1,160 @@
+//! Dispatchers that share a store, over sockets: the stand-in of Redis fails, and clients are answered once.
+
+#[allow(dead_code, reason = "the other tests of sockets use the rest of it")]
+mod stage;
+
+use serde_json::{Value as Json, json};
+use stage::*;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use trailproxy_standins::redis::Redis;
+use trailproxy_standins::redis_server::{Fault, RedisServer};
+
+fn section(port: u16, password_file: &str) -> Json {
+    json!({"store": {
+        "file": "operator.star", "place": [1, 1], "host": "127.0.0.1", "port": port,
+        "password_file": password_file, "prefix": "t/", "wait_ms": 20.0, "keep_s": 5.0,
+        "records": true, "hints": true, "purges": true, "leases": false
+    }})
+}
+
+/// Two dispatchers before the same hosts, both with this section.
+fn pair(name: &str, section: &Json) -> (Stage, Program, PathBuf) {
+    let path = std::env::temp_dir().join(format!("tps-{name}-{}.json", std::process::id()));
+    std::fs::write(&path, section.to_string()).expect("a file");
+    let stage = Stage::with(|config, _| config["operator"] = json!(path));
+    let other = Program::start(&stage.config, free_address());
+    (stage, other, path)
+}
+
+/// A request under this key, with an id of its own.
+fn keyed(key: &str) -> Vec<(String, String)> {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let mut fields = fields(NEXT.fetch_add(1, Ordering::Relaxed), 3_000);
+    fields.push(("replay".into(), key.into()));
+    fields
+}
+
+fn done(answer: Final, body: &[u8]) {
+    match answer {
+        Final::Done(answered, _) => assert_eq!(answered, body),
+        Final::Error(word, fields) => panic!("{word} {fields:?}"),
+    }
+}
+
+#[test]
+fn a_change_sent_again_elsewhere_is_done_once_and_every_fault_leaves_the_service_up() {
+    let store = RedisServer::start(Redis::new(1), 1).expect("a server");
+    let (stage, other, path) = pair("faults", &section(store.address.port(), ""));
+    for program in [&stage.program, &other] {
+        wait_for("trust", || program.logged("trust: together"));
+    }
+    let (mut first, mut second) = (stage.client(), Client::new(other.address));
+    first.ask_with("change", keyed("k1"), b"new address");
+    let change = stage.pull();
+    change.answer("data", "", b"accepted");
+    assert!(matches!(first.answer().1, Final::Done(..)));
+    second.ask_with("change", keyed("k1"), b"new address");
+    done(second.answer().1, b"accepted");
+    assert!(
+        stage.pull_within(Duration::from_millis(100)).is_none(),
+        "no host heard of it twice"
+    );
+
+    // Two at once: the second waits for the first and gets its answer.
+    first.ask_with("change", keyed("k2"), b"no video");
+    let change = stage.pull();
+    second.ask_with("change", keyed("k2"), b"no video");
+    assert!(
+        stage.pull_within(Duration::from_millis(80)).is_none(),
+        "it joins"
+    );
+    change.answer("data", "", b"noted");
+    assert!(matches!(first.answer().1, Final::Done(..)));
+    done(second.answer().1, b"noted");
+
+    // Whatever becomes of the store, the next change is sent on soon and answered once.
+    let faults: [(&str, &dyn Fn()); 6] = [
+        ("pause", &|| {
+            store.fault(Fault::Pause, Duration::from_secs(2))
+        }),
+        ("dropped answers", &|| {
+            store.fault(Fault::DropAnswers, Duration::from_secs(2))
+        }),
+        ("garbage", &|| {
+            store.fault(Fault::Garbage, Duration::from_millis(500))
+        }),
+        ("closed", &|| {
+            store.fault(Fault::Closed, Duration::from_millis(500))
+        }),
+        ("wiped", &|| store.wipe()),
+        ("restarted empty", &|| store.restart(false, 500)),
+    ];
+    for (nth, (fault, strike)) in faults.into_iter().enumerate() {
+        strike();
+        let asked = Instant::now();
+        first.ask_with("change", keyed(&format!("f{nth}")), b"x");
+        let change = stage.pull();
+        let held = asked.elapsed();
+        assert!(
+            held < Duration::from_millis(250),
+            "{fault}: held for {held:?}"
+        );
+        change.answer("data", "", b"ok");
+        done(first.answer().1, b"ok");
+        store.heal();
+    }
+    let _ = std::fs::remove_file(path);
+}
+
+#[test]
+fn a_wrong_password_is_told_once_and_the_dispatcher_serves_alone() {
+    let store = RedisServer::start(Redis::new(1).with_password("right"), 1).expect("a server");
+    let secret = std::env::temp_dir().join(format!("tps-secret-{}", std::process::id()));
+    std::fs::write(&secret, "wrong\n").expect("a file");
+    let (stage, _other, path) = pair(
+        "password",
+        &section(store.address.port(), &secret.to_string_lossy()),
+    );
+    wait_for("the cause", || stage.program.logged("store not reached"));
+    let mut client = stage.client();
+    client.ask_with("change", keyed("k1"), b"x");
+    stage.pull().answer("data", "", b"ok");
+    done(client.answer().1, b"ok");
+    assert!(!stage.program.logged("trust: returning"));
+    // With the right one it comes by itself.
+    std::fs::write(&secret, "right\n").expect("a file");
+    wait_for("a connection", || stage.program.logged("trust: returning"));
+    let _ = (std::fs::remove_file(path), std::fs::remove_file(secret));
+}
+
+#[test]
+fn a_purge_that_only_the_store_knows_reaches_a_new_dispatcher() {
+    let store = RedisServer::start(Redis::new(1), 1).expect("a server");
+    let (stage, other, path) = pair("purge", &section(store.address.port(), ""));
+    // A store that has yet to prove itself is told all the same.
+    for program in [&stage.program, &other] {
+        wait_for("a connection", || program.logged("trust: returning"));
+    }
+    wait_for("an epoch", || store.keys() > 0);
+    // The journal service tells the two, and never a third.
+    let purge = json!({"pos": 2, "expire": {"name": format!("{:016x}", 7), "stamp": unix_ms()}});
+    let lines = [stage.journal(), stage.journal()].map(|mut line| {
+        line.tell(&purge);
+        line
+    });
+    let before = store.keys();
+    wait_for("the store is told", || store.keys() > before);
+    drop((lines, other));
+    let newcomer = Program::start(&stage.config, free_address());
+    let mut client = Client::new(newcomer.address);
+    wait_for("the purge is heeded", || {
+        client.ask("image", 7, 2000);
+        let pull = stage.pull();
+        pull.hit(b"x");
+        client.answer();
+        pull.field("fresh").is_some_and(|ms| ms != "0")
+    });
+    let _ = std::fs::remove_file(path);
+}
