--- a/crates/shared-store/src/decide/mod.rs
+++ b/crates/shared-store/src/decide/mod.rs
@@ -223,6 +223,11 @@
         self.records.earlier(id)
     }
 
+    /// Whether the store said that no other has the key of this access.
+    pub fn claimed(&self, id: AccessId) -> bool {
+        self.records.claimed(id)
+    }
+
     pub fn part(&self, now: Moment, budget: BudgetId) -> Option<f64> {
         self.leases.part(now, budget)
     }
--- a/crates/shared-store/src/decide/records.rs
+++ b/crates/shared-store/src/decide/records.rs
@@ -128,6 +128,11 @@
         self.own.get(&id).map(|own| own.key)
     }
 
+    /// Whether the store said that no other has its key.
+    pub fn claimed(&self, id: AccessId) -> bool {
+        self.own.get(&id).is_some_and(|own| own.claimed)
+    }
+
     /// Whether it waits for the store.
     pub fn waits(&self, id: AccessId) -> bool {
         self.own
--- a/crates/shared-store/tests/world/mod.rs
+++ b/crates/shared-store/tests/world/mod.rs
@@ -278,6 +278,8 @@
                         *self.asked_in.entry(now.0 / 100_000).or_default() += 1;
                     }
                     Act::Decided { id, verdict } => {
+                        let believed = member.sharing.claimed(id);
+                        member.believed.insert(id, believed);
                         member.decided.entry(id).or_default().push((now, verdict));
                     }
                     Act::Purged { object, ago, .. } => member.purges.push((now, object, ago)),
--- a/crates/standins/src/redis.rs
+++ b/crates/standins/src/redis.rs
@@ -63,7 +63,7 @@
     ClaimsAll,
     /// An item stays to be had when it is lent.
     LendsTwice,
-    /// Whoever asks under another epoch is served as well.
+    /// Whoever asks under another epoch is served as well, and nothing shows what was forgotten.
     IgnoresEpochs,
 }
 
@@ -213,8 +213,11 @@
             return answer("late", 0, clock, vec![]);
         }
         self.applied += 1;
-        let count = number(self.get(epoch_key, "count")).unwrap_or(0.0) as u64 + 1;
+        let mut count = number(self.get(epoch_key, "count")).unwrap_or(0.0) as u64 + 1;
         self.put(epoch_key, "count", count);
+        if self.mistake == Some(Mistake::IgnoresEpochs) {
+            count = clock;
+        }
         let key = keys.get(1).cloned().unwrap_or_default();
         let rest = args.get(2..).unwrap_or_default();
         match name {
