--- a/crates/shared-store/tests/world/mod.rs
+++ b/crates/shared-store/tests/world/mod.rs
@@ -361,8 +361,8 @@
         let dues: Vec<_> = (0..self.members.len()).map(|nth| self.due(nth)).collect();
         let next = dues.iter().flatten().min().copied();
         self.now = next.map_or(end, |at| at.max(self.now + Span(1)).min(end));
-        for nth in 0..self.members.len() {
-            if dues[nth].is_none_or(|at| at > self.now) {
+        for (nth, due) in dues.into_iter().enumerate() {
+            if due.is_none_or(|at| at > self.now) {
                 continue;
             }
             self.apply(nth);
--- a/crates/standins/src/redis.rs
+++ b/crates/standins/src/redis.rs
@@ -471,7 +471,7 @@
                 let (keys, args) = words.get(3..).unwrap_or_default().split_at(keys);
                 let keys: Vec<String> = keys.iter().map(|key| text(Some(key))).collect();
                 match named {
-                    Some(name) => self.script(now, &name.to_owned(), &keys, args),
+                    Some(name) => self.script(now, name, &keys, args),
                     None => Reply::Error("ERR the stand-in runs named scripts only".into()),
                 }
             }
