--- a/crates/shared-store/src/decide/mod.rs
+++ b/crates/shared-store/src/decide/mod.rs
@@ -337,7 +337,11 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
-        let waits = if pending.judged { FORGET } else { self.rules.wait };
+        let waits = if pending.judged {
+            FORGET
+        } else {
+            self.rules.wait
+        };
         self.timed.remove(&(pending.asked + waits, id));
         self.trust.heard(now, !self.pending.is_empty());
         let ending = match &reply {
