--- a/crates/trailproxyd/tests/store.rs
+++ b/crates/trailproxyd/tests/store.rs
@@ -118,10 +118,7 @@
         client.ask_with("change", keyed(&format!("f{nth}")), b"x");
         let change = stage.pull();
         let held = asked.elapsed();
-        assert!(
-            held < Duration::from_secs(1),
-            "{name}: held for {held:?}"
-        );
+        assert!(held < Duration::from_secs(1), "{name}: held for {held:?}");
         change.answer("data", "", b"ok");
         done(client.answer().1, b"ok");
     }
