Leases speak in operations, one way to pop what is due, one reckoning of the longest window

Found on rereading, behaviour as before: leases had a type of their own for two operations that words.rs has; the timers had a trait where the project's own loop does; the longest window was reckoned in main and in dispatch; a claim's step carried a moment that nobody read.

--- a/crates/shared-store/src/decide/leases.rs
+++ b/crates/shared-store/src/decide/leases.rs
@@ -7,6 +7,7 @@
 //! whole, however slow, empty, old or split the store is, as long as one history of the store lends an item once; a
 //! history that may have forgotten a loan begins a new epoch, in which no item of an earlier one is to be had.
 
+use crate::words::Op;
 use std::collections::BTreeMap;
 use trailproxy::units::{Moment, Span};
 
@@ -23,7 +24,7 @@
 /// How much faster a clock may run than another, over the time of an item.
 const DRIFT: f64 = 0.01;
 /// A lease with less left than this is not worth taking.
-pub const LEAST_LEFT: Span = Span::from_millis(400);
+const LEAST_LEFT: Span = Span::from_millis(400);
 /// How often a budget is looked at, spread by half of it.
 const EVERY: Span = Span::from_millis(500);
 /// A dispatcher cedes what it has over this many times its use, in this many parts at most, and keeps this part of its
@@ -63,21 +64,6 @@
     }
 }
 
-/// What goes to the store.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Deal {
-    Cede {
-        budget: BudgetId,
-        item: ItemId,
-        part: f64,
-        lasts: Span,
-    },
-    Borrow {
-        budget: BudgetId,
-        part: f64,
-    },
-}
-
 /// All budgets that are shared, as one dispatcher has them.
 #[derive(Clone, Debug, Default)]
 pub struct Leases {
@@ -154,7 +140,7 @@
         now: Moment,
         answer_by: Option<Moment>,
         chance: &mut fastrand::Rng,
-    ) -> Vec<Deal> {
+    ) -> Vec<Op> {
         let mut deals = Vec::new();
         for (&budget, lease) in &mut self.budgets {
             lease.ceded.retain(|item| now < item.until);
@@ -168,7 +154,11 @@
             let spare = share - (lease.used * OVER_USE).max(lease.base * KEEPS);
             if short && lease.lent.len() < MOST_ITEMS {
                 let part = share.max(lease.base) * GREED;
-                deals.push(Deal::Borrow { budget, part });
+                deals.push(Op::Borrow {
+                    budget,
+                    part,
+                    least_left: LEAST_LEFT,
+                });
             } else if !short
                 && lease.lent.is_empty()
                 && spare > 0.0
@@ -183,7 +173,7 @@
                 // The store takes it no later than `by`; its clock and this one run apart a little.
                 let until = by + lasts.times(1.0 + DRIFT);
                 lease.ceded.push(Item { id, part, until });
-                deals.push(Deal::Cede {
+                deals.push(Op::Cede {
                     budget,
                     item: id,
                     part,
--- a/crates/shared-store/src/decide/mod.rs
+++ b/crates/shared-store/src/decide/mod.rs
@@ -10,7 +10,7 @@
 pub mod trust;
 
 use crate::words::{Answer, Op, Said};
-use leases::{BudgetId, Deal, ItemId, Leases};
+use leases::{BudgetId, ItemId, Leases};
 use news::{News, Word};
 use records::{Came, Key, Records, Step, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
@@ -473,7 +473,7 @@
     fn follow(&mut self, now: Moment, steps: Vec<Step>) {
         for step in steps {
             match step {
-                Step::Claim(id, key, _) => {
+                Step::Claim(id, key) => {
                     let (token, keep) = (self.token(id), self.rules.keep);
                     if !self.ask(now, What::Claim(id), Op::Claim { key, token, keep }) {
                         let go = self.records.go(id);
@@ -555,7 +555,8 @@
             self.acts.push(Act::Disconnect);
             self.leave(now, Cause::Silent);
         }
-        while let Some((_, id)) = self.timed.pop_first_if_due(now) {
+        while let Some(&(at, id)) = self.timed.first().filter(|(at, _)| *at <= now) {
+            self.timed.remove(&(at, id));
             let Some(pending) = self.pending.get_mut(&id) else {
                 continue;
             };
@@ -618,41 +619,18 @@
     fn deal(&mut self, now: Moment) {
         let dealing = self.rules.leases && self.trust.may_wait() && self.epoch.open;
         let by = dealing.then_some(now + APPLY_WITHIN);
-        for deal in self.leases.advance(now, by, &mut self.chance) {
-            let asked = match deal {
-                Deal::Cede {
-                    budget,
-                    item,
-                    part,
-                    lasts,
-                } => {
+        for op in self.leases.advance(now, by, &mut self.chance) {
+            match op {
+                Op::Cede { budget, item, .. } => {
                     self.counts.ceded += 1;
-                    let op = Op::Cede {
-                        budget,
-                        item,
-                        part,
-                        lasts,
-                    };
-                    (self.ask(now, What::Cede(budget, item), op))
-                        .then_some(())
-                        .ok_or((budget, item))
+                    if !self.ask(now, What::Cede(budget, item), op) {
+                        self.leases.kept(budget, item);
+                    }
                 }
-                Deal::Borrow { budget, part } => {
-                    let least_left = leases::LEAST_LEFT;
-                    self.ask(
-                        now,
-                        What::Borrow(budget),
-                        Op::Borrow {
-                            budget,
-                            part,
-                            least_left,
-                        },
-                    );
-                    Ok(())
+                Op::Borrow { budget, .. } => {
+                    self.ask(now, What::Borrow(budget), op);
                 }
-            };
-            if let Err((budget, item)) = asked {
-                self.leases.kept(budget, item);
+                _ => {}
             }
         }
         for (budget, part) in self.leases.all(now) {
@@ -676,15 +654,3 @@
         started: entry.started.map_or(0, |at| at.0 / 1_000_000),
     }
 }
-
-/// The first of a queue by time, if it is due.
-trait Due<T> {
-    fn pop_first_if_due(&mut self, now: Moment) -> Option<(Moment, T)>;
-}
-
-impl<T: Ord + Copy> Due<T> for BTreeSet<(Moment, T)> {
-    fn pop_first_if_due(&mut self, now: Moment) -> Option<(Moment, T)> {
-        let due = self.first().is_some_and(|(at, _)| *at <= now);
-        if due { self.pop_first() } else { None }
-    }
-}
--- a/crates/shared-store/src/decide/records.rs
+++ b/crates/shared-store/src/decide/records.rs
@@ -115,7 +115,7 @@
 /// What to do about an access.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    Claim(AccessId, Key, Moment),
+    Claim(AccessId, Key),
     Decided(AccessId, Verdict),
 }
 
@@ -170,7 +170,7 @@
         if waits {
             self.timed.insert((until, id));
         }
-        let mut steps = vec![Step::Claim(id, key, until)];
+        let mut steps = vec![Step::Claim(id, key)];
         if !waits {
             steps.push(Step::Decided(id, Verdict::Go));
         }
@@ -271,7 +271,7 @@
                     if now >= own.join_until {
                         steps.extend(self.go(id));
                     } else {
-                        steps.push(Step::Claim(id, own.key, own.join_until));
+                        steps.push(Step::Claim(id, own.key));
                         // Without an answer it goes when the time to join is over.
                         self.timed.insert((own.join_until, id));
                     }
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::checks::{Counts, count, must};
 use crate::held::Parcel;
 use crate::messages::*;
-use crate::operator::Told;
+use crate::operator::{Told, longest_window};
 use crate::servers::Pools;
 use crate::store;
 use local_channel::mpsc;
@@ -192,12 +192,8 @@
         }
         let ended = shared.take();
         if let Some(sheet) = told {
-            let longest = self.pools.shared.bounds.longest_limit;
-            let windows = terms.tracks.iter().map(|track| match track.effect {
-                Effect::Fingerprinted { window, .. } => window + longest,
-                _ => Span::ZERO,
-            });
-            match sheet.rules(windows.max().unwrap_or_default(), terms.purge_done) {
+            let longest = longest_window(terms, self.pools.shared.bounds.longest_limit);
+            match sheet.rules(longest, terms.purge_done) {
                 Ok(rules) => {
                     // Never the same for two processes, or one would take another's records for its own.
                     let life = *seed ^ now.0.rotate_left(20) ^ u64::from(std::process::id());
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -36,7 +36,6 @@
 use tokio::time::Instant;
 use trailproxy::interface::Terms;
 use trailproxy::logic::Dispatcher;
-use trailproxy::units::Span;
 use trailproxy_terms::Bounds;
 use trailproxyd::{held, msgpack, resp, ring};
 
@@ -123,13 +122,9 @@
         zones: start.bounds.zone_names.clone(),
         tracks: start.bounds.track_names.clone(),
     };
-    let windows = start.terms.tracks.iter().map(|track| match track.effect {
-        trailproxy::interface::Effect::Fingerprinted { window, .. } => window,
-        _ => Span::ZERO,
-    });
     let against = operator::Against {
         names: names.clone(),
-        longest_window: windows.max().unwrap_or_default() + start.bounds.longest_limit,
+        longest_window: operator::longest_window(&start.terms, start.bounds.longest_limit),
         purges_last: start.terms.purge_done,
     };
     let told = match &start.operator {
--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::process::Command;
 use tokio::time::timeout;
+use trailproxy::interface::{Effect, Terms};
 use trailproxy::units::Span;
 use trailproxy_shared_store::sheet::Sheet as StoreSheet;
 use trailproxy_zones::Rules;
@@ -43,6 +44,15 @@
     pub purges_last: Span,
 }
 
+/// How long a record of a keyed access has to be kept at least.
+pub fn longest_window(terms: &Terms, longest_limit: Span) -> Span {
+    let windows = terms.tracks.iter().map(|track| match track.effect {
+        Effect::Fingerprinted { window, .. } => window,
+        _ => Span::ZERO,
+    });
+    windows.max().unwrap_or_default() + longest_limit
+}
+
 impl Source {
     /// From `RELAY_OPERATOR` and `RELAY_READER`, or else `operator` and `reader` in the configuration; `None`: there is
     /// no such file.
