What has ended begins no more: fourteen faults at closes, restarts and late connections

Ruled out: lost queue order (one queue, one owner) and the idle close of hosts (links read before they write).

--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -10,7 +10,8 @@
 use local_channel::mpsc;
 use slog::{Logger, debug};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,7 +20,8 @@
 use trailproxy::units::*;
 
 /// Open requests on one connection, by the protocol: one that asks for more is closed, and all that it
-/// asked for is withdrawn. Bad requests are told so at twice that, as answers not yet taken count, too.
+/// asked for is withdrawn. Answers not yet taken count, too, and so do those to bad requests and heartbeats: at
+/// twice that it is closed as well. It is always read from, or its leaving could not be seen behind what it sent.
 const OPEN: usize = 32;
 const MOST_OPEN: usize = 2 * OPEN;
 /// The bytes of a write, by the protocol.
@@ -30,9 +32,16 @@
 const TOGETHER: usize = 16 * 1024;
 /// Longer waits are no waits of a client.
 const LONGEST_WAIT_MS: f64 = 3_600_000.0;
+/// So often one connection is read from before others have their turn.
+const READS_AT_ONCE: usize = 8;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
 /// A client is owed a word or a close within 3 s: by then its message must be whole.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2500);
+/// A client that ends its side is taken to have gone after this: what it sent just before still begins.
+const GONE_AFTER: Duration = Duration::from_millis(50);
+/// One that is idle for too long is told so by a half-close, and has so long to end its side: a close at once would
+/// reset what it may be sending in that moment, and answers on their way with it.
+const ENDS_WITHIN: Duration = Duration::from_millis(500);
 /// Clients close what has been idle for 4 s, by the protocol; who does not is not coming back.
 const IDLE_WITHIN: Duration = Duration::from_millis(4500);
 
@@ -50,28 +59,29 @@
 }
 
 /// Accepts clients, as many as the descriptors allow. Past that a newcomer waits in the backlog for as
-/// long as it takes one that says nothing, or is idle, to leave.
-pub async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+/// long as it takes one that says nothing, or is idle, to leave. It ends with the word to stop, once all that wait in
+/// the backlog are in: to close over them would reset them, with what they ask.
+pub async fn accept(listener: TcpListener, mut stop: mpsc::Receiver<()>, shared: Rc<Shared>) {
     let mut next = 0;
+    // Whoever is there without a wait may have come at any time since the one before.
+    let mut before = Instant::now();
     loop {
-        let accepted = listener.accept().await;
-        loop {
-            let room = shared.places.borrow_mut().free(Instant::now());
-            match room {
-                Room::Free => break,
-                // It leaves in its turn: a wait for each would hold newcomers up for seconds.
-                Room::Asked => tokio::task::yield_now().await,
-                Room::None => sleep(ACCEPT_AGAIN).await,
-            }
-            count(&shared.counts.places_wanted);
-        }
+        let mut asked_in_vain = false;
+        let accepted = poll_fn(|cx| {
+            let accepted = listener.poll_accept(cx);
+            asked_in_vain |= accepted.is_pending();
+            accepted
+        });
+        let accepted = tokio::select! {
+            biased;
+            accepted = accepted => accepted.map(|(stream, _)| stream),
+            _ = stop.recv() => break,
+        };
+        let now = Instant::now();
+        let came_after = if asked_in_vain { now } else { before };
+        before = now;
         match accepted {
-            Ok((stream, _)) => {
-                next += 1;
-                let _ = stream.set_nodelay(true);
-                let connection = Connection::new(ClientId(next), stream, shared.clone());
-                tokio::task::spawn_local(connection.serve());
-            }
+            Ok(stream) => admit(&mut next, stream, came_after, &shared).await,
             Err(e) => {
                 count(&shared.counts.accepts_failed);
                 debug!(shared.log, "accept failed"; "why" => %e);
@@ -79,6 +89,33 @@
             }
         }
     }
+    // The system is asked itself: what has come in this moment is not told to the runtime yet.
+    while let Ok((socket, _)) = socket2::SockRef::from(&listener).accept() {
+        let _ = socket.set_nonblocking(true);
+        if let Ok(stream) = TcpStream::from_std(socket.into()) {
+            admit(&mut next, stream, before, &shared).await;
+        }
+    }
+    drop(listener);
+    let _ = shared.queue.send(Inbound::AllIn);
+}
+
+/// Serves a newcomer once there is a place for it.
+async fn admit(next: &mut u64, stream: TcpStream, came_after: Instant, shared: &Rc<Shared>) {
+    loop {
+        let room = shared.places.borrow_mut().free(Instant::now());
+        match room {
+            Room::Free => break,
+            // It leaves in its turn: a wait for each would hold newcomers up for seconds.
+            Room::Asked => tokio::task::yield_now().await,
+            Room::None => sleep(ACCEPT_AGAIN).await,
+        }
+        count(&shared.counts.places_wanted);
+    }
+    *next += 1;
+    let _ = stream.set_nodelay(true);
+    let connection = Connection::new(ClientId(*next), stream, came_after, shared.clone());
+    tokio::task::spawn_local(connection.serve());
 }
 
 struct Connection {
@@ -90,8 +127,8 @@
     /// The next message is not whole before so many bytes.
     wants: usize,
     outgoing: Ring,
-    /// Owed an answer.
-    owed: BTreeSet<u32>,
+    /// Owed an answer, each with the word that it is over.
+    owed: BTreeMap<u32, Rc<Cell<bool>>>,
     replies: VecDeque<(u32, Reply)>,
     /// Where in the bytes written in all each answer ends that is not wholly written.
     ends: VecDeque<u64>,
@@ -104,9 +141,17 @@
     spoken: bool,
     /// The latest outer limit of all that was asked for.
     last_limit: Instant,
-    eof: bool,
+    /// It came no earlier, and may have waited since.
+    came_after: Instant,
+    /// Since when it sends nothing more, and whether that was told.
+    eof: Option<Instant>,
+    shut: bool,
+    /// It is to end once nothing is open, and whether it was told so or was idle for too long.
     finishing: bool,
+    told_to_finish: bool,
     half_closed: bool,
+    /// It is closed by then, whatever it does.
+    ends_by: Option<Instant>,
 }
 
 /// Why a connection ends.
@@ -116,7 +161,7 @@
 }
 
 impl Connection {
-    fn new(id: ClientId, stream: TcpStream, shared: Rc<Shared>) -> Connection {
+    fn new(id: ClientId, stream: TcpStream, came_after: Instant, shared: Rc<Shared>) -> Connection {
         let (orders_in, orders) = mpsc::channel();
         let now = Instant::now();
         shared.places.borrow_mut().open(id, now, orders_in.clone());
@@ -129,7 +174,7 @@
             incoming: Ring::new(shared.held.clone()),
             wants: 1,
             outgoing: Ring::new(shared.held.clone()),
-            owed: BTreeSet::new(),
+            owed: BTreeMap::new(),
             replies: VecDeque::new(),
             ends: VecDeque::new(),
             written: 0,
@@ -138,9 +183,13 @@
             since: now,
             spoken: false,
             last_limit: now,
-            eof: false,
+            came_after,
+            eof: None,
+            shut: false,
             finishing: false,
+            told_to_finish: false,
             half_closed: false,
+            ends_by: None,
             shared,
         }
     }
@@ -154,6 +203,7 @@
         if let Over::Broken(why) = over {
             debug!(self.shared.log, "client connection broken"; "client" => self.id.0, "why" => why);
         }
+        self.owed.values().for_each(|over| over.set(true));
         self.shared.places.borrow_mut().close(self.id);
         let closed = Inbound::Client(FromClient::Closed(self.id));
         let _ = self.shared.queue.send(closed);
@@ -181,24 +231,38 @@
         self.shared.places.borrow_mut().note(self.id, used);
         if idle && self.open() == 0 {
             if self.finishing && !self.half_closed {
+                // What has come by now is answered first; who asks again is not idle.
+                self.read()?;
+                if self.open() > 0 || !self.outgoing.is_empty() {
+                    self.finishing = self.told_to_finish;
+                    return Ok(());
+                }
                 self.half_closed = true;
+                // At the end of the process all have the time that it has.
+                self.ends_by = (!self.shared.ending.get()).then(|| Instant::now() + ENDS_WITHIN);
                 shut(&self.stream).map_err(|_| Over::Broken("half-close failed"))?;
             }
-            if self.eof {
+            if self.eof.is_some() {
                 return Err(Over::Clean);
             }
         }
-        let may_read = !self.eof && (self.half_closed || self.open() < MOST_OPEN);
+        let may_read = self.eof.is_none();
+        let gone_at = self.eof.filter(|_| !self.shut).map(|at| at + GONE_AFTER);
+        if gone_at.is_some_and(|at| at <= Instant::now()) {
+            self.shut = true;
+            let _ = (self.shared.queue).send(Inbound::Client(FromClient::Shut(self.id)));
+        }
         // By then nothing that it waits for can come in time.
         let stalled = (self.progress + self.shared.longest_limit).max(self.last_limit);
         tokio::select! {
             biased;
             order = self.orders.recv() => match order {
                 Some(ToClient::Reply(number, reply)) => self.reply(number, reply),
-                Some(ToClient::Finish) | None => self.finishing = true,
+                Some(ToClient::Finish) | None => {
+                    (self.finishing, self.told_to_finish) = (true, true);
+                }
                 Some(ToClient::GiveWay) => {
                     self.read()?;
-                    self.parse()?;
                     if self.used().0 == used && used != Use::Busy {
                         count(&self.shared.counts.places_given_up);
                         return Err(Over::Clean);
@@ -212,13 +276,17 @@
                 ready.map_err(|_| Over::Broken("read failed"))?;
                 self.read()?;
             }
-            _ = sleep_until(leaves_at), if used != Use::Busy => {
+            _ = sleep_until(leaves_at), if used != Use::Busy && !self.finishing => {
                 match used {
                     Use::Idle(_) => count(&self.shared.counts.clients_idle),
                     _ => count(&self.shared.counts.clients_unsaid),
                 }
+                self.finishing = true;
+            }
+            _ = sleep_until(self.ends_by.unwrap_or(leaves_at)), if self.ends_by.is_some() => {
                 return Err(Over::Clean);
             }
+            _ = sleep_until(gone_at.unwrap_or(leaves_at)), if gone_at.is_some() && !self.shut => {}
             _ = sleep_until(stalled), if !idle => {
                 count(&self.shared.counts.clients_stalled);
                 return Err(Over::Broken("it takes nothing"));
@@ -227,27 +295,43 @@
         Ok(())
     }
 
+    /// Takes what has come, with the end behind it: so much at once that others have their turn, too.
     fn read(&mut self) -> Result<(), Over> {
-        match self.stream.try_read(self.incoming.room()) {
-            Ok(0) => self.eof = true,
-            Ok(n) => {
-                if self.spoken && self.incoming.is_empty() {
-                    self.since = Instant::now();
+        let first = !self.spoken;
+        for _ in 0..READS_AT_ONCE {
+            if self.eof.is_some() {
+                break;
+            }
+            match self.stream.try_read(self.incoming.room()) {
+                Ok(0) => {
+                    // One that waited for its place asked long ago, and left as long ago as that for all one knows.
+                    let waited = first && self.came_after.elapsed() > GONE_AFTER;
+                    let at = Some(Instant::now());
+                    self.eof = if waited { Some(self.came_after) } else { at };
+                }
+                Ok(n) => {
+                    if self.spoken && self.incoming.is_empty() {
+                        self.since = Instant::now();
+                    }
+                    self.incoming.filled(n);
+                    if self.half_closed {
+                        self.incoming.consume(n);
+                    }
+                    self.parse()?;
                 }
-                self.incoming.filled(n);
-                if self.half_closed {
-                    self.incoming.consume(n);
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.incoming.rest(true);
+                    break;
                 }
+                Err(_) => return Err(Over::Broken("reset")),
             }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => self.incoming.rest(true),
-            Err(_) => return Err(Over::Broken("reset")),
         }
         Ok(())
     }
 
     fn reply(&mut self, number: u32, reply: Reply) {
         // What was revoked is owed nothing.
-        if self.owed.remove(&number) {
+        if self.owed.remove(&number).is_some() {
             self.replies.push_back((number, reply));
         }
     }
@@ -287,7 +371,7 @@
     }
 
     fn parse(&mut self) -> Result<(), Over> {
-        while self.incoming.len() >= self.wants && self.open() < MOST_OPEN && !self.half_closed {
+        while self.incoming.len() >= self.wants && !self.half_closed {
             let bytes = self.incoming.whole();
             let (message, n) = match msgpack::read(bytes, LONGEST_MESSAGE) {
                 Ok((value, n)) => (read_message(self.id, &value, &self.shared.tracks), n),
@@ -314,7 +398,8 @@
             Message::Damage(why) => return damage(why),
             Message::Call(_) if self.open() >= OPEN => return damage("too many are open at once"),
             Message::Call(call) => {
-                if !self.owed.insert(call.id.number) {
+                let owed = self.owed.insert(call.id.number, call.over.clone());
+                if owed.is_some() {
                     return damage("a number is used twice");
                 }
                 let limit = call.come + Duration::from_micros(call.left.0);
@@ -325,7 +410,8 @@
                     .send(Inbound::Client(FromClient::Called(*call)));
             }
             Message::Revoke(number) => {
-                if self.owed.remove(&number) {
+                if let Some(over) = self.owed.remove(&number) {
+                    over.set(true);
                     let id = CallId {
                         client: self.id,
                         number,
@@ -336,15 +422,19 @@
                         .send(Inbound::Client(FromClient::Revoked(id)));
                 }
             }
+            Message::Heartbeat(_) | Message::Bad(_) if self.open() >= MOST_OPEN => {
+                return damage("it takes none of its answers");
+            }
             Message::Heartbeat(number) => {
                 let before = self.outgoing.len();
                 encode_heartbeat(number, !self.shared.ending.get(), &mut self.outgoing);
                 self.encoded += (self.outgoing.len() - before) as u64;
+                self.ends.push_back(self.encoded);
                 self.write()?;
             }
             Message::Bad(number) => {
                 count(&self.shared.counts.bad_clients);
-                if !self.owed.insert(number) {
+                if self.owed.insert(number, Rc::default()).is_some() {
                     return damage("a number is used twice");
                 }
                 self.reply(number, Reply::Aborted);
@@ -505,6 +595,7 @@
         mark: passed("replay"),
         held_tag: passed("have"),
         body: body.into(),
+        over: Rc::default(),
     };
     let sized = body.len() <= LONGEST_BODY && (0.0..=LONGEST_WAIT_MS).contains(&allow);
     (all_sound && sized).then_some(call)
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -59,6 +59,8 @@
     replies: mpsc::Sender<ToClient>,
     /// Whether anything was done for it.
     proven: bool,
+    /// It has ended its side: nothing begins for it any more.
+    shut: bool,
 }
 
 pub struct Dispatch {
@@ -95,6 +97,7 @@
     told: bool,
     ending: Option<Instant>,
     finished: bool,
+    all_in: bool,
 }
 
 impl Dispatch {
@@ -138,8 +141,8 @@
                 self.report();
             }
             if let Some(asked) = self.state.ending {
-                let quiet = self.state.accesses.is_empty() && now >= asked + STILL_COMING;
-                if quiet && !self.state.finished {
+                // Whoever rests is told now, though others still wait for hosts that may hang for long.
+                if now >= asked + STILL_COMING && !self.state.finished {
                     self.state.finished = true;
                     stop.take().into_iter().for_each(|stop| stop());
                     for client in self.state.clients.values() {
@@ -147,7 +150,8 @@
                     }
                 }
                 let lingered = now >= asked + STILL_COMING + self.longest_limit();
-                if self.state.finished && (self.state.clients.is_empty() || lingered) {
+                let all_gone = self.state.all_in && self.state.clients.is_empty();
+                if self.state.finished && (all_gone || lingered) {
                     self.last_account();
                     self.report();
                     return self.leave().await;
@@ -347,7 +351,7 @@
                 Due::Answered(id, body) => {
                     let body = Parcel::new(&body, &self.pools.shared.held);
                     self.answer(now, id, Reply::Done(body));
-                    self.forget(id);
+                    self.forget(now, id);
                 }
                 Due::Tell(event) => self.tell(now, event),
                 Due::Restricted(host, told) => self.restricted(now, host, told),
@@ -477,6 +481,7 @@
                 info!(self.log, "asked to end"; "open" => self.state.accesses.len());
                 self.state.ending.get_or_insert_with(Instant::now);
             }
+            Inbound::AllIn => self.state.all_in = true,
         }
     }
 
@@ -486,26 +491,61 @@
                 if self.state.finished {
                     let _ = replies.send(ToClient::Finish);
                 }
-                let proven = false;
-                self.state
-                    .clients
-                    .insert(client, Client { replies, proven });
+                let (proven, shut) = (false, false);
+                let opened = Client {
+                    replies,
+                    proven,
+                    shut,
+                };
+                self.state.clients.insert(client, opened);
             }
             FromClient::Called(call) => self.arrived(now, call),
             FromClient::Revoked(call) => self.left(now, call),
+            FromClient::Shut(client) => self.shut(now, client),
             FromClient::Closed(client) => {
                 self.state.clients.remove(&client);
-                let all = CallId { client, number: 0 }..=CallId {
-                    client,
-                    number: u32::MAX,
-                };
-                let calls: Vec<CallId> =
-                    self.state.calls.range(all).map(|(&call, _)| call).collect();
-                calls.into_iter().for_each(|call| self.left(now, call));
+                for (call, _) in self.calls_of(client) {
+                    self.left(now, call);
+                }
+            }
+        }
+    }
+
+    fn calls_of(&self, client: ClientId) -> Vec<(CallId, AccessId)> {
+        let (first, last) = (0, u32::MAX);
+        let all = [first, last].map(|number| CallId { client, number });
+        let calls = self.state.calls.range(all[0]..=all[1]);
+        calls.map(|(&call, &id)| (call, id)).collect()
+    }
+
+    /// A client that ends its side may have gone or may still listen; nobody can tell. What is under way may end and is
+    /// answered, and nothing begins: what has not begun is recalled, and what was between two hand-offs ends.
+    fn shut(&mut self, now: Moment, client: ClientId) {
+        if let Some(known) = self.state.clients.get_mut(&client) {
+            known.shut = true;
+        }
+        for (_, id) in self.calls_of(client) {
+            let access = self.state.accesses.get(&id);
+            let out = access.is_some_and(|access| access.hand_offs.iter().any(|h| !h.over));
+            self.recall(id);
+            if !out {
+                self.answer(now, id, Reply::Aborted);
+                self.tell(now, Event::Left { id });
+                self.forget(now, id);
             }
         }
     }
 
+    /// Drops what of an access is not begun, also where the settings allow no withdrawal of what is.
+    fn recall(&mut self, access: AccessId) {
+        let open = self.state.accesses.get(&access);
+        let out = open.into_iter().flat_map(|open| &open.hand_offs);
+        let out = (0..).map(HandOffNo).zip(out).filter(|(_, h)| !h.over);
+        for no in out.map(|(no, _)| no).collect::<Vec<_>>() {
+            self.pools.recall(HandOffId { access, no });
+        }
+    }
+
     fn arrived(&mut self, now: Moment, call: Call) {
         count(&self.counts.accesses);
         if self.state.accesses.len() >= self.pools.shared.bounds.max_open {
@@ -553,9 +593,10 @@
         if let Some(id) = self.state.calls.remove(&call) {
             count(&self.counts.left);
             self.came(now, id, None);
+            self.recall(id);
             self.close(id);
             self.tell(now, Event::Left { id });
-            self.forget(id);
+            self.forget(now, id);
         }
     }
 
@@ -564,20 +605,29 @@
         if let Some(access) = self.state.accesses.get_mut(&id) {
             must(!access.closed, &self.counts.broken_two_finals);
             access.closed = true;
+            access.call.over.set(true);
             self.state.calls.remove(&access.call.id);
             self.state.limits.remove(&(access.limit, id));
         }
     }
 
-    fn forget(&mut self, id: AccessId) {
+    fn forget(&mut self, now: Moment, id: AccessId) {
         let longest = self.pools.shared.bounds.longest_limit;
         let over = |access: &Access| access.closed && access.hand_offs.iter().all(|h| h.over);
         if self.state.accesses.get(&id).is_some_and(over)
             && let Some(access) = self.state.accesses.remove(&id)
         {
             let reference = access.call.reference.clone();
-            let until = access.limit + longest;
+            // No host has it longer than its time or the longest one; a client that says it waits for an hour must
+            // not make all that ends behind it be remembered as long.
+            let until = access.limit.min(now + longest) + longest;
             self.state.fading.push_back((until, reference));
+            let most = self.pools.shared.bounds.max_open;
+            if self.state.fading.len() > most
+                && let Some((_, oldest)) = self.state.fading.pop_front()
+            {
+                self.state.references.remove(&oldest);
+            }
         }
     }
 
@@ -652,11 +702,15 @@
         if ending == Ending::Done {
             self.answer(now, id.access, answer.body.map_or(Reply::Same, Reply::Done));
         }
-        let state = &self.state;
-        let access = state.accesses.get(&id.access);
+        if self.client_of(id.access).is_some_and(|client| client.shut) {
+            // Nothing more begins for it.
+            self.answer(now, id.access, Reply::Aborted);
+        }
+        let access = self.state.accesses.get(&id.access);
         let closed = access.is_none_or(|access| access.closed);
-        let client = access.and_then(|access| state.clients.get(&access.call.id.client));
-        let proven = client.is_some_and(|client| client.proven);
+        let proven = self
+            .client_of(id.access)
+            .is_some_and(|client| client.proven);
         let load = self.reports.load(&answer.report);
         self.tell(
             now,
@@ -673,7 +727,12 @@
                 came_kb,
             }),
         );
-        self.forget(id.access);
+        self.forget(now, id.access);
+    }
+
+    fn client_of(&self, id: AccessId) -> Option<&Client> {
+        let access = self.state.accesses.get(&id)?;
+        self.state.clients.get(&access.call.id.client)
     }
 
     fn journal(&mut self, now: Moment, entry: Entry) {
@@ -773,11 +832,11 @@
                 Action::HandOff(hand_off) => self.hand_off(now, hand_off),
                 Action::Reject { id, come_back } => {
                     self.answer(now, id, Reply::Rejected { come_back });
-                    self.forget(id);
+                    self.forget(now, id);
                 }
                 Action::Abort { id } => {
                     self.answer(now, id, Reply::Aborted);
-                    self.forget(id);
+                    self.forget(now, id);
                 }
                 Action::Withdraw { id, hand_off } => {
                     let (access, no) = (id, hand_off);
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -55,7 +55,7 @@
     wants: usize,
     /// One request at a time: what is not begun can still be dropped.
     outgoing: Ring,
-    in_ring: Option<Rc<str>>,
+    in_ring: Option<Sending>,
     begun: bool,
     unsent: VecDeque<Packet>,
     /// By the id of the request; one that is in the ring and not begun is here, too.
@@ -67,6 +67,8 @@
     heard: Instant,
     active: Instant,
     retired: bool,
+    /// It was said that nothing new is to come here.
+    unfit: bool,
 }
 
 type Over = &'static str;
@@ -96,6 +98,7 @@
             heard: Instant::now(),
             active: Instant::now(),
             retired: false,
+            unfit: false,
             shared,
         }
     }
@@ -121,17 +124,15 @@
         let _ = socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
         let out = self.open.len() + self.withdrawn.len();
         if !ended_there && out > 0 {
-            let (host, line) = (self.host, self.id);
-            let retired = FromServer::Unfit { host, line };
-            let _ = self.shared.queue.send(Inbound::Server(retired));
+            self.tell_unfit();
             sleep(WORD_TRAVELS).await;
         }
         for (_, id) in std::mem::take(&mut self.withdrawn) {
             self.end(id, Ending::Withdrawn);
         }
         let not_begun = self.in_ring.take().filter(|_| !self.begun);
-        for (reference, sending) in std::mem::take(&mut self.open) {
-            let clean = not_begun.as_ref() == Some(&reference);
+        for (_, sending) in std::mem::take(&mut self.open) {
+            let clean = (not_begun.as_ref()).is_some_and(|kept| kept.id == sending.id);
             self.end(
                 sending.id,
                 if clean { Ending::NotSent } else { Ending::Lost },
@@ -157,6 +158,15 @@
             .send(Inbound::Server(FromServer::Closed { host, line }));
     }
 
+    /// Nothing new is to come here; what is out may still be answered.
+    fn tell_unfit(&mut self) {
+        if !std::mem::replace(&mut self.unfit, true) {
+            let (host, line) = (self.host, self.id);
+            let told = FromServer::Unfit { host, line };
+            let _ = self.shared.queue.send(Inbound::Server(told));
+        }
+    }
+
     fn end(&self, id: HandOffId, ending: Ending) {
         let answer = Answer::bare(ending);
         self.shared.end(id, self.host, Some(self.id), answer);
@@ -188,6 +198,10 @@
             && self.outgoing.is_empty()
             && self.withdrawn.is_empty();
         let known_at = self.withdrawn.front().map(|at| at.0);
+        // Half an answer and no more of it: what comes behind it would wait for its end, that of others, too.
+        let silence = Duration::from_micros(self.shared.bounds.dial_within.0);
+        let stuck_at = self.heard + silence;
+        let half = !self.incoming.is_empty() && !self.unfit;
         if idle && self.retired {
             return Err("retired");
         }
@@ -209,6 +223,7 @@
             }
             _ = sleep(READ_AGAIN), if !may_read => {}
             _ = sleep_until(known_at.unwrap_or(self.active)), if known_at.is_some() => {}
+            _ = sleep_until(stuck_at), if half => self.tell_unfit(),
             _ = sleep_until(idle_until), if idle => return Err("idle"),
         }
         Ok(())
@@ -242,19 +257,20 @@
             self.end(id, Ending::NotSent);
             return true;
         }
-        let waiting = self.in_ring.as_ref().filter(|_| !self.begun);
-        let waiting = waiting.filter(|reference| {
-            self.open
-                .get(*reference)
-                .is_some_and(|sending| sending.id == id)
-        });
-        let Some(reference) = waiting.cloned() else {
+        self.unring(|sending| sending.id == id)
+    }
+
+    /// Drops what is in the ring if not a byte of it was written and this holds of it.
+    fn unring(&mut self, holds: impl FnOnce(&Sending) -> bool) -> bool {
+        let kept = self
+            .in_ring
+            .take_if(|sending| !self.begun && holds(sending));
+        let Some(sending) = kept else {
             return false;
         };
-        self.open.remove(&reference);
-        self.in_ring = None;
+        self.open.remove(&sending.call.reference);
         self.outgoing.consume(self.outgoing.len());
-        self.end(id, Ending::NotSent);
+        self.end(sending.id, Ending::NotSent);
         true
     }
 
@@ -266,12 +282,8 @@
         // A connection that owed an answer and said nothing for a dial's time is not used again.
         let silence = Duration::from_micros(self.shared.bounds.dial_within.0);
         let (unheard, long) = (self.heard <= sending.sent, sending.sent.elapsed() > silence);
-        if unheard && long && !self.retired {
-            let (host, line) = (self.host, self.id);
-            let _ = self
-                .shared
-                .queue
-                .send(Inbound::Server(FromServer::Unfit { host, line }));
+        if unheard && long {
+            self.tell_unfit();
         }
         self.open.remove(&reference);
         self.unsent.push_back(Packet::Kill(reference));
@@ -281,6 +293,9 @@
 
     fn write(&mut self) -> Result<(), Over> {
         loop {
+            // The last look, at the moment of the write: what waited for room may have lost its client since.
+            let now = Instant::now();
+            self.unring(|sending| sending.begins_no_more(now));
             if self.outgoing.is_empty() {
                 self.in_ring = None;
                 self.begun = false;
@@ -318,7 +333,7 @@
             }
             Packet::Sending(sending) => {
                 let (now, call) = (Instant::now(), &sending.call);
-                if sending.is_late(now) {
+                if sending.begins_no_more(now) {
                     return self.end(sending.id, Ending::NotSent);
                 }
                 resp::put_array(&mut out, WORDS);
@@ -326,7 +341,6 @@
                 resp::put_word(&mut out, call.reference.as_bytes());
                 resp::put_word(&mut out, fields(&sending, now).as_bytes());
                 resp::put_word(&mut out, &call.body);
-                self.in_ring = Some(call.reference.clone());
                 let open = OpenHandOff {
                     id: sending.id,
                     sent: now,
@@ -334,6 +348,7 @@
                 };
                 let before = self.open.insert(call.reference.clone(), open);
                 must(before.is_none(), &self.shared.counts.broken_two_endings);
+                self.in_ring = Some(sending);
             }
         }
         self.outgoing.push(&out);
--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -21,7 +21,10 @@
 const SILENCE: Duration = Duration::from_millis(2200);
 /// What it has to tell counts as told 4 s after it fell silent: a call comes up within this, or never.
 const CALL_WITHIN: Duration = Duration::from_secs(1);
-const CALL_AGAIN: Duration = Duration::from_millis(100);
+/// A call that failed is made again after this, and half as late again with each that fails, up to the longest: a fleet
+/// that calls in step is more than a service bears that comes back, and a long wait is missed when it is there again.
+pub const CALL_AGAIN: Duration = Duration::from_millis(100);
+const CALL_AGAIN_AT_MOST: Duration = Duration::from_millis(400);
 const READ_SIZE: usize = 16 * 1024;
 
 /// Zones and kinds by the names that the settings give them.
@@ -135,6 +138,9 @@
     pub names: Rc<Names>,
     /// The last place that was told.
     pub last: u64,
+    /// How long the next call waits, before chance.
+    pub again: Duration,
+    pub chance: fastrand::Rng,
     pub queue: Queue,
     pub counts: Rc<Counts>,
     pub log: Logger,
@@ -164,7 +170,7 @@
         };
         // What was cut off in the middle of an event is told again: the numbers carry on.
         if let Some(moved) = moved {
-            journal.address = moved.address;
+            (journal.address, journal.again) = (moved.address, CALL_AGAIN);
             moved
                 .known
                 .into_iter()
@@ -182,7 +188,9 @@
         };
         count(&self.counts.journal_calls);
         let Err(why) = self.call(address).await;
-        sleep(CALL_AGAIN).await;
+        let spread = 0.75 + 0.5 * self.chance.f64();
+        sleep(self.again.mul_f64(spread)).await;
+        self.again = self.again.mul_f64(1.5).min(CALL_AGAIN_AT_MOST);
         why
     }
 
@@ -222,6 +230,7 @@
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
                 Err(e) => return Err(broken(e)),
             };
+            self.again = CALL_AGAIN;
             response
                 .feed(&piece[..n], &mut body)
                 .map_err(|damaged| damaged.0.to_owned())?;
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -36,7 +36,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use trailproxy::interface::Terms;
@@ -89,6 +89,18 @@
     if let Some(end) = told_by(&arguments) {
         return end;
     }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(&format!("the runtime can't be started: {e}")),
+    };
+    // Before anything else: until they are heard, a signal ends the process by itself.
+    let signals = match runtime.block_on(async { Signals::hear() }) {
+        Ok(signals) => signals,
+        Err(e) => return fail(&format!("signals can't be heard: {e}")),
+    };
     let start = match startup::read() {
         Ok(start) => start,
         Err(why) => return fail(&why),
@@ -103,14 +115,7 @@
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
     let log = Logger::root(drain.fuse(), o!("name" => start.name.clone()));
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(e) => return fail(&format!("the runtime can't be started: {e}")),
-    };
-    let ended = LocalSet::new().block_on(&runtime, serve(start, log));
+    let ended = LocalSet::new().block_on(&runtime, serve(start, signals, log));
     drop(guard);
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -123,7 +128,29 @@
     ExitCode::FAILURE
 }
 
-async fn serve(start: Start, log: Logger) -> Result<(), String> {
+/// What it is told by signals.
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn hear() -> std::io::Result<Signals> {
+        Ok(Signals {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
+async fn serve(start: Start, signals: Signals, log: Logger) -> Result<(), String> {
+    let Signals {
+        mut hangup,
+        mut terminate,
+        mut interrupt,
+    } = signals;
     let names = trailproxy_zones::decide::sheet::Names {
         zones: start.bounds.zone_names.clone(),
         tracks: start.bounds.track_names.clone(),
@@ -135,7 +162,12 @@
         peers: start.peers.clone(),
     };
     let told = match &start.operator {
-        Some(source) => source.read(&against).await?,
+        // Nothing has been taken yet: asked to end, it just ends.
+        Some(source) => tokio::select! {
+            told = source.read(&against) => told?,
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+        },
         None => operator::Told::default(),
     };
     let listen = start.listen;
@@ -157,19 +189,20 @@
     });
     info!(log, "started"; "listen" => %listen, "known" => start.known_until, "unread" => start.known_unread,
         "descriptors" => start.descriptors, "memory" => start.memory_bytes);
-    let accepting = tokio::task::spawn_local(clients::accept(listener, shared.clone()));
+    let (stop, stopped) = mpsc::channel();
+    tokio::task::spawn_local(clients::accept(listener, stopped, shared.clone()));
     let (moved, moves) = mpsc::channel();
     let journal = list::Journal {
         address: start.journal,
         names: start.names,
         last: start.known_until,
+        again: list::CALL_AGAIN,
+        chance: fastrand::Rng::with_seed(start.seed.rotate_left(17)),
         queue: queue.clone(),
         counts: counts.clone(),
         log: log.clone(),
     };
     tokio::task::spawn_local(list::follow(journal, moves));
-    let mut hangup =
-        signal(SignalKind::hangup()).map_err(|e| format!("signals can't be heard: {e}"))?;
     let mut running = Running {
         file: start.file,
         terms: start.terms.clone(),
@@ -199,9 +232,7 @@
         }
     });
     let asked = queue.clone();
-    let signals = [SignalKind::terminate(), SignalKind::interrupt()].map(signal);
-    for stream in signals {
-        let mut stream = stream.map_err(|e| format!("signals can't be heard: {e}"))?;
+    for mut stream in [terminate, interrupt] {
         let (asked, shared) = (asked.clone(), shared.clone());
         tokio::task::spawn_local(async move {
             while stream.recv().await.is_some() {
@@ -242,7 +273,7 @@
     dispatch.name = name;
     dispatch.operator(told)?;
     dispatch
-        .run(start.known, inbound, move || accepting.abort())
+        .run(start.known, inbound, move || drop(stop.send(())))
         .await;
     Ok(())
 }
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -4,6 +4,7 @@
 use crate::held::Parcel;
 use crate::operator::Told;
 use local_channel::mpsc;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -31,6 +32,8 @@
     Peers(FromPeers),
     /// Asked to end: whatever is open is finished first.
     Terminate,
+    /// Nobody is accepted any more, and all that had come are known.
+    AllIn,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,12 +61,17 @@
     pub mark: Option<String>,
     pub held_tag: Option<String>,
     pub body: Vec<u8>,
+    /// It has its final answer or its client has gone: nothing of it is to begin. Whoever sees that first says so here,
+    /// and whoever writes looks here, so that no queue between the two makes it late.
+    pub over: Rc<Cell<bool>>,
 }
 
 pub enum FromClient {
     Opened(ClientId, mpsc::Sender<ToClient>),
     Called(Call),
     Revoked(CallId),
+    /// It sends nothing more, and may have gone: what is under way may end, and nothing begins.
+    Shut(ClientId),
     Closed(ClientId),
 }
 
@@ -117,9 +125,9 @@
 }
 
 impl Sending {
-    /// Whether it is too late for its first byte.
-    pub fn is_late(&self, now: Instant) -> bool {
-        self.begin_by.is_some_and(|by| by <= now)
+    /// Whether its first byte must not go out any more: it is too late, it has its final answer, or its client has gone.
+    pub fn begins_no_more(&self, now: Instant) -> bool {
+        self.call.over.get() || self.limit <= now || self.begin_by.is_some_and(|by| by <= now)
     }
 }
 
@@ -148,6 +156,8 @@
     Dialled {
         host: HostId,
         line: LineId,
+        /// Where it was dialled.
+        address: SocketAddr,
         stream: Option<TcpStream>,
         refused: bool,
     },
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -4,7 +4,7 @@
 use crate::link::Link;
 use crate::messages::*;
 use crate::ways::Shared;
-use local_channel::mpsc;
+use local_channel::mpsc::{self, SendError};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -211,9 +211,21 @@
             let lines = pool.lines.iter_mut().filter(fits);
             match lines.min_by_key(|line| line.open) {
                 Some(line) if line.open < TOGETHER || left.len() >= dials => {
-                    self.places.insert(sending.id, (host, Some(line.id)));
-                    line.open += 1;
-                    let _ = line.orders.send(ToServer::Send(sending));
+                    let id = sending.id;
+                    match line.orders.send(ToServer::Send(sending)) {
+                        Ok(()) => {
+                            self.places.insert(id, (host, Some(line.id)));
+                            line.open += 1;
+                        }
+                        // It has ended, and word of that stands behind in the queue: what it was given would
+                        // be held by nobody.
+                        Err(SendError(order)) => {
+                            line.retired = true;
+                            if let ToServer::Send(sending) = order {
+                                pool.waiting.push_front((until, sending));
+                            }
+                        }
+                    }
                 }
                 _ => left.push_back((until, sending)),
             }
@@ -223,11 +235,10 @@
         let waits = |probe: &&mut Probe| probe.is == ProbeIs::Waiting;
         if let Some(probe) = pool.probe.as_mut().filter(waits) {
             match pool.lines.iter().find(|line| !line.retired) {
-                Some(line) => {
+                Some(line) if line.orders.send(ToServer::Probe(probe.id)).is_ok() => {
                     probe.is = ProbeIs::Out;
-                    let _ = line.orders.send(ToServer::Probe(probe.id));
                 }
-                None => wanted += 1,
+                _ => wanted += 1,
             }
         }
         while pool.dialing < wanted.min(dials) {
@@ -249,7 +260,7 @@
                 probe.ended(shared, host);
             }
             pool.waiting.retain(|(until, sending)| {
-                match (sending.is_late(now), *until <= now) {
+                match (sending.begins_no_more(now), *until <= now) {
                     (true, _) => shared.dropped(sending, Ending::NotSent),
                     (_, true) => shared.dropped(sending, Ending::NoConnection),
                     _ => return true,
@@ -321,9 +332,14 @@
             FromServer::Dialled {
                 host,
                 line,
+                address,
                 stream,
                 refused,
             } => {
+                // The host has moved since: whoever is there now is another.
+                let pool = self.pools.get(&host);
+                let moved = pool.is_some_and(|pool| pool.member.address != address);
+                let (stream, refused) = (stream.filter(|_| !moved), refused && !moved);
                 self.dialled(host, line, stream, refused);
                 None
             }
@@ -420,6 +436,7 @@
     let _ = queue.send(Inbound::Server(FromServer::Dialled {
         host,
         line,
+        address,
         stream,
         refused,
     }));
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -7,7 +7,7 @@
 use stage::*;
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -225,26 +225,10 @@
     writing.join().expect("written");
 }
 
-/// A listener whose backlog is full: connections to it never come up.
-fn never_up() -> (socket2::Socket, Vec<TcpStream>, std::net::SocketAddr) {
-    let socket =
-        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
-    socket.bind(&any.into()).expect("a port");
-    socket.listen(0).expect("a listener");
-    let address = socket
-        .local_addr()
-        .ok()
-        .and_then(|a| a.as_socket())
-        .expect("an address");
-    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
-    let fillers = std::iter::from_fn(fill).take(8).collect();
-    (socket, fillers, address)
-}
-
 /// A stage on which connections to the cache c1 never come up within the dial time.
 fn without_c1(dial_ms: u64) -> (Stage, impl Sized) {
-    let (socket, fillers, address) = never_up();
+    let gate = Gate::shut();
+    let address = gate.address;
     let stage = Stage::with(|config, _| {
         config["settings"]["ceilings"]["dial_timeout_us"] = json!(dial_ms * 1000);
         let members = config["known"]["entries"][0]["hosts"]["members"].as_array_mut();
@@ -252,7 +236,7 @@
         let c1 = members.filter(|member| member["id"] == "c1");
         c1.for_each(|member| member["host_port"] = json!(address.to_string()));
     });
-    (stage, (socket, fillers))
+    (stage, gate)
 }
 
 #[test]
@@ -277,7 +261,8 @@
 
 #[test]
 fn a_fingerprinted_access_does_not_begin_anew_past_its_window() {
-    let (_socket, _fillers, address) = never_up();
+    let gate = Gate::shut();
+    let address = gate.address;
     let stage = Stage::with(|config, _| {
         config["settings"]["ceilings"]["dial_timeout_us"] = json!(60_000_000);
         config["settings"]["classes"][1]["repeat_window_us"] = json!(500_000);
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -104,6 +104,75 @@
     address
 }
 
+/// A host to which no connection comes up until it is told so.
+pub struct Gate {
+    socket: socket2::Socket,
+    fillers: Vec<TcpStream>,
+    pub address: SocketAddr,
+}
+
+impl Gate {
+    /// A listener whose backlog is full.
+    pub fn shut() -> Gate {
+        let tcp = socket2::Type::STREAM;
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, tcp, None).expect("a socket");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).expect("a port");
+        socket.listen(0).expect("a listener");
+        let address = socket.local_addr().ok().and_then(|a| a.as_socket());
+        let mut gate = Gate {
+            socket,
+            fillers: Vec::new(),
+            address: address.expect("an address"),
+        };
+        gate.fill();
+        gate
+    }
+
+    /// Nothing comes up from here on.
+    pub fn fill(&mut self) {
+        let within = Duration::from_millis(200);
+        let fill = || TcpStream::connect_timeout(&self.address, within).ok();
+        self.fillers.extend(std::iter::from_fn(fill).take(8));
+    }
+
+    /// One connection comes up from here on.
+    pub fn room(&mut self) {
+        let (filler, _) = self.socket.accept().expect("a filler");
+        drop((filler, std::mem::take(&mut self.fillers)));
+    }
+
+    /// The next connection that has come up, of the program's.
+    pub fn accept(&self) -> TcpStream {
+        let own: Vec<_> = (self.fillers.iter())
+            .map(|filler| filler.local_addr().expect("an address"))
+            .collect();
+        loop {
+            let (socket, from) = self.socket.accept().expect("a connection");
+            if from.as_socket().is_none_or(|from| !own.contains(&from)) {
+                return socket.into();
+            }
+        }
+    }
+
+    /// From here on connections come up, late ones as well, and what comes by them is heard.
+    pub fn open(self, host: &'static str, heard: Sender<Heard>) {
+        self.socket.listen(128).expect("a listener");
+        std::thread::spawn(move || {
+            loop {
+                let (stream, heard) = (self.accept(), heard.clone());
+                std::thread::spawn(move || listen_to(host, stream, heard));
+            }
+        });
+    }
+
+    /// What comes by one connection of it.
+    pub fn listen(host: &'static str, stream: &TcpStream, heard: &Sender<Heard>) {
+        let (stream, heard) = (stream.try_clone().expect("a clone"), heard.clone());
+        std::thread::spawn(move || listen_to(host, stream, heard));
+    }
+}
+
 /// A call of the program to the journal service.
 pub struct JournalLine {
     pub last: u64,
@@ -126,7 +195,12 @@
 
 /// Calls that come to another address of the journal service.
 pub fn journal(lines: Sender<JournalLine>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    journal_at(SocketAddr::from(([127, 0, 0, 1], 0)), lines)
+}
+
+/// The same at an address of one's own.
+pub fn journal_at(address: SocketAddr, lines: Sender<JournalLine>) -> SocketAddr {
+    let listener = TcpListener::bind(address).expect("a port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
@@ -216,11 +290,32 @@
 
 impl Program {
     pub fn start(config: &Json, address: SocketAddr) -> Program {
+        let path = Program::stem().with_extension("json");
+        std::fs::write(&path, config.to_string()).expect("a configuration");
+        let program = Program::begin(config, address, path);
+        wait_for("it listens", || TcpStream::connect(address).is_ok());
+        program
+    }
+
+    /// A path that no other program has.
+    fn stem() -> PathBuf {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
-        let stem = std::env::temp_dir().join(format!("trailproxyd-{}-{n}", std::process::id()));
-        let (path, log) = (stem.with_extension("json"), stem.with_extension("log"));
-        std::fs::write(&path, config.to_string()).expect("a configuration");
+        std::env::temp_dir().join(format!("trailproxyd-{}-{n}", std::process::id()))
+    }
+
+    /// One that waits for its configuration: it comes by a pipe, which is handed back once it is read from.
+    pub fn hold(config: &Json, address: SocketAddr) -> (Program, File) {
+        let path = Program::stem().with_extension("pipe");
+        let made = Command::new("mkfifo").arg(&path).status();
+        assert!(made.expect("a pipe").success());
+        let program = Program::begin(config, address, path.clone());
+        let pipe = File::options().write(true).open(path).expect("a reader");
+        (program, pipe)
+    }
+
+    fn begin(config: &Json, address: SocketAddr, path: PathBuf) -> Program {
+        let log = path.with_extension("log");
         let child = Command::new(env!("CARGO_BIN_EXE_trailproxyd"))
             .env("RELAY_NAME", config["name"].as_str().unwrap_or("n1"))
             .env("RELAY_LISTEN", address.to_string())
@@ -229,14 +324,17 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
-        let program = Program {
+        Program {
             child,
             address,
             log,
             path,
-        };
-        wait_for("it listens", || TcpStream::connect(address).is_ok());
-        program
+        }
+    }
+
+    /// The same, where its configuration comes by a pipe.
+    pub fn feed(&self, text: &str) {
+        std::fs::write(&self.path, text).expect("a configuration");
     }
 
     /// Replaces its configuration and tells it so.
@@ -371,8 +469,14 @@
     }
 
     pub fn pull_within(&self, time: Duration) -> Option<Heard> {
-        let heard = self.heard.recv_timeout(time).ok();
-        heard.filter(|heard| heard.word == "PULL")
+        let until = Instant::now() + time;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let heard = self.heard.recv_timeout(left).ok()?;
+            if heard.word == "PULL" {
+                return Some(heard);
+            }
+        }
     }
 
     pub fn journal(&self) -> JournalLine {
@@ -393,6 +497,10 @@
 }
 
 impl Final {
+    pub fn is_done(&self) -> bool {
+        matches!(self, Final::Done(..))
+    }
+
     pub fn done(body: &[u8]) -> Final {
         Final::Done(body.to_vec(), BTreeMap::new())
     }
