--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -100,7 +100,8 @@
                 }
             }
             Value::Array(items) => {
-                let items: Vec<_> = items.iter().map(plain).collect();
+                let item = |item| plain(item).replace(',', COMMA);
+                let items: Vec<_> = items.iter().map(item).collect();
                 self.0.insert(path, items.join(","));
             }
             value => {
@@ -155,7 +156,7 @@
         let text = self.text(path).unwrap_or("");
         let entries = text.split(',').filter(|entry| !entry.is_empty());
         entries
-            .map(|entry| entry.parse().map_err(|_| bad()))
+            .map(|entry| entry.replace(COMMA, ",").parse().map_err(|_| bad()))
             .collect()
     }
 
@@ -219,11 +220,14 @@
     }
 }
 
-/// A value as the `path=value` form has it: whole numbers bare, no space or comma inside.
+/// What stands for a comma inside a name of a list: names come as the settings have them.
+const COMMA: &str = "\u{1f}";
+
+/// A value as the `path=value` form has it: whole numbers bare.
 fn plain(value: &Value) -> String {
     match value {
         Value::Null => String::new(),
-        Value::String(text) => text.replace([' ', ','], "_"),
+        Value::String(text) => text.clone(),
         Value::Number(number) => match number.as_f64() {
             Some(f) if f.fract() == 0.0 && f.abs() < 9e15 => format!("{f:.0}"),
             _ => number.to_string(),
--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -69,48 +69,68 @@
     std::env::var(name).ok().filter(|text| !text.is_empty())
 }
 
+/// What stands at a path, if anything does; what is there and is no such thing is told with what would be.
+fn at<'a, T>(
+    json: &'a Value,
+    path: &str,
+    accepted: &str,
+    read: impl FnOnce(&'a Value) -> Option<T>,
+) -> Result<Option<T>, String> {
+    let mut told = Some(json);
+    for name in path.split('.') {
+        told = told.and_then(|told| told.get(name));
+    }
+    let told = told.filter(|told| !told.is_null());
+    told.map(|told| read(told).ok_or_else(|| format!("{path} is {told}; accepted is {accepted}")))
+        .transpose()
+}
+
 fn from_json(json: &Value, name: Option<String>, listen: Option<String>) -> Result<Start, String> {
-    let text = |key: &str| json.get(key).and_then(Value::as_str).map(str::to_owned);
-    let limit = |key: &str, absent: u64| match json.pointer(&format!("/limits/{key}")) {
-        None => Ok(absent as usize),
-        Some(told) => told
-            .as_f64()
-            .filter(|n| *n >= 1.0)
-            .map(|n| n as usize)
-            .ok_or(format!("limits.{key} can't be read")),
+    if !json.is_object() {
+        return Err("it is no object with the fields seed, settings and others".into());
+    }
+    let text = |key: &str| at(json, key, "a text", |told| told.as_str().map(str::to_owned));
+    let object = |key: &str| at(json, key, "an object", Value::as_object);
+    let limit = |key: &str, absent: usize| -> Result<usize, String> {
+        let number = |told: &Value| told.as_f64().filter(|n| (1.0..=1e12).contains(n));
+        let told = at(json, &format!("limits.{key}"), "a number from 1 up", number)?;
+        Ok(told.map_or(absent, |n| n as usize))
     };
+    object("limits")?;
+    object("known")?;
+    object("settings")?;
     let address = |what: &str, text: String| -> Result<SocketAddr, String> {
         text.parse()
             .map_err(|_| format!("{what} {text:?} is not an address and a port"))
     };
     let listen = listen
-        .or(text("listen"))
+        .or(text("listen")?)
         .ok_or("neither RELAY_LISTEN nor listen is given")?;
-    let seed = text("seed").unwrap_or_default();
+    let seed = text("seed")?.unwrap_or_default();
     let lines = Lines::from_json(json.get("settings").ok_or("settings are missing")?);
     let unreadable = |Unreadable(why)| why;
     let (terms, reports) = read_terms(&lines).map_err(unreadable)?;
     let bounds = read_bounds(&lines).map_err(unreadable)?;
     let names = Names::of(&bounds);
-    let entries = json.pointer("/known/entries").and_then(Value::as_array);
+    let entries = at(json, "known.entries", "a list of events", Value::as_array)?;
     let entries: Vec<&Value> = entries.into_iter().flatten().collect();
     let known: Vec<Entry> = entries
         .iter()
         .filter_map(|entry| Entry::read(entry, &names))
         .collect();
     let known_unread = entries.len() - known.len();
-    let told_until = json.pointer("/known/pos").and_then(Value::as_u64);
+    let told_until = at(json, "known.pos", "a whole number", Value::as_u64)?;
     let last = known.iter().map(|entry| entry.pos).max();
     Ok(Start {
         name: name
-            .or(text("name"))
+            .or(text("name")?)
             .unwrap_or_else(|| "trailproxyd".into()),
         listen: address("the address to listen on", listen)?,
         seed: u64::from_str_radix(&seed, 16)
             .map_err(|_| format!("seed {seed:?} is not in hex digits"))?,
         descriptors: limit("sockets", 1024)?,
         memory_bytes: limit("memory_mb", 192)? << 20,
-        journal: text("journal")
+        journal: text("journal")?
             .map(|text| address("journal", text))
             .transpose()?,
         known,
@@ -121,7 +141,7 @@
         bounds,
         names: Rc::new(names),
         operator: Source::of(json, variable),
-        peers: variable("RELAY_PEERS").or(text("peers")),
+        peers: variable("RELAY_PEERS").or(text("peers")?),
         file: json.clone(),
     })
 }
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -609,6 +609,11 @@
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
         assert_eq!(output.status.code(), Some(1), "{said}");
         assert!(said.contains(why) && !said.contains("panicked"), "{said}");
+        let named = config.is_none() || said.contains(&path.display().to_string());
+        assert!(
+            named || said.contains("address") || said.contains("listen on"),
+            "{said}"
+        );
     };
     let (free, sound) = (free_address().to_string(), stage.config.to_string());
     fails(None, &free, "RELAY_CONFIG is not set");
@@ -626,6 +631,47 @@
         &free,
         ": setting weights is \"heavy\"; accepted are silent, nominal, rough, live",
     );
+    for (field, value, why) in [
+        (
+            "/limits",
+            json!("x"),
+            "limits is \"x\"; accepted is an object",
+        ),
+        (
+            "/limits/sockets",
+            json!([]),
+            "limits.sockets is []; accepted is a number from 1 up",
+        ),
+        (
+            "/limits/memory_mb",
+            json!(0),
+            "limits.memory_mb is 0; accepted is a number",
+        ),
+        ("/known", json!(3), "known is 3; accepted is an object"),
+        (
+            "/known/pos",
+            json!("x"),
+            "known.pos is \"x\"; accepted is a whole number",
+        ),
+        (
+            "/known/entries",
+            json!({}),
+            "known.entries is {}; accepted is a list of events",
+        ),
+        (
+            "/settings",
+            json!("x"),
+            "settings is \"x\"; accepted is an object",
+        ),
+        ("/journal", json!(7), "journal is 7; accepted is a text"),
+        ("/name", json!(7), "name is 7; accepted is a text"),
+        ("/seed", json!(7), "seed is 7; accepted is a text"),
+    ] {
+        let mut wrong = stage.config.clone();
+        *wrong.pointer_mut(field).expect("a field") = value;
+        fails(Some(&wrong.to_string()), &free, why);
+    }
+    fails(Some("[]"), &free, "it is no object");
     fails(Some(&sound), "nowhere", "is not an address");
     fails(
         Some(&sound),
