--- a/crates/trailproxyd/src/http.rs
+++ b/crates/trailproxyd/src/http.rs
@@ -25,14 +25,16 @@
 #[derive(Debug, PartialEq)]
 pub struct Damaged(pub &'static str);
 
-impl Response {
-    pub fn new() -> Response {
+impl Default for Response {
+    fn default() -> Response {
         Response {
             part: Part::Head,
             line: Vec::new(),
         }
     }
+}
 
+impl Response {
     /// Whether the body has come to its told end.
     pub fn is_over(&self) -> bool {
         self.part == Part::Over
@@ -117,45 +119,3 @@
         Err(_) => Err(Damaged("a chunk's length can't be read")),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn read(pieces: &[&[u8]]) -> Result<Vec<u8>, Damaged> {
-        let (mut response, mut body) = (Response::new(), Vec::new());
-        for piece in pieces {
-            response.feed(piece, &mut body)?;
-        }
-        Ok(body)
-    }
-
-    const CHUNKED: &[u8] =
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4;x\r\nd\r\ne\r\n0\r\n\r\n";
-    const PLAIN: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nabcd\r\ne";
-    const SIZED: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nabcd\r\neXYZ";
-
-    #[test]
-    fn every_split_gives_the_same_body() {
-        for whole in [CHUNKED, PLAIN, SIZED] {
-            for cut in 0..=whole.len() {
-                let (a, b) = whole.split_at(cut);
-                assert_eq!(read(&[a, b]).expect("sound"), b"abcd\r\ne");
-            }
-        }
-    }
-
-    #[test]
-    fn another_status_or_arbitrary_bytes_are_damage_without_a_panic() {
-        assert!(read(&[b"HTTP/1.1 503 No\r\n\r\n"]).is_err());
-        let mut chance = fastrand::Rng::with_seed(13);
-        for _ in 0..20_000 {
-            let mut bytes = CHUNKED.to_vec();
-            for _ in 0..chance.usize(1..6) {
-                let at = chance.usize(0..bytes.len());
-                bytes[at] = chance.u8(..);
-            }
-            let _ = read(&[&bytes]);
-        }
-    }
-}
--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -216,7 +216,7 @@
                 Err(e) => return Err(broken(e)),
             }
         }
-        let (mut response, mut events) = (Response::new(), Events::default());
+        let (mut response, mut events) = (Response::default(), Events::default());
         let mut piece = [0; READ_SIZE];
         let (mut body, mut told) = (Vec::new(), Vec::new());
         loop {
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -6,7 +6,6 @@
 mod clients;
 mod dispatch;
 mod divided;
-mod http;
 mod link;
 mod list;
 mod messages;
@@ -15,7 +14,6 @@
 mod peers;
 mod places;
 mod servers;
-mod sse;
 mod startup;
 mod store;
 mod waiting;
@@ -42,7 +40,7 @@
 use trailproxy::interface::Terms;
 use trailproxy::logic::Dispatcher;
 use trailproxy_terms::Bounds;
-use trailproxyd::{held, msgpack, resp, ring};
+use trailproxyd::{held, http, msgpack, resp, ring, sse};
 
 /// Lines that wait for the log's own thread; more are dropped and their number is logged.
 const LOG_LINES: usize = 4096;
--- a/crates/trailproxyd/src/ring.rs
+++ b/crates/trailproxyd/src/ring.rs
@@ -4,7 +4,7 @@
 use crate::held::Held;
 
 /// What an empty ring keeps, and the least it grows by.
-const RESTING: usize = 16 * 1024;
+pub const RESTING: usize = 16 * 1024;
 
 pub struct Ring {
     bytes: Box<[u8]>,
@@ -115,37 +115,3 @@
         self.held.change(self.bytes.len(), 0);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn bytes_come_out_in_order_and_memory_is_given_back() {
-        let held = Held::default();
-        let (mut ring, mut chance) = (Ring::new(held.clone()), fastrand::Rng::with_seed(5));
-        let (mut put, mut got) = (0u64, 0u64);
-        for _ in 0..2000 {
-            let piece: Vec<u8> = (0..chance.usize(0..9000))
-                .map(|i| (put + i as u64) as u8)
-                .collect();
-            ring.push(&piece);
-            put += piece.len() as u64;
-            let n = chance.usize(0..=ring.len());
-            let (first, second) = ring.parts();
-            let both: Vec<u8> = first.iter().chain(second).copied().collect();
-            assert_eq!(both, ring.whole(), "in one piece or two, the same");
-            for &byte in &both[..n] {
-                assert_eq!(byte, got as u8);
-                got += 1;
-            }
-            ring.consume(n);
-        }
-        ring.push(&[0; 300_000]);
-        ring.consume(ring.len());
-        ring.rest(false);
-        assert!(held.bytes() <= RESTING);
-        ring.rest(true);
-        assert_eq!(held.bytes(), 0);
-    }
-}
--- a/crates/trailproxyd/src/sse.rs
+++ b/crates/trailproxyd/src/sse.rs
@@ -1,7 +1,7 @@
 //! Server-sent events, read piece by piece. Pure and bounded.
 
 /// Longer events are damage: the whole list of many hundred hosts fits.
-const LONGEST_EVENT: usize = 4 * 1024 * 1024;
+pub const LONGEST_EVENT: usize = 4 * 1024 * 1024;
 
 #[derive(Debug, PartialEq)]
 pub struct Told {
@@ -63,36 +63,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn read(pieces: &[&[u8]]) -> Vec<(String, String)> {
-        let (mut events, mut told) = (Events::default(), Vec::new());
-        for piece in pieces {
-            events.feed(piece, &mut told).expect("bounded");
-        }
-        told.into_iter().map(|one| (one.id, one.data)).collect()
-    }
-
-    #[test]
-    fn every_split_gives_the_same_events() {
-        let whole = b": hello\r\n\r\nid: 41\r\ndata: {\"a\":1,\r\ndata: 2}\r\n\r\n:\n\nid:42\ndata:x\n\nid: 43\ndata: cut";
-        let wanted = read(&[whole]);
-        let pair = |id: &str, data: &str| (id.to_owned(), data.to_owned());
-        assert_eq!(wanted, [pair("41", "{\"a\":1,\n2}"), pair("42", "x")]);
-        for cut in 0..whole.len() {
-            let (a, b) = whole.split_at(cut);
-            assert_eq!(read(&[a, b]), wanted);
-        }
-    }
-
-    #[test]
-    fn an_event_without_an_end_is_damage() {
-        let (mut events, mut told) = (Events::default(), Vec::new());
-        let piece = vec![b'x'; LONGEST_EVENT / 2 + 1];
-        assert_eq!(events.feed(&piece, &mut told), Ok(()));
-        assert_eq!(events.feed(&piece, &mut told), Err(TooLong));
-    }
-}
--- /dev/null
+++ b/crates/trailproxyd/tests/parsers.rs
@@ -0,0 +1,235 @@
+//! The parsers and the buffer of the dispatcher on sockets: every split, every bound, and arbitrary bytes.
+
+mod http {
+    use trailproxyd::http::*;
+
+    fn read(pieces: &[&[u8]]) -> Result<Vec<u8>, Damaged> {
+        let (mut response, mut body) = (Response::default(), Vec::new());
+        for piece in pieces {
+            response.feed(piece, &mut body)?;
+        }
+        Ok(body)
+    }
+
+    const CHUNKED: &[u8] =
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4;x\r\nd\r\ne\r\n0\r\n\r\n";
+    const PLAIN: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nabcd\r\ne";
+    const SIZED: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nabcd\r\neXYZ";
+
+    #[test]
+    fn every_split_gives_the_same_body() {
+        for whole in [CHUNKED, PLAIN, SIZED] {
+            for cut in 0..=whole.len() {
+                let (a, b) = whole.split_at(cut);
+                assert_eq!(read(&[a, b]).expect("sound"), b"abcd\r\ne");
+            }
+        }
+    }
+
+    #[test]
+    fn another_status_or_arbitrary_bytes_are_damage_without_a_panic() {
+        assert!(read(&[b"HTTP/1.1 503 No\r\n\r\n"]).is_err());
+        let mut chance = fastrand::Rng::with_seed(13);
+        for _ in 0..20_000 {
+            let mut bytes = CHUNKED.to_vec();
+            for _ in 0..chance.usize(1..6) {
+                let at = chance.usize(0..bytes.len());
+                bytes[at] = chance.u8(..);
+            }
+            let _ = read(&[&bytes]);
+        }
+    }
+}
+
+mod msgpack {
+    use trailproxyd::msgpack::*;
+
+    fn sample() -> Vec<u8> {
+        let mut out = Vec::new();
+        put_array(&mut out, 4);
+        put_int(&mut out, 0);
+        put_int(&mut out, 70_000);
+        put_text(&mut out, &"long".repeat(10));
+        put_array(&mut out, 5);
+        put_map(&mut out, &[("ref", "9b1f"), ("allow", "1500")]);
+        put_bin_head(&mut out, 300);
+        out.extend([7; 300]);
+        put_nil(&mut out);
+        put_bool(&mut out, true);
+        put_int(&mut out, 200);
+        out
+    }
+
+    #[test]
+    fn every_split_asks_for_more_and_never_past_the_end() {
+        let whole = sample();
+        for cut in 0..whole.len() {
+            match read(&whole[..cut], 1000) {
+                Err(Fault::Short(wants)) => assert!(cut < wants && wants <= whole.len()),
+                other => panic!("{other:?} at {cut}"),
+            }
+        }
+        let (value, n) = read(&whole, 1000).expect("whole");
+        assert_eq!(n, whole.len());
+        let Value::Array(items) = value else {
+            panic!("an array")
+        };
+        assert_eq!(items[1], Value::Int(70_000));
+        assert!(matches!(&items[3], Value::Array(inner) if inner[1] == Value::Bytes(&[7; 300])));
+    }
+
+    #[test]
+    fn what_is_too_long_or_too_deep_is_damage() {
+        let malformed = |bytes: &[u8]| matches!(read(bytes, 1000), Err(Fault::Malformed(_)));
+        assert!(malformed(&[0xc6, 0xff, 0xff, 0xff, 0xff]));
+        assert!(malformed(&[0x91; 20]));
+        assert!(malformed(&[0xc1]));
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic() {
+        let mut chance = fastrand::Rng::with_seed(11);
+        for _ in 0..20_000 {
+            let mut bytes = sample();
+            for _ in 0..chance.usize(1..6) {
+                let at = chance.usize(0..bytes.len());
+                bytes[at] = chance.u8(..);
+            }
+            if let Ok((_, n)) = read(&bytes, 1000) {
+                assert!(n <= bytes.len());
+            }
+        }
+    }
+}
+
+mod resp {
+    use trailproxyd::msgpack::Fault;
+    use trailproxyd::resp::*;
+
+    fn sample() -> Vec<u8> {
+        let mut out = Vec::new();
+        put_array(&mut out, 4);
+        for word in [&b"9b1f03aa"[..], b"data", b"tag=1,minted=2", &[b'\r'; 300]] {
+            put_word(&mut out, word);
+        }
+        out
+    }
+
+    #[test]
+    fn every_split_asks_for_more_and_never_past_the_end() {
+        let whole = sample();
+        for cut in 0..whole.len() {
+            match read(&whole[..cut], 4, 300) {
+                Err(Fault::Short(wants)) => assert!(cut < wants && wants <= whole.len()),
+                other => panic!("{other:?} at {cut}"),
+            }
+        }
+        let (words, n) = read(&whole, 4, 300).expect("whole");
+        assert_eq!(
+            (n, words[1], words[3].len()),
+            (whole.len(), &b"data"[..], 300)
+        );
+    }
+
+    #[test]
+    fn what_is_not_an_array_of_words_is_damage() {
+        for bytes in [
+            &b"+OK\r\n"[..],
+            b"*0\r\n",
+            b"*5\r\n",
+            b"*1\r\n$-1\r\n",
+            b"*1\r\n$301\r\n",
+        ] {
+            assert!(matches!(read(bytes, 4, 300), Err(Fault::Malformed(_))));
+        }
+        assert!(matches!(
+            read(b"*1\r\n$1\r\nabc", 4, 300),
+            Err(Fault::Malformed(_))
+        ));
+        assert!(matches!(
+            read(&[b'*'; 20], 4, 300),
+            Err(Fault::Malformed(_))
+        ));
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic() {
+        let mut chance = fastrand::Rng::with_seed(12);
+        for _ in 0..20_000 {
+            let mut bytes = sample();
+            for _ in 0..chance.usize(1..6) {
+                let at = chance.usize(0..60);
+                bytes[at] = chance.u8(..);
+            }
+            if let Ok((_, n)) = read(&bytes, 4, 300) {
+                assert!(n <= bytes.len());
+            }
+        }
+    }
+}
+
+mod ring {
+    use trailproxyd::held::Held;
+    use trailproxyd::ring::{RESTING, Ring};
+
+    #[test]
+    fn bytes_come_out_in_order_and_memory_is_given_back() {
+        let held = Held::default();
+        let (mut ring, mut chance) = (Ring::new(held.clone()), fastrand::Rng::with_seed(5));
+        let (mut put, mut got) = (0u64, 0u64);
+        for _ in 0..2000 {
+            let piece: Vec<u8> = (0..chance.usize(0..9000))
+                .map(|i| (put + i as u64) as u8)
+                .collect();
+            ring.push(&piece);
+            put += piece.len() as u64;
+            let n = chance.usize(0..=ring.len());
+            let (first, second) = ring.parts();
+            let both: Vec<u8> = first.iter().chain(second).copied().collect();
+            assert_eq!(both, ring.whole(), "in one piece or two, the same");
+            for &byte in &both[..n] {
+                assert_eq!(byte, got as u8);
+                got += 1;
+            }
+            ring.consume(n);
+        }
+        ring.push(&[0; 300_000]);
+        ring.consume(ring.len());
+        ring.rest(false);
+        assert!(held.bytes() <= RESTING);
+        ring.rest(true);
+        assert_eq!(held.bytes(), 0);
+    }
+}
+
+mod sse {
+    use trailproxyd::sse::*;
+
+    fn read(pieces: &[&[u8]]) -> Vec<(String, String)> {
+        let (mut events, mut told) = (Events::default(), Vec::new());
+        for piece in pieces {
+            events.feed(piece, &mut told).expect("bounded");
+        }
+        told.into_iter().map(|one| (one.id, one.data)).collect()
+    }
+
+    #[test]
+    fn every_split_gives_the_same_events() {
+        let whole = b": hello\r\n\r\nid: 41\r\ndata: {\"a\":1,\r\ndata: 2}\r\n\r\n:\n\nid:42\ndata:x\n\nid: 43\ndata: cut";
+        let wanted = read(&[whole]);
+        let pair = |id: &str, data: &str| (id.to_owned(), data.to_owned());
+        assert_eq!(wanted, [pair("41", "{\"a\":1,\n2}"), pair("42", "x")]);
+        for cut in 0..whole.len() {
+            let (a, b) = whole.split_at(cut);
+            assert_eq!(read(&[a, b]), wanted);
+        }
+    }
+
+    #[test]
+    fn an_event_without_an_end_is_damage() {
+        let (mut events, mut told) = (Events::default(), Vec::new());
+        let piece = vec![b'x'; LONGEST_EVENT / 2 + 1];
+        assert_eq!(events.feed(&piece, &mut told), Ok(()));
+        assert_eq!(events.feed(&piece, &mut told), Err(TooLong));
+    }
+}
