--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,6 +31,7 @@
 const GUESS_MARGIN: f64 = 1.3;
 /// Part of a cold host's told limit that all use together. Higher risks it, lower warms it later.
 const COLD_USE: f64 = 0.4;
+const SAVED: f64 = 1.5; // such parts that are saved up: higher risks it in a crowd, lower leaves them unused
 const HOP: Span = Span::from_millis(40); // what an answer takes besides its sending
 const FILL_WAIT: Span = Span::from_millis(100); // what a fill takes besides its sending
 /// A hand-off is overdue after this many times its predicted sending and the longer of a part of the track's
@@ -273,13 +274,12 @@
         self.cold.among.unwrap_or(self.dispatchers)
     }
 
-    /// No more than a part is saved up. Where parts are less than a call of mean work, who does not use its
-    /// turn has let it pass to another: together no more are ready at once than the host bears.
+    /// Where parts are less than a call of mean work, who does not use its turn has let it pass to another.
     fn allowance(&self, now: Moment, mean: f64) -> f64 {
         let span = self.cold.fall_after.as_secs_f64().max(0.001);
-        let saved = self.allowance.0 + now.since(self.allowance.1).as_secs_f64() / span - 1.0;
+        let saved = self.allowance.0 + now.since(self.allowance.1).as_secs_f64() / span - SAVED;
         let turn = self.cost(now, mean).max(1.0);
-        1.0 + saved - turn * (saved / turn).ceil().max(0.0)
+        SAVED + saved - turn * (saved / turn).ceil().max(0.0)
     }
 }
 
@@ -551,7 +551,7 @@
         for host in self.hosts.values_mut() {
             let (before, allowance) = (host.among(), host.allowance(now, mean));
             host.cold.among = [caches, parents][usize::from(host.role != Role::Cache)];
-            host.allowance = ((allowance * host.among() / before).min(1.0), now);
+            host.allowance = ((allowance * host.among() / before).min(SAVED), now);
         }
     }
 
