A large request that would be late at its first cache goes to one where it is not, by told sizes

Ruled out: sizes over the cold budget (no cache was cold), sick caches (none), the deadline (12 to 17 s left). Now the first cache in order that has room and time is taken, where hosts and requests tell their sizes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -919,8 +919,7 @@
         }
         let source = self.pick_source(now, access, cache);
         // With no cache to go to, an access passes them by, straight to where it would be filled.
-        let work = self.work(access);
-        let no_use = |id: HostId| self.hosts[&id].sick() || !self.has_budget(now, id, work);
+        let no_use = |id| self.hosts[&id].sick() || !self.has_budget(now, id, self.work(access));
         let lost = |id: &HostId| access.failed_at(*id) || no_use(*id);
         let Some(host) = cache else {
             let host = source.filter(|_| self.terms.straight && self.caches.iter().all(lost))?;
@@ -935,9 +934,8 @@
     fn pick_source(&self, now: Moment, access: &Access, cache: Option<HostId>) -> Option<HostId> {
         let has_room = |id: &HostId| {
             let (host, source) = (cache.unwrap_or(*id), *id);
-            let has_budget = self.has_budget(now, source, access.send);
             let fits = || self.fits(now, access, Plan { host, source });
-            self.open_to(now, access, source) && has_budget && fits()
+            self.open_to(now, access, source) && self.has_budget(now, source, access.send) && fits()
         };
         let parents = self.in_hash_order(access, Role::Parent);
         let parent = parents.into_iter().find(has_room);
@@ -967,21 +965,23 @@
         1.0 + (crowd - 1.0).max(0.0) * host.crowd_told()
     }
 
-    /// The object's first ready cache that has room, else the least crowded, if it is in time.
+    /// The first cache in order with room and, by told sizes, time, else the least crowded, if that is in time.
     fn pick_cache(&self, now: Moment, access: &Access) -> Option<HostId> {
-        let work = self.work(access);
         let mut caches = self.in_hash_order(access, Role::Cache);
-        caches.retain(|id| self.has_budget(now, *id, work));
+        caches.retain(|id| self.has_budget(now, *id, self.work(access)));
         let stretch = |id: &HostId| self.stretch(now, &self.hosts[id]);
         let slow = |id: &HostId| stretch(id) * self.hosts[id].slowness(now);
-        let first = |id: &&HostId| self.open_to(now, access, **id) && slow(id) <= SPILL_AT;
+        let margin = access.asked.size_kb.map_or(GUESS_MARGIN, |_| 1.0);
+        let told = self.terms.sizes_tell && access.asked.size_kb.is_some();
+        let takes = |id: &HostId| Span::from_secs_f64(access.send * stretch(id) * margin) + HOP;
+        let timely = |id: &HostId| self.track(access).written || now + takes(id) <= access.due;
+        let near = |id: &HostId| slow(id) <= SPILL_AT && (!told || timely(id));
+        let first = |id: &&HostId| near(id) && self.open_to(now, access, **id);
         let usable = |id: &&HostId| !access.failed_at(**id) && !self.hosts[id].sick();
         let crowd = |a: &&HostId, b: &&HostId| stretch(a).total_cmp(&stretch(b));
         let least = || caches.iter().filter(usable).min_by(crowd);
-        let host = *caches.iter().find(first).or_else(least)?;
-        let margin = access.asked.size_kb.map_or(GUESS_MARGIN, |_| 1.0);
-        let takes = Span::from_secs_f64(access.send * stretch(&host) * margin) + HOP;
-        (self.track(access).written || now + takes <= access.due).then_some(host)
+        let host = caches.iter().find(first).or_else(least);
+        host.copied().filter(timely)
     }
 
     /// Rule 2: whether what may have run allows a hand-off to this host.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -358,6 +358,31 @@
     assert!(rejected > 20, "{rejected}");
 }
 
+/// Where a large access goes whose first cache has so much to do that it would be late there, and small ones not.
+fn large_beside_a_crowd(sizes_tell: bool) -> (HostId, Option<HostId>) {
+    let mut stage = Stage::new(Terms {
+        sizes_tell,
+        straight: false,
+        ..terms()
+    });
+    let crowd: Vec<_> = (0..21).map(|_| stage.arrive(READS, 3)).collect();
+    let first = stage.last(crowd[0]).host;
+    let there = |id: &AccessId| stage.last(*id).host == first;
+    assert!(crowd.iter().all(there));
+    let large = stage.arrive_part(READS, 3, 0, Some(1200.0));
+    let went = (!stage.rejected(large)).then(|| stage.last(large).host);
+    (first, went)
+}
+
+#[test]
+fn a_large_access_that_would_be_late_at_its_first_cache_goes_to_one_where_it_is_not() {
+    let (first, went) = large_beside_a_crowd(true);
+    assert!(went.is_some_and(|host| host != first), "{went:?}");
+    // Where the sizes of hosts are guessed, so is the crowd: it stays, or is rejected.
+    let (_, went) = large_beside_a_crowd(false);
+    assert_eq!(went, None);
+}
+
 #[test]
 fn where_every_cache_is_lost_accesses_go_straight_to_their_parent() {
     let mut stage = Stage::new(terms());
