--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -104,7 +104,7 @@
             }
         }
         1040 => {
-            let (id, hand_off) = (AccessId(f.u64()?), HandOffNo(f.u8()?));
+            let (id, hand_off) = (RequestId(f.u64()?), AttemptNo(f.u8()?));
             f.host()?;
             f.u32()?;
             Event::Begun { id, hand_off }
@@ -112,7 +112,7 @@
         1060 => arrival(f, seat.tracks)?,
         1080 => outcome(f, &seat.reports)?,
         1090 => Event::Left {
-            id: AccessId(f.u64()?),
+            id: RequestId(f.u64()?),
         },
         1100 => Event::Woken {
             wake: WakeId(f.u32()?),
@@ -163,7 +163,7 @@
 }
 
 fn arrival(f: &mut Fields, tracks: usize) -> Read1<Event> {
-    let (id, left, track) = (AccessId(f.u64()?), Span(f.u32()?.into()), f.u16()?);
+    let (id, left, track) = (RequestId(f.u64()?), Span(f.u32()?.into()), f.u16()?);
     if usize::from(track) >= tracks {
         return Err(format!("unknown category {track}").into());
     }
@@ -177,7 +177,7 @@
     Ok(Event::Arrived(Arrival {
         id,
         left,
-        track: TrackId(track),
+        track: ClassId(track),
         object,
         group,
         part,
@@ -186,7 +186,7 @@
 }
 
 fn outcome(f: &mut Fields, reports: &Reports) -> Read1<Event> {
-    let (id, hand_off) = (AccessId(f.u64()?), HandOffNo(f.u8()?));
+    let (id, hand_off) = (RequestId(f.u64()?), AttemptNo(f.u8()?));
     f.host()?;
     let ending = ending(f.u8()?)?;
     let took = Span(f.u32()?.into());
@@ -248,7 +248,7 @@
 
 fn write(reply: &mut Reply, who: u16, action: Action) {
     match action {
-        Action::HandOff(HandOff { id, host, fill }) => {
+        Action::Attempt(Attempt { id, host, fill }) => {
             let code = if fill.is_some() { 1120 } else { 1000 };
             reply.record(code, who).u64(id.0).host(host.0).u32(0);
             if let Some(fill) = fill {
@@ -258,11 +258,11 @@
                 reply.u32(fill.oldest.map_or(0, wire_span)).u8(how);
             }
         }
-        Action::Reject { id, come_back } => {
+        Action::Refuse { id, come_back } => {
             let come_back = come_back.map_or(0, wire_span);
             reply.record(1010, who).u64(id.0).u32(come_back);
         }
-        Action::Abort { id } => {
+        Action::Fail { id } => {
             reply.record(1020, who).u64(id.0);
         }
         Action::Withdraw { id, hand_off } => {
--- a/crates/lab/src/crossing.rs
+++ b/crates/lab/src/crossing.rs
@@ -34,7 +34,7 @@
 pub fn account_error(crossed: &Crossed, zone: ZoneId) -> f64 {
     let whole = &crossed.whole[usize::from(zone.0)];
     let booked = |track: usize| {
-        let key = (zone, TrackId(track as u16));
+        let key = (zone, ClassId(track as u16));
         crossed.booked.get(&key).copied().unwrap_or(0.0)
     };
     let apart: f64 = whole
--- a/crates/lab/src/decide/baseline.rs
+++ b/crates/lab/src/decide/baseline.rs
@@ -143,7 +143,7 @@
     withdrawn: bool,
 }
 
-struct Access {
+struct Request {
     asked: Arrival,
     limit: Moment,
     tries: Vec<Try>,
@@ -158,9 +158,9 @@
     chance: fastrand::Rng,
     seats: f64,
     hosts: BTreeMap<HostId, Host>,
-    accesses: BTreeMap<AccessId, Access>,
-    touched: BTreeSet<AccessId>,
-    limits: BTreeSet<(Moment, AccessId)>,
+    accesses: BTreeMap<RequestId, Request>,
+    touched: BTreeSet<RequestId>,
+    limits: BTreeSet<(Moment, RequestId)>,
     armed: Option<Moment>,
     purges: BTreeMap<(GroupId, Option<ObjectId>), Moment>,
     actions: Vec<Action>,
@@ -226,11 +226,11 @@
             .retain(|id, host| host.entry.state != HostState::Gone || named.contains(id));
     }
 
-    fn track(&self, access: &Access) -> &Track {
+    fn track(&self, access: &Request) -> &ClassTerms {
         &self.terms.tracks[usize::from(access.asked.track.0)]
     }
 
-    fn send_time(&self, access: &Access) -> Span {
+    fn send_time(&self, access: &Request) -> Span {
         let kb = access
             .asked
             .size_kb
@@ -283,7 +283,7 @@
     }
 
     /// Whether the policy lets this host be asked at all.
-    fn usable(&self, now: Moment, access: &Access, id: HostId) -> bool {
+    fn usable(&self, now: Moment, access: &Request, id: HostId) -> bool {
         let host = &self.hosts[&id];
         let ready = host.entry.state == HostState::Ready && !access.failed.contains(&id);
         let work = self.send_time(access).max(Span::from_millis(20));
@@ -295,7 +295,7 @@
         ready && !open && self.spares(now, host, work)
     }
 
-    fn order(&mut self, now: Moment, id: AccessId, role: Role) -> Vec<HostId> {
+    fn order(&mut self, now: Moment, id: RequestId, role: Role) -> Vec<HostId> {
         let access = &self.accesses[&id];
         let zone = self.terms.zone;
         let meant =
@@ -334,12 +334,12 @@
     }
 
     /// Rule 2: whether what may have run allows a hand-off there.
-    fn may_go(&self, now: Moment, access: &Access, to: HostId) -> bool {
+    fn may_go(&self, now: Moment, access: &Request, to: HostId) -> bool {
         let mut ran = access.tries.iter().filter(|t| t.out || t.may_have_run);
         match self.track(access).effect {
-            Effect::Retriable => access.tries.iter().all(|t| !t.out),
-            Effect::Binding => ran.next().is_none(),
-            Effect::Fingerprinted { group, window } => ran.all(|t| {
+            Effect::Idempotent => access.tries.iter().all(|t| !t.out),
+            Effect::NonIdempotent => ran.next().is_none(),
+            Effect::Keyed { group, window } => ran.all(|t| {
                 let [a, b] = [t.host, to].map(|id| self.hosts[&id].entry);
                 let same = match group {
                     RepeatGroup::All => true,
@@ -351,7 +351,7 @@
         }
     }
 
-    fn step(&mut self, now: Moment, id: AccessId) {
+    fn step(&mut self, now: Moment, id: RequestId) {
         let Some(access) = self.accesses.get(&id).filter(|access| !access.ended) else {
             return self.forget(id);
         };
@@ -388,7 +388,7 @@
         self.send(now, id, host, source, written);
     }
 
-    fn send(&mut self, now: Moment, id: AccessId, host: HostId, source: HostId, written: bool) {
+    fn send(&mut self, now: Moment, id: RequestId, host: HostId, source: HostId, written: bool) {
         let access = &self.accesses[&id];
         let track = self.track(access);
         let (object, group) = (access.asked.object, access.asked.group);
@@ -431,30 +431,30 @@
         }
         let fill = Some(fill).filter(|_| !to_origin);
         self.actions
-            .push(Action::HandOff(HandOff { id, host, fill }));
+            .push(Action::Attempt(Attempt { id, host, fill }));
     }
 
-    fn give_up(&mut self, id: AccessId) {
+    fn give_up(&mut self, id: RequestId) {
         let access = &self.accesses[&id];
         let ran = access.tries.iter().any(|t| t.out || t.may_have_run);
         let harmless = match self.track(access).effect {
-            Effect::Retriable => true,
-            Effect::Binding => !ran,
-            Effect::Fingerprinted { group, .. } => !ran || group == RepeatGroup::All,
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => !ran,
+            Effect::Keyed { group, .. } => !ran || group == RepeatGroup::All,
         };
         let come_back = self
             .terms
             .longest_away
             .map(|longest| COME_BACK.min(longest));
         self.actions.push(if harmless {
-            Action::Reject { id, come_back }
+            Action::Refuse { id, come_back }
         } else {
-            Action::Abort { id }
+            Action::Fail { id }
         });
         self.close(id);
     }
 
-    fn close(&mut self, id: AccessId) {
+    fn close(&mut self, id: RequestId) {
         let may = self.terms.may_withdraw;
         if let Some(access) = self.accesses.get_mut(&id) {
             access.ended = true;
@@ -467,15 +467,15 @@
                 attempt.withdrawn = true;
                 self.actions.push(Action::Withdraw {
                     id,
-                    hand_off: HandOffNo(no as u8),
+                    hand_off: AttemptNo(no as u8),
                 });
             }
         }
         self.forget(id);
     }
 
-    fn forget(&mut self, id: AccessId) {
-        let over = |access: &Access| access.ended && access.tries.iter().all(|t| !t.out);
+    fn forget(&mut self, id: RequestId) {
+        let over = |access: &Request| access.ended && access.tries.iter().all(|t| !t.out);
         if let Some(access) = self.accesses.get(&id).filter(|access| over(access)) {
             self.limits.remove(&(access.limit, id));
             self.accesses.remove(&id);
@@ -537,7 +537,7 @@
                 let (tries, failed) = (Vec::new(), BTreeSet::new());
                 self.accesses.insert(
                     asked.id,
-                    Access {
+                    Request {
                         asked,
                         limit,
                         tries,
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -85,9 +85,9 @@
 /// Whoever counts from outside.
 pub trait Watch {
     /// A request with a key is about to be sent to a seat.
-    fn asked(&mut self, at: Moment, id: AccessId, key: &str, track: TrackId, seat: usize);
+    fn asked(&mut self, at: Moment, id: RequestId, key: &str, track: ClassId, seat: usize);
     /// `None`: no answer.
-    fn answered(&mut self, at: Moment, id: AccessId, how: Option<Final>);
+    fn answered(&mut self, at: Moment, id: RequestId, how: Option<Final>);
     fn seen(&mut self, at: Moment, seen: &Seen);
 }
 
@@ -132,14 +132,14 @@
                 } => {
                     self.tally.hand_offs += 1;
                     self.checker
-                        .sent(at, AccessId(reference), no, host, source, kb);
+                        .sent(at, RequestId(reference), no, host, source, kb);
                 }
                 Seen::Ended {
                     reference,
                     no,
                     never_ran,
                 } => {
-                    self.checker.ended(at, AccessId(reference), no, never_ran);
+                    self.checker.ended(at, RequestId(reference), no, never_ran);
                 }
                 Seen::Copied { reference, minted } => {
                     self.copies.insert(reference, minted);
@@ -556,7 +556,7 @@
         for (row, total) in &merged.rows {
             let key = (
                 ZoneId(nth(&names.zones, &row.to)),
-                TrackId(nth(&names.tracks, &row.track)),
+                ClassId(nth(&names.tracks, &row.track)),
             );
             *crossed.booked.entry(key).or_default() += total.kb;
         }
@@ -682,7 +682,7 @@
                         .served(wish.at, due, now, wish.track);
                 }
                 Some(Final::Rejected) => {}
-                _ if track.effect == Effect::Binding => return,
+                _ if track.effect == Effect::NonIdempotent => return,
                 _ => {}
             }
             let own = self
@@ -723,7 +723,7 @@
     ) -> (Option<Final>, Option<Span>) {
         let reference = self.next.get() + 1;
         self.next.set(reference);
-        let id = AccessId(reference);
+        let id = RequestId(reference);
         let left = until.since(self.clock.now());
         let wanted = Wanted {
             zone: wish.zone,
@@ -742,7 +742,7 @@
         if wish.told {
             fields.push(("room", format!("{:.3}", wish.kb)));
         }
-        let keyed = matches!(track.effect, Effect::Fingerprinted { .. });
+        let keyed = matches!(track.effect, Effect::Keyed { .. });
         let watch = self.watch.as_ref().filter(|_| keyed);
         if keyed {
             fields.push(("replay", fingerprint.to_owned()));
@@ -843,9 +843,9 @@
         .clone()
         .map(|(nth, track)| {
             let (semantics, group, window) = match track.effect {
-                Effect::Retriable => ("repeatable", "all", Span::ZERO),
-                Effect::Binding => ("once", "all", Span::ZERO),
-                Effect::Fingerprinted { group, window } => {
+                Effect::Idempotent => ("repeatable", "all", Span::ZERO),
+                Effect::NonIdempotent => ("once", "all", Span::ZERO),
+                Effect::Keyed { group, window } => {
                     let group = match group {
                         RepeatGroup::All => "all",
                         RepeatGroup::Zone => "zone",
@@ -873,7 +873,7 @@
         trailproxy::interface::NoteLevel::Hits => "hit",
         trailproxy::interface::NoteLevel::None => "none",
     };
-    let of = |value: &dyn Fn(&trailproxy::interface::Track) -> u64| -> Vec<u64> {
+    let of = |value: &dyn Fn(&trailproxy::interface::ClassTerms) -> u64| -> Vec<u64> {
         tracks.clone().map(|(_, track)| value(track)).collect()
     };
     let written: Vec<bool> = tracks.clone().map(|(_, track)| track.written).collect();
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Crossed {
     /// KB by zone it went into and track, booked by all dispatchers.
-    pub booked: BTreeMap<(ZoneId, TrackId), f64>,
+    pub booked: BTreeMap<(ZoneId, ClassId), f64>,
     /// KB by zone and track that the links moved whole, and all that they moved, by zone.
     pub whole: Vec<Vec<f64>>,
     pub moved: Vec<f64>,
@@ -67,7 +67,7 @@
 enum Ev {
     Wish(usize, Wish),
     /// An access reaches a dispatcher.
-    Comes(AccessId),
+    Comes(RequestId),
     /// A hand-off reaches a host.
     Asked(Ticket),
     Withdrawn(Ticket),
@@ -75,8 +75,8 @@
     Wake(usize, u32, WakeId),
     Told(usize, HostEntry),
     Purged(usize, Option<ObjectId>, GroupId, Moment),
-    Final(AccessId, Final, Option<Span>, Option<Moment>),
-    Overdue(AccessId),
+    Final(RequestId, Final, Option<Span>, Option<Moment>),
+    Overdue(RequestId),
     Retry(u64),
     Kill(Kill),
     Start(usize),
@@ -118,8 +118,8 @@
 }
 
 struct Out {
-    access: AccessId,
-    no: HandOffNo,
+    access: RequestId,
+    no: AttemptNo,
     seat: usize,
     life: u32,
     sent: Moment,
@@ -145,7 +145,7 @@
     seats: Vec<Seat>,
     streams: Vec<Stream>,
     wants: BTreeMap<u64, Want>,
-    open: BTreeMap<AccessId, Open>,
+    open: BTreeMap<RequestId, Open>,
     out: BTreeMap<Ticket, Out>,
     next_id: u64,
     chance: StdRng,
@@ -542,7 +542,7 @@
         }
         let seat = seats[self.chance.random_range(0..seats.len())];
         self.next_id += 1;
-        let id = AccessId(self.next_id);
+        let id = RequestId(self.next_id);
         let open = Open {
             want: want_id,
             seat,
@@ -558,7 +558,7 @@
         self.file(self.now + self.scenario.hop, Ev::Comes(id));
     }
 
-    fn comes(&mut self, id: AccessId) {
+    fn comes(&mut self, id: RequestId) {
         let now = self.now;
         let Some(open) = self.open.get(&id) else {
             return;
@@ -612,12 +612,12 @@
     fn act(&mut self, seat: usize, action: Action) {
         let (now, hop) = (self.now, self.scenario.hop);
         match action {
-            Action::HandOff(hand_off) => self.hand_off(seat, hand_off),
-            Action::Reject { id, come_back } => {
+            Action::Attempt(hand_off) => self.hand_off(seat, hand_off),
+            Action::Refuse { id, come_back } => {
                 self.given_up(id);
                 self.file(now + hop, Ev::Final(id, Final::Rejected, come_back, None));
             }
-            Action::Abort { id } => {
+            Action::Fail { id } => {
                 self.given_up(id);
                 self.file(now + hop, Ev::Final(id, Final::Aborted, None, None));
             }
@@ -655,7 +655,7 @@
         }
     }
 
-    fn given_up(&mut self, id: AccessId) {
+    fn given_up(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
             open.closed = true;
             let cause = match open.last {
@@ -669,14 +669,14 @@
         }
     }
 
-    fn hand_off(&mut self, seat: usize, hand_off: HandOff) {
+    fn hand_off(&mut self, seat: usize, hand_off: Attempt) {
         let (now, hop) = (self.now, self.scenario.hop);
         let Some(open) = self.open.get_mut(&hand_off.id) else {
             return;
         };
         self.next_id += 1;
         let ticket = Ticket(self.next_id);
-        let no = HandOffNo(open.tickets.len() as u8);
+        let no = AttemptNo(open.tickets.len() as u8);
         open.tickets.push(ticket);
         let wish = open.wish;
         let pull = Pull {
@@ -802,7 +802,7 @@
 
     fn final_answer(
         &mut self,
-        id: AccessId,
+        id: RequestId,
         how: Final,
         away: Option<Span>,
         minted: Option<Moment>,
@@ -824,7 +824,7 @@
         let track = &self.scenario.shape.tracks[usize::from(open.wish.track.0)];
         self.again(
             open.want,
-            how == Final::Rejected || track.effect != Effect::Binding,
+            how == Final::Rejected || track.effect != Effect::NonIdempotent,
             away,
         );
     }
@@ -848,16 +848,16 @@
     }
 
     /// The client's connection broke, or it waited past its limit.
-    fn lost(&mut self, id: AccessId) {
+    fn lost(&mut self, id: RequestId) {
         self.checker.excused(id);
         if let Some(open) = self.open.remove(&id) {
             self.tally.lost += 1;
             let track = &self.scenario.shape.tracks[usize::from(open.wish.track.0)];
-            self.again(open.want, track.effect != Effect::Binding, None);
+            self.again(open.want, track.effect != Effect::NonIdempotent, None);
         }
     }
 
-    fn overdue(&mut self, id: AccessId) {
+    fn overdue(&mut self, id: RequestId) {
         // Nothing came in time: the checker keeps it as owed.
         if let Some(open) = self.open.remove(&id) {
             self.tally.lost += 1;
@@ -885,7 +885,7 @@
                 self.fleet.withdraw(self.now, ticket);
                 self.out.remove(&ticket);
             }
-            let lost: Vec<AccessId> = self
+            let lost: Vec<RequestId> = self
                 .open
                 .iter()
                 .filter(|(_, open)| open.seat == seat)
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
-use trailproxy::interface::{Cold, Effect, HostEntry, HostState, RepeatGroup, Track};
+use trailproxy::interface::{ClassTerms, Cold, Effect, HostEntry, HostState, RepeatGroup};
 use trailproxy::units::*;
 
 /// One of the five rules.
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Breach {
     pub rule: Rule,
-    pub access: Option<AccessId>,
+    pub access: Option<RequestId>,
     pub at: Moment,
     pub evidence: String,
 }
@@ -35,7 +35,7 @@
             self.rule as u8,
             self.at.0 as f64 / 1e6
         )?;
-        if let Some(AccessId(id)) = self.access {
+        if let Some(RequestId(id)) = self.access {
             write!(f, ", access {id:x}")?;
         }
         write!(f, ": {}", self.evidence)
@@ -53,7 +53,7 @@
 /// What the rules are held against, in the terms' words.
 #[derive(Clone, Debug)]
 pub struct Bounds {
-    pub tracks: Vec<Track>,
+    pub tracks: Vec<ClassTerms>,
     pub cold_cache: Cold,
     pub cold_parent: Cold,
     pub parent_kind: KindId,
@@ -81,7 +81,7 @@
 }
 
 struct Seen {
-    track: TrackId,
+    track: ClassId,
     limit: Moment,
     answered: Option<Moment>,
     /// It needs no answer: the client left, or its dispatcher died.
@@ -100,8 +100,8 @@
 /// Everything seen so far, as far as it still matters.
 pub struct Checker {
     bounds: Bounds,
-    seen: BTreeMap<AccessId, Seen>,
-    limits: VecDeque<(Moment, AccessId)>,
+    seen: BTreeMap<RequestId, Seen>,
+    limits: VecDeque<(Moment, RequestId)>,
     hosts: BTreeMap<HostId, Listed>,
     cold: BTreeMap<HostId, VecDeque<(Moment, f64)>>,
     purges: BTreeMap<(Option<ObjectId>, GroupId), Moment>,
@@ -142,7 +142,7 @@
         self.seen.len() + self.purges.len()
     }
 
-    fn breach(&mut self, rule: Rule, access: Option<AccessId>, at: Moment, evidence: String) {
+    fn breach(&mut self, rule: Rule, access: Option<RequestId>, at: Moment, evidence: String) {
         self.count += 1;
         if self.breaches.len() < KEPT {
             self.breaches.push(Breach {
@@ -183,7 +183,7 @@
     }
 
     /// A dispatcher has taken an access.
-    pub fn taken(&mut self, at: Moment, id: AccessId, track: TrackId, limit: Moment) {
+    pub fn taken(&mut self, at: Moment, id: RequestId, track: ClassId, limit: Moment) {
         self.forget(at);
         let fresh = Seen {
             track,
@@ -201,7 +201,7 @@
     }
 
     /// No answer is owed any more: the client left, or its dispatcher was killed.
-    pub fn excused(&mut self, id: AccessId) {
+    pub fn excused(&mut self, id: RequestId) {
         self.seen
             .get_mut(&id)
             .into_iter()
@@ -220,7 +220,7 @@
         }
     }
 
-    fn owed(&mut self, id: AccessId, seen: &Seen) {
+    fn owed(&mut self, id: RequestId, seen: &Seen) {
         if seen.answered.is_none() && !seen.excused {
             let text = "no final answer".to_owned();
             self.breach(Rule::OneAnswer, Some(id), seen.limit, text);
@@ -241,7 +241,7 @@
     pub fn sent(
         &mut self,
         at: Moment,
-        id: AccessId,
+        id: RequestId,
         no: u8,
         host: HostId,
         source: Option<HostId>,
@@ -282,9 +282,9 @@
             .iter()
             .filter(|s| !s.never_ran)
             .find(|s| match effect {
-                Effect::Retriable => false,
-                Effect::Binding => true,
-                Effect::Fingerprinted { group, window } => {
+                Effect::Idempotent => false,
+                Effect::NonIdempotent => true,
+                Effect::Keyed { group, window } => {
                     let same = match group {
                         RepeatGroup::All => true,
                         RepeatGroup::Zone => s.zone == here.1,
@@ -300,7 +300,7 @@
                 host.0, earlier.no
             )
         });
-        let two = effect == Effect::Retriable && seen.sent.iter().any(|s| !s.over);
+        let two = effect == Effect::Idempotent && seen.sent.iter().any(|s| !s.over);
         if let Some(text) = text {
             self.breach(Rule::NoEffectTwice, Some(id), at, text);
         }
@@ -327,7 +327,7 @@
     }
 
     /// A hand-off ended at its sender; `never_ran`: by a proof that it had no effect.
-    pub fn ended(&mut self, at: Moment, id: AccessId, no: u8, never_ran: bool) {
+    pub fn ended(&mut self, at: Moment, id: RequestId, no: u8, never_ran: bool) {
         let Some(seen) = self.seen.get_mut(&id) else {
             return;
         };
@@ -343,17 +343,17 @@
         }
     }
 
-    fn two_at_once(&mut self, id: AccessId, at: Moment, second: u8) {
+    fn two_at_once(&mut self, id: RequestId, at: Moment, second: u8) {
         let text = format!("hand-off {second} went out while another one was");
         self.breach(Rule::OneAnswer, Some(id), at, text);
     }
 
     /// A parent or the origin is asked for something by a host: counted as work given to it.
     pub fn filled(&mut self, at: Moment, source: HostId, work_kb: f64) {
-        self.work(at, AccessId(0), source, work_kb);
+        self.work(at, RequestId(0), source, work_kb);
     }
 
-    fn work(&mut self, at: Moment, id: AccessId, host: HostId, work_kb: f64) {
+    fn work(&mut self, at: Moment, id: RequestId, host: HostId, work_kb: f64) {
         let Some(entry) = self.hosts.get(&host).map(|listed| listed.entry) else {
             return;
         };
@@ -402,7 +402,7 @@
     pub fn answered(
         &mut self,
         at: Moment,
-        id: AccessId,
+        id: RequestId,
         how: Final,
         copy: Option<(ObjectId, GroupId, Moment)>,
     ) {
@@ -427,7 +427,7 @@
             let text = "a final answer after the outer limit".to_owned();
             self.breach(Rule::OneAnswer, Some(id), at, text);
         }
-        if how == Final::Rejected && effect == Effect::Binding && ran {
+        if how == Final::Rejected && effect == Effect::NonIdempotent && ran {
             let text = "rejected though a hand-off may have run".to_owned();
             self.breach(Rule::NoEffectTwice, Some(id), at, text);
         }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -239,7 +239,7 @@
 /// What clients of one stream ask for.
 #[derive(Clone, Debug)]
 pub struct Load {
-    pub track: TrackId,
+    pub track: ClassId,
     pub zone: Option<ZoneId>,
     pub per_s: f64,
     pub objects: u64,
@@ -257,7 +257,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Burst {
-    pub track: TrackId,
+    pub track: ClassId,
     pub from: Moment,
     pub until: Moment,
     pub times: f64,
@@ -366,7 +366,7 @@
                 .all("track")
                 .position(|track| track.text("name") == name)
         };
-        let track_id = |name: &str| TrackId(track_at(name).unwrap_or(0) as u16);
+        let track_id = |name: &str| ClassId(track_at(name).unwrap_or(0) as u16);
         let mut hosts: Vec<HostShape> = Vec::new();
         for section in sheet.all("hosts") {
             let role = match section.text("role") {
@@ -423,7 +423,7 @@
                 return Err(section.wrong("dispatchers", "none in a zone that has no cache"));
             }
         }
-        let tracks: Vec<Track> = sheet.all("track").map(track).collect();
+        let tracks: Vec<ClassTerms> = sheet.all("track").map(track).collect();
         for section in sheet.all("track") {
             if section.number("due_ms") > section.number("limit_ms") {
                 return Err(section.wrong("due_ms", "a due time no longer than limit_ms"));
@@ -737,14 +737,14 @@
     }
 }
 
-fn track(section: &Section) -> Track {
-    Track {
+fn track(section: &Section) -> ClassTerms {
+    ClassTerms {
         due: millis(section, "due_ms"),
         due_stretch: section.number("stretch"),
         effect: match section.text("effect") {
-            "retriable" => Effect::Retriable,
-            "binding" => Effect::Binding,
-            _ => Effect::Fingerprinted {
+            "retriable" => Effect::Idempotent,
+            "binding" => Effect::NonIdempotent,
+            _ => Effect::Keyed {
                 group: match section.text("group") {
                     "all" => RepeatGroup::All,
                     "zone" => RepeatGroup::Zone,
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -158,7 +158,7 @@
             .collect();
     }
 
-    pub fn asked(&mut self, at: Moment, track: TrackId) {
+    pub fn asked(&mut self, at: Moment, track: ClassId) {
         if at < self.from {
             return;
         }
@@ -169,7 +169,7 @@
     }
 
     /// A client has what it wanted: asked for at `asked`, due at `due`, there at `at`.
-    pub fn served(&mut self, asked: Moment, due: Moment, at: Moment, track: TrackId) {
+    pub fn served(&mut self, asked: Moment, due: Moment, at: Moment, track: ClassId) {
         if asked < self.from {
             return;
         }
--- a/crates/lab/src/traffic.rs
+++ b/crates/lab/src/traffic.rs
@@ -13,7 +13,7 @@
 pub struct Wish {
     pub at: Moment,
     pub zone: ZoneId,
-    pub track: TrackId,
+    pub track: ClassId,
     pub object: ObjectId,
     pub group: GroupId,
     pub part: u32,
--- a/crates/lab/tests/crossing.rs
+++ b/crates/lab/tests/crossing.rs
@@ -117,7 +117,7 @@
         scenario("video.star", VIDEO, &[("SECONDS", "8".to_owned())]).expect("a scenario");
     let mut day = model::run(&scenario, Policy::Design, 1);
     assert!(account_error(&day.crossed, DEPOT) < 1e-9);
-    *day.crossed.booked.entry((DEPOT, TrackId(0))).or_default() *= 1.05;
+    *day.crossed.booked.entry((DEPOT, ClassId(0))).or_default() *= 1.05;
     assert!(account_error(&day.crossed, DEPOT) > 0.04);
     // 100 KB each tenth of a second, and once 3,000 more.
     let mut steps: Vec<f64> = (0..200).map(|n| f64::from(n) * 100.0).collect();
@@ -140,6 +140,6 @@
         .shape
         .tracks
         .iter()
-        .position(|track| matches!(track.effect, Effect::Fingerprinted { .. }));
+        .position(|track| matches!(track.effect, Effect::Keyed { .. }));
     assert_eq!(order, Some(2));
 }
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -7,8 +7,8 @@
 const HOST: HostId = HostId(1);
 const OTHER: HostId = HostId(2);
 
-fn track(effect: Effect) -> Track {
-    Track {
+fn track(effect: Effect) -> ClassTerms {
+    ClassTerms {
         due: Span::from_millis(500),
         due_stretch: 1.0,
         effect,
@@ -30,12 +30,12 @@
     let cell = RepeatGroup::Cell;
     let mut checker = Checker::new(Bounds {
         tracks: vec![
-            track(Effect::Retriable),
-            track(Effect::Fingerprinted {
+            track(Effect::Idempotent),
+            track(Effect::Keyed {
                 group: cell,
                 window,
             }),
-            track(Effect::Binding),
+            track(Effect::NonIdempotent),
         ],
         cold_cache: cold,
         cold_parent: cold,
@@ -69,13 +69,13 @@
     Moment(0) + Span::from_secs_f64(s)
 }
 
-fn id(n: u64) -> AccessId {
-    AccessId(n)
+fn id(n: u64) -> RequestId {
+    RequestId(n)
 }
 
 /// An access of a track, sent to the first host at once.
 fn sent(checker: &mut Checker, n: u64, track: u16, at: f64) {
-    checker.taken(secs(at), id(n), TrackId(track), secs(at + 3.0));
+    checker.taken(secs(at), id(n), ClassId(track), secs(at + 3.0));
     checker.sent(secs(at), id(n), 0, HOST, None, 10.0);
 }
 
@@ -186,7 +186,7 @@
     ] {
         let mut checker = checker();
         checker.listed(secs(1.0), entry(HOST, 0, HostState::Draining));
-        checker.taken(secs(at), id(1), TrackId(0), secs(at + 3.0));
+        checker.taken(secs(at), id(1), ClassId(0), secs(at + 3.0));
         let host = if source.is_some() { OTHER } else { HOST };
         checker.sent(secs(at), id(1), 0, host, source, 10.0);
         checker.answered(secs(at + 0.1), id(1), Final::Done, None);
@@ -205,7 +205,7 @@
         };
         checker.listed(secs(10.0), cold);
         for n in 1..=accesses {
-            checker.taken(secs(10.0), id(n), TrackId(0), secs(13.0));
+            checker.taken(secs(10.0), id(n), ClassId(0), secs(13.0));
             checker.sent(secs(10.0), id(n), 0, HOST, None, 1_000.0);
             checker.answered(secs(10.5), id(n), Final::Done, None);
         }
--- a/crates/peers/src/decide/claims.rs
+++ b/crates/peers/src/decide/claims.rs
@@ -23,7 +23,7 @@
 /// One round of questions about one key.
 #[derive(Clone, Debug)]
 struct Asking {
-    id: AccessId,
+    id: RequestId,
     asked: Moment,
     /// Who has not answered, and how many have to be sure.
     open: BTreeSet<PeerId>,
@@ -67,7 +67,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Claims {
-    own: BTreeMap<AccessId, Own>,
+    own: BTreeMap<RequestId, Own>,
     asking: BTreeMap<AskNo, Asking>,
     owed: BTreeMap<FactId, Owed>,
     timed: BTreeSet<(Moment, FactId)>,
@@ -78,7 +78,7 @@
         (self.own.len(), self.asking.len(), self.owed.len())
     }
 
-    pub fn get(&self, id: AccessId) -> Option<&Own> {
+    pub fn get(&self, id: RequestId) -> Option<&Own> {
         self.own.get(&id)
     }
 
@@ -87,7 +87,7 @@
     }
 
     /// The claim of an access, made with the first question for it. `None`: it has yielded, and only looks.
-    pub fn claim(&mut self, now: Moment, id: AccessId, key: Key, token: Token) -> Option<Claim> {
+    pub fn claim(&mut self, now: Moment, id: RequestId, key: Key, token: Token) -> Option<Claim> {
         let own = self.own.entry(id).or_insert_with(|| Own {
             key,
             claim: Claim {
@@ -107,7 +107,7 @@
         &mut self,
         now: Moment,
         no: AskNo,
-        id: AccessId,
+        id: RequestId,
         whom: BTreeSet<PeerId>,
         enough: usize,
     ) {
@@ -135,7 +135,7 @@
         from: PeerId,
         sure: bool,
         claims: Vec<Claim>,
-    ) -> Option<(AccessId, Heard)> {
+    ) -> Option<(RequestId, Heard)> {
         let asking = self.asking.get_mut(&no)?;
         // What a former keeper knows binds as well; its "nothing known" says nothing.
         let counts = asking.open.remove(&from);
@@ -174,7 +174,7 @@
         Some((id, heard))
     }
 
-    fn yield_to(&mut self, now: Moment, id: AccessId) {
+    fn yield_to(&mut self, now: Moment, id: RequestId) {
         if let Some(own) = self.own.get_mut(&id).filter(|own| !own.yielded) {
             own.yielded = true;
             let mut claim = own.claim.clone();
@@ -185,7 +185,7 @@
     }
 
     /// A hand-off goes out.
-    pub fn sent(&mut self, now: Moment, id: AccessId, place: (ZoneId, CellId), token: Token) {
+    pub fn sent(&mut self, now: Moment, id: RequestId, place: (ZoneId, CellId), token: Token) {
         let Some(own) = self.own.get_mut(&id) else {
             return;
         };
@@ -209,7 +209,7 @@
     }
 
     /// It has its final answer.
-    pub fn ended(&mut self, now: Moment, id: AccessId, came: Came) {
+    pub fn ended(&mut self, now: Moment, id: RequestId, came: Came) {
         let Some(own) = self.own.remove(&id).filter(|own| !own.yielded) else {
             return;
         };
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -92,7 +92,7 @@
     Send(Address, Letter),
     /// An access that came goes on now.
     Decided {
-        id: AccessId,
+        id: RequestId,
         verdict: Verdict,
     },
     Purged {
@@ -280,7 +280,7 @@
     }
 
     /// What another dispatcher did under the key of this access.
-    pub fn earlier(&self, id: AccessId) -> Option<Earlier> {
+    pub fn earlier(&self, id: RequestId) -> Option<Earlier> {
         let unsure = || {
             // It may have run anywhere, however long ago.
             let refused = self.rules.refuse && !self.granted(id) && self.records.key(id).is_some();
@@ -291,7 +291,7 @@
     }
 
     /// Whether the others said that no other has the key of this access.
-    pub fn granted(&self, id: AccessId) -> bool {
+    pub fn granted(&self, id: RequestId) -> bool {
         self.records.claimed(id)
     }
 
@@ -475,7 +475,7 @@
     }
 
     /// An access with a key came. It goes on with [`Act::Decided`], at once or soon.
-    pub fn come(&mut self, now: Moment, id: AccessId, key: Key, due: Moment) {
+    pub fn come(&mut self, now: Moment, id: RequestId, key: Key, due: Moment) {
         self.wake(now);
         if !self.rules.records || self.quiet() {
             let verdict = Verdict::Go;
@@ -493,7 +493,7 @@
     }
 
     /// A hand-off of it goes out.
-    pub fn hand_off(&mut self, now: Moment, id: AccessId, place: (ZoneId, CellId)) {
+    pub fn hand_off(&mut self, now: Moment, id: RequestId, place: (ZoneId, CellId)) {
         let token = self.token();
         self.records.sent(id, place);
         self.claims.sent(now, id, place, token);
@@ -501,7 +501,7 @@
     }
 
     /// It has its final answer.
-    pub fn ended(&mut self, now: Moment, id: AccessId, came: Came) {
+    pub fn ended(&mut self, now: Moment, id: RequestId, came: Came) {
         self.records.ended(id, &came);
         self.claims.ended(now, id, came);
         self.tell_owed(now);
@@ -523,7 +523,7 @@
         }
     }
 
-    fn claim(&mut self, now: Moment, id: AccessId, key: Key) {
+    fn claim(&mut self, now: Moment, id: RequestId, key: Key) {
         if !self.claims.room() {
             let steps = self.records.go(id);
             return self.follow(now, steps);
--- a/crates/peers/tests/sweep.rs
+++ b/crates/peers/tests/sweep.rs
@@ -373,9 +373,9 @@
             small.deliver(0, false);
         }
     }
-    let key = Folding::new("small").key(TrackId(0), "k");
+    let key = Folding::new("small").key(ClassId(0), "k");
     for n in 0..2 {
-        small.peers[n].come(small.now, AccessId(1), key, small.now + SECOND);
+        small.peers[n].come(small.now, RequestId(1), key, small.now + SECOND);
         small.act(n);
     }
     fn explore(small: &Small, depth: usize, seen: &mut (u64, u64)) {
--- a/crates/peers/tests/world/mod.rs
+++ b/crates/peers/tests/world/mod.rs
@@ -62,7 +62,7 @@
     pub faster: f64,
     pub paused: bool,
     waiting: Vec<(Address, Letter)>,
-    open: BTreeMap<AccessId, Open>,
+    open: BTreeMap<RequestId, Open>,
     born: u64,
     woke: Moment,
 }
@@ -338,7 +338,7 @@
             return;
         }
         self.next += 1;
-        let id = AccessId(self.next);
+        let id = RequestId(self.next);
         let now = self.clock(node);
         let open = Open {
             key,
@@ -347,7 +347,7 @@
             ends_at: None,
         };
         self.nodes[node].open.insert(id, open);
-        let folded = self.folding.key(TrackId(0), &key.to_string());
+        let folded = self.folding.key(ClassId(0), &key.to_string());
         let eager = self.planted == Some(Planted::ClaimLate);
         if let Some(peers) = &mut self.nodes[node].peers {
             peers.come(now, id, folded, now + Span::from_secs(1));
@@ -361,7 +361,7 @@
         self.act(node);
     }
 
-    fn decided(&mut self, node: usize, id: AccessId, verdict: Verdict) {
+    fn decided(&mut self, node: usize, id: RequestId, verdict: Verdict) {
         let now = self.clock(node);
         let (at, runs) = (self.now, self.runs);
         let of = &mut self.nodes[node];
@@ -409,7 +409,7 @@
         let at = self.now;
         let of = &mut self.nodes[node];
         let Some(peers) = &mut of.peers else { return };
-        let over: Vec<AccessId> = of
+        let over: Vec<RequestId> = of
             .open
             .iter()
             .filter(|(_, open)| open.ends_at.is_some_and(|end| end <= at))
--- a/crates/shared-store/src/decide/mod.rs
+++ b/crates/shared-store/src/decide/mod.rs
@@ -52,7 +52,7 @@
     },
     /// An access that came goes on now.
     Decided {
-        id: AccessId,
+        id: RequestId,
         verdict: Verdict,
     },
     Purged {
@@ -129,7 +129,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum What {
     Open,
-    Claim(AccessId),
+    Claim(RequestId),
     Fetch,
     News,
     Write,
@@ -209,21 +209,21 @@
     }
 
     /// What another dispatcher did under the key of this access.
-    pub fn earlier(&self, id: AccessId) -> Option<Earlier> {
+    pub fn earlier(&self, id: RequestId) -> Option<Earlier> {
         self.records.earlier(id)
     }
 
     /// Whether the store said that no other has the key of this access.
-    pub fn claimed(&self, id: AccessId) -> bool {
+    pub fn claimed(&self, id: RequestId) -> bool {
         self.records.claimed(id)
     }
 
-    fn token(&self, id: AccessId) -> u64 {
+    fn token(&self, id: RequestId) -> u64 {
         self.life.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ id.0
     }
 
     /// A fingerprinted access came. It goes on with [`Act::Decided`], at once or soon.
-    pub fn come(&mut self, now: Moment, id: AccessId, key: Key, due: Moment) {
+    pub fn come(&mut self, now: Moment, id: RequestId, key: Key, due: Moment) {
         if !self.rules.records {
             let verdict = Verdict::Go;
             return self.acts.push(Act::Decided { id, verdict });
@@ -236,7 +236,7 @@
     }
 
     /// A hand-off of it goes out.
-    pub fn hand_off(&mut self, now: Moment, id: AccessId, place: (ZoneId, CellId)) {
+    pub fn hand_off(&mut self, now: Moment, id: RequestId, place: (ZoneId, CellId)) {
         if let Some(key) = self.records.sent(id, place) {
             let (token, keep) = (self.token(id), self.rules.keep);
             let ago = Span::ZERO;
@@ -252,7 +252,7 @@
     }
 
     /// It has its final answer.
-    pub fn ended(&mut self, now: Moment, id: AccessId, came: Came) {
+    pub fn ended(&mut self, now: Moment, id: RequestId, came: Came) {
         if let Some((key, place)) = self.records.ended(id, &came) {
             let (token, keep) = (self.token(id), self.rules.keep);
             let op = Op::Ended {
--- a/crates/shared-store/src/decide/records.rs
+++ b/crates/shared-store/src/decide/records.rs
@@ -29,14 +29,14 @@
     /// BLAKE3, keyed, the first 128 bits of it: nobody finds two marks of one key, so no client reaches another's record.
     ///
     /// ```
-    /// use trailproxy::units::TrackId;
+    /// use trailproxy::units::ClassId;
     /// use trailproxy_shared_store::decide::records::Folding;
     /// let (here, there) = (Folding::new("a/"), Folding::new("b/"));
-    /// assert_eq!(here.key(TrackId(1), "m"), Folding::new("a/").key(TrackId(1), "m"));
-    /// assert_ne!(here.key(TrackId(1), "m"), here.key(TrackId(2), "m"));
-    /// assert_ne!(here.key(TrackId(1), "m"), there.key(TrackId(1), "m"));
+    /// assert_eq!(here.key(ClassId(1), "m"), Folding::new("a/").key(ClassId(1), "m"));
+    /// assert_ne!(here.key(ClassId(1), "m"), here.key(ClassId(2), "m"));
+    /// assert_ne!(here.key(ClassId(1), "m"), there.key(ClassId(1), "m"));
     /// ```
-    pub fn key(&self, track: TrackId, mark: &str) -> Key {
+    pub fn key(&self, track: ClassId, mark: &str) -> Key {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
         hasher
             .update(&track.0.to_le_bytes())
@@ -126,16 +126,16 @@
 /// The keyed accesses that are open here.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
-    own: BTreeMap<AccessId, Own>,
+    own: BTreeMap<RequestId, Own>,
     /// When each is to be looked at.
-    timed: std::collections::BTreeSet<(Moment, AccessId)>,
+    timed: std::collections::BTreeSet<(Moment, RequestId)>,
 }
 
 /// What to do about an access.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    Claim(AccessId, Key),
-    Decided(AccessId, Verdict),
+    Claim(RequestId, Key),
+    Decided(RequestId, Verdict),
 }
 
 impl Records {
@@ -143,24 +143,24 @@
         self.own.len()
     }
 
-    pub fn key(&self, id: AccessId) -> Option<Key> {
+    pub fn key(&self, id: RequestId) -> Option<Key> {
         self.own.get(&id).map(|own| own.key)
     }
 
     /// Whether the store said that no other has its key.
-    pub fn claimed(&self, id: AccessId) -> bool {
+    pub fn claimed(&self, id: RequestId) -> bool {
         self.own.get(&id).is_some_and(|own| own.claimed)
     }
 
     /// Whether it waits for the store.
-    pub fn waits(&self, id: AccessId) -> bool {
+    pub fn waits(&self, id: RequestId) -> bool {
         self.own
             .get(&id)
             .is_some_and(|own| own.phase != Phase::Gone)
     }
 
     /// What another dispatcher did under the key of this access.
-    pub fn earlier(&self, id: AccessId) -> Option<Earlier> {
+    pub fn earlier(&self, id: RequestId) -> Option<Earlier> {
         self.own.get(&id)?.earlier
     }
 
@@ -168,7 +168,7 @@
     pub fn come(
         &mut self,
         now: Moment,
-        id: AccessId,
+        id: RequestId,
         key: Key,
         due: Moment,
         wait: Option<Span>,
@@ -197,7 +197,7 @@
     }
 
     /// The claim stands: no other has this key.
-    pub fn mine(&mut self, id: AccessId) -> Vec<Step> {
+    pub fn mine(&mut self, id: RequestId) -> Vec<Step> {
         let Some(own) = self.own.get_mut(&id) else {
             return Vec::new();
         };
@@ -206,14 +206,20 @@
     }
 
     /// Whoever had it before has let go of it, and it never ran: nothing binds this access any more.
-    pub fn freed(&mut self, id: AccessId) {
+    pub fn freed(&mut self, id: RequestId) {
         if let Some(own) = self.own.get_mut(&id) {
             own.earlier = None;
         }
     }
 
     /// Another has it, or had it: told at `now` to a question that went out at `asked`.
-    pub fn found(&mut self, now: Moment, asked: Moment, id: AccessId, record: Record) -> Vec<Step> {
+    pub fn found(
+        &mut self,
+        now: Moment,
+        asked: Moment,
+        id: RequestId,
+        record: Record,
+    ) -> Vec<Step> {
         let Some(own) = self.own.get_mut(&id) else {
             return Vec::new();
         };
@@ -247,12 +253,12 @@
     /// Whoever waits goes on without the store.
     pub fn leave(&mut self) -> Vec<Step> {
         let waiting = self.own.iter().filter(|(_, own)| own.phase != Phase::Gone);
-        let waiting: Vec<AccessId> = waiting.map(|(&id, _)| id).collect();
+        let waiting: Vec<RequestId> = waiting.map(|(&id, _)| id).collect();
         waiting.into_iter().flat_map(|id| self.go(id)).collect()
     }
 
     /// One whose question can't be answered goes on without.
-    pub fn go(&mut self, id: AccessId) -> Vec<Step> {
+    pub fn go(&mut self, id: RequestId) -> Vec<Step> {
         let waits = |own: &&mut Own| own.phase != Phase::Gone;
         match self.own.get_mut(&id).filter(waits) {
             Some(own) => {
@@ -264,7 +270,7 @@
     }
 
     /// A hand-off goes out; `Some`: it is the first, and the store is to know where it went.
-    pub fn sent(&mut self, id: AccessId, place: (ZoneId, CellId)) -> Option<Key> {
+    pub fn sent(&mut self, id: RequestId, place: (ZoneId, CellId)) -> Option<Key> {
         let own = self.own.get_mut(&id)?;
         let first = own.place.is_none() && own.earlier.is_none();
         own.place = own.place.or(Some(place));
@@ -272,7 +278,7 @@
     }
 
     /// It has its final answer. `Some`: the store is to know how it ended; with where it went first.
-    pub fn ended(&mut self, id: AccessId, came: &Came) -> Option<(Key, Option<(ZoneId, CellId)>)> {
+    pub fn ended(&mut self, id: RequestId, came: &Came) -> Option<(Key, Option<(ZoneId, CellId)>)> {
         let own = self.own.remove(&id)?;
         // What another sent first is that one's to end, unless this one found out that it is done.
         let others = own.earlier.is_some() && !matches!(came, Came::Done(_));
--- a/crates/shared-store/tests/sweep.rs
+++ b/crates/shared-store/tests/sweep.rs
@@ -94,7 +94,7 @@
 
 struct Open {
     nth: usize,
-    id: AccessId,
+    id: RequestId,
     mark: String,
     come: Moment,
     ends: Option<Moment>,
@@ -164,7 +164,7 @@
             }
             let cell = one.nth as u16;
             let covered = earlier.is_none_or(|earlier| {
-                let Effect::Fingerprinted { group, window } = (Effect::Fingerprinted {
+                let Effect::Keyed { group, window } = (Effect::Keyed {
                     group: RepeatGroup::Cell,
                     window: WINDOW,
                 }) else {
@@ -263,7 +263,7 @@
 #[derive(Clone)]
 struct Case {
     world: World,
-    open: Vec<(usize, AccessId, bool)>,
+    open: Vec<(usize, RequestId, bool)>,
     cells: BTreeSet<u16>,
 }
 
--- a/crates/shared-store/tests/world/mod.rs
+++ b/crates/shared-store/tests/world/mod.rs
@@ -65,12 +65,12 @@
     back: VecDeque<(Moment, OpId, Reply)>,
     connecting: Option<Moment>,
     /// Accesses that were decided, how, and how often.
-    pub decided: BTreeMap<AccessId, Vec<(Moment, Verdict)>>,
+    pub decided: BTreeMap<RequestId, Vec<(Moment, Verdict)>>,
     pub turns: Vec<(Moment, Trust, &'static str)>,
     pub purges: Vec<(Moment, Option<ObjectId>, Span)>,
     pub hints: Vec<(Moment, HostId)>,
     /// Whether an access was decided by what the store had answered.
-    pub believed: BTreeMap<AccessId, bool>,
+    pub believed: BTreeMap<RequestId, bool>,
 }
 
 /// How the way to the store is now.
@@ -224,29 +224,29 @@
         self.pump(nth);
     }
 
-    pub fn come(&mut self, nth: usize, mark: &str, left: Span) -> AccessId {
+    pub fn come(&mut self, nth: usize, mark: &str, left: Span) -> RequestId {
         self.next_access += 1;
-        let id = AccessId(self.next_access);
+        let id = RequestId(self.next_access);
         let due = self.now + left;
-        let key = Folding::new("t").key(TrackId(1), mark);
+        let key = Folding::new("t").key(ClassId(1), mark);
         self.members[nth].sharing.come(self.now, id, key, due);
         self.pump(nth);
         id
     }
 
-    pub fn sent(&mut self, nth: usize, id: AccessId, cell: u16) {
+    pub fn sent(&mut self, nth: usize, id: RequestId, cell: u16) {
         let place = (ZoneId(0), CellId(cell));
         self.members[nth].sharing.hand_off(self.now, id, place);
         self.pump(nth);
     }
 
-    pub fn ended(&mut self, nth: usize, id: AccessId, came: Came) {
+    pub fn ended(&mut self, nth: usize, id: RequestId, came: Came) {
         self.members[nth].sharing.ended(self.now, id, came);
         self.pump(nth);
     }
 
     /// How one access was decided, if it was.
-    pub fn verdict(&self, nth: usize, id: AccessId) -> Option<&Verdict> {
+    pub fn verdict(&self, nth: usize, id: RequestId) -> Option<&Verdict> {
         let all = self.members[nth].decided.get(&id)?;
         assert_eq!(all.len(), 1, "one verdict for one access");
         Some(&all[0].1)
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -28,7 +28,7 @@
     pub host: HostId,
     /// Where the client is.
     pub zone: ZoneId,
-    pub track: TrackId,
+    pub track: ClassId,
     pub object: ObjectId,
     pub group: GroupId,
     pub part: u32,
@@ -108,7 +108,7 @@
     to: usize,
     from: usize,
     part: PartOf,
-    track: TrackId,
+    track: ClassId,
     group: GroupId,
     kb: f64,
     rank: u8,
@@ -527,7 +527,7 @@
         self.say(ticket, ending, note, job.waited, minted, full);
     }
 
-    fn track(&self, track: TrackId) -> &trailproxy::interface::Track {
+    fn track(&self, track: ClassId) -> &trailproxy::interface::ClassTerms {
         &self.shape.tracks[usize::from(track.0)]
     }
 
@@ -626,7 +626,7 @@
         &self,
         at: usize,
         part: PartOf,
-        track: TrackId,
+        track: ClassId,
         oldest: Option<Span>,
     ) -> (Option<Copy>, Option<Copy>) {
         let held = self.servers[at].store.look(part);
@@ -720,7 +720,7 @@
         to: usize,
         from: HostId,
         part: PartOf,
-        track: TrackId,
+        track: ClassId,
         group: GroupId,
         kb: f64,
         rank: u8,
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -614,7 +614,7 @@
             ticket,
             host,
             zone: wanted.zone,
-            track: TrackId(track as u16),
+            track: ClassId(track as u16),
             object: ObjectId(object),
             group: wanted.group,
             part: field("piece")
--- a/crates/standins/src/shape.rs
+++ b/crates/standins/src/shape.rs
@@ -1,6 +1,6 @@
 //! What a fleet is made of, and what is to happen to it.
 
-use trailproxy::interface::{Cold, Note, NoteLevel, Track};
+use trailproxy::interface::{ClassTerms, Cold, Note, NoteLevel};
 use trailproxy::units::*;
 
 /// A day begins at this point in time, so that copies may be older than the day.
@@ -42,7 +42,7 @@
 pub struct Shape {
     pub zones: Vec<Zone>,
     pub hosts: Vec<HostShape>,
-    pub tracks: Vec<Track>,
+    pub tracks: Vec<ClassTerms>,
     /// KB/s of one answer, and of one fill, at most.
     pub flow_kb_per_s: f64,
     pub fill_kb_per_s: f64,
--- a/crates/standins/tests/fleet.rs
+++ b/crates/standins/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! The stand-ins by themselves: what hosts do when they are asked, filled, struck and brought back.
 
 use proptest::prelude::*;
-use trailproxy::interface::{Cold, Effect, Ending, Fill, HostState, Note, Track};
+use trailproxy::interface::{ClassTerms, Cold, Effect, Ending, Fill, HostState, Note};
 use trailproxy::units::*;
 use trailproxy_standins::fleet::{Answer, Fleet, Pull, Said, Ticket};
 use trailproxy_standins::pipe::Pipe;
@@ -29,10 +29,10 @@
         first_byte: Span::from_millis(10),
         places: 8,
     };
-    let track = |fresh: Option<Span>, written| Track {
+    let track = |fresh: Option<Span>, written| ClassTerms {
         due: Span::from_millis(500),
         due_stretch: 1.0,
-        effect: Effect::Retriable,
+        effect: Effect::Idempotent,
         fresh,
         grace: Span::from_secs(60),
         written,
@@ -77,7 +77,7 @@
         ticket: Ticket(ticket),
         host: CACHE,
         zone: ZoneId(1),
-        track: TrackId(0),
+        track: ClassId(0),
         object: ObjectId(object),
         group: GroupId(0),
         part: 0,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -177,16 +177,16 @@
         })
     }
 
-    fn track(&self, i: usize) -> Read1<Track> {
+    fn track(&self, i: usize) -> Read1<ClassTerms> {
         let own = |name: &str| format!("classes.{i}.{name}");
         let of_family = |name: &str| -> Read1<u64> {
             let all = self.list(&format!("family_info.{name}"))?;
             Ok(all.get(i).copied().unwrap_or(0))
         };
         let effect = match self.must::<String>(&own("semantics"))?.as_str() {
-            "repeatable" => Effect::Retriable,
-            "once" => Effect::Binding,
-            "by_key" => Effect::Fingerprinted {
+            "repeatable" => Effect::Idempotent,
+            "once" => Effect::NonIdempotent,
+            "by_key" => Effect::Keyed {
                 group: match self.text(&own("group")).unwrap_or("") {
                     "all" => RepeatGroup::All,
                     "zone" => RepeatGroup::Zone,
@@ -197,7 +197,7 @@
             other => return Err(format!("unknown semantics {other:?} of class {i}").into()),
         };
         let fresh = of_family("max_age_us")?;
-        Ok(Track {
+        Ok(ClassTerms {
             due: self.span(&own("on_time_us"))?,
             due_stretch: self.or(&own("aim_stretch"), 0.0)?,
             effect,
--- a/crates/trailproxyd/src/beside.rs
+++ b/crates/trailproxyd/src/beside.rs
@@ -47,7 +47,7 @@
     }
 
     /// A hand-off goes out.
-    pub fn went(&mut self, now: Moment, id: AccessId, host: HostId) {
+    pub fn went(&mut self, now: Moment, id: RequestId, host: HostId) {
         self.shared
             .iter_mut()
             .for_each(|shared| shared.sent(now, id, host));
@@ -57,7 +57,7 @@
     }
 
     /// An access with a key has its final answer, or its client left; the decisions may never have heard of it.
-    pub fn ended(&mut self, now: Moment, id: AccessId, came: &Came) {
+    pub fn ended(&mut self, now: Moment, id: RequestId, came: &Came) {
         self.shared
             .iter_mut()
             .for_each(|shared| shared.ended(now, id, came.clone()));
@@ -263,7 +263,7 @@
         self.act();
     }
 
-    pub fn sent(&mut self, now: Moment, id: AccessId, host: HostId) {
+    pub fn sent(&mut self, now: Moment, id: RequestId, host: HostId) {
         if let Some(place) = self.waiting.place(host) {
             self.sharing.hand_off(now, id, place);
             self.act();
@@ -271,7 +271,7 @@
     }
 
     /// It has its final answer, or its client left; the decisions may never have heard of it.
-    pub fn ended(&mut self, now: Moment, id: AccessId, came: Came) {
+    pub fn ended(&mut self, now: Moment, id: RequestId, came: Came) {
         self.waiting.forget(id);
         self.sharing.ended(now, id, came);
         self.act();
@@ -389,13 +389,13 @@
         self.zones.sent(now, crossing);
     }
 
-    fn come_back(&self, now: Moment, track: TrackId) -> Option<Span> {
+    fn come_back(&self, now: Moment, track: ClassId) -> Option<Span> {
         self.zones.come_back(now, track)
     }
 }
 
 impl Others for Beside {
-    fn earlier(&self, id: AccessId) -> Option<Earlier> {
+    fn earlier(&self, id: RequestId) -> Option<Earlier> {
         let shared = self
             .shared
             .as_ref()
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -48,7 +48,7 @@
 /// What all connections share.
 pub struct Shared {
     pub queue: Queue,
-    pub tracks: HashMap<String, TrackId>,
+    pub tracks: HashMap<String, ClassId>,
     pub places: RefCell<Places>,
     /// No client waits longer than this for anything.
     pub longest_limit: Duration,
@@ -526,7 +526,7 @@
     }
 }
 
-fn read_message(client: ClientId, value: &Value, tracks: &HashMap<String, TrackId>) -> Message {
+fn read_message(client: ClientId, value: &Value, tracks: &HashMap<String, ClassId>) -> Message {
     let Value::Array(items) = value else {
         return Message::Damage("a message is not an array");
     };
@@ -553,7 +553,7 @@
     }
 }
 
-fn read_call(id: CallId, track: TrackId, params: &Value) -> Option<Call> {
+fn read_call(id: CallId, track: ClassId, params: &Value) -> Option<Call> {
     let Value::Array(params) = params else {
         return None;
     };
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -37,7 +37,7 @@
 const LAST_WORDS: Duration = Duration::from_millis(20);
 const REPORT_EVERY: Duration = Duration::from_secs(10);
 
-struct HandedOff {
+struct AttemptState {
     host: HostId,
     source: Option<HostId>,
     sent: Moment,
@@ -47,12 +47,12 @@
     ran: bool,
 }
 
-struct Access {
+struct Request {
     call: Rc<Call>,
     limit: Moment,
     /// It has its final answer, or needs none.
     closed: bool,
-    hand_offs: Vec<HandedOff>,
+    hand_offs: Vec<AttemptState>,
 }
 
 struct Client {
@@ -81,14 +81,14 @@
 
 #[derive(Default)]
 struct State {
-    accesses: BTreeMap<AccessId, Access>,
-    calls: BTreeMap<CallId, AccessId>,
+    accesses: BTreeMap<RequestId, Request>,
+    calls: BTreeMap<CallId, RequestId>,
     /// The ids of open accesses, which hosts tell their answers by, and of those that were open as
     /// lately as a host may still have them: for it a second request under one would be a second copy.
     references: BTreeSet<Rc<str>>,
     fading: VecDeque<(Moment, Rc<str>)>,
     clients: BTreeMap<ClientId, Client>,
-    limits: BTreeSet<(Moment, AccessId)>,
+    limits: BTreeSet<(Moment, RequestId)>,
     wakes: BTreeSet<(Moment, WakeId)>,
     next: u64,
     /// The last place in the journal.
@@ -511,7 +511,7 @@
         }
     }
 
-    fn calls_of(&self, client: ClientId) -> Vec<(CallId, AccessId)> {
+    fn calls_of(&self, client: ClientId) -> Vec<(CallId, RequestId)> {
         let (first, last) = (0, u32::MAX);
         let all = [first, last].map(|number| CallId { client, number });
         let calls = self.state.calls.range(all[0]..=all[1]);
@@ -537,12 +537,12 @@
     }
 
     /// Drops what of an access is not begun, also where the settings allow no withdrawal of what is.
-    fn recall(&mut self, access: AccessId) {
+    fn recall(&mut self, access: RequestId) {
         let open = self.state.accesses.get(&access);
         let out = open.into_iter().flat_map(|open| &open.hand_offs);
-        let out = (0..).map(HandOffNo).zip(out).filter(|(_, h)| !h.over);
+        let out = (0..).map(AttemptNo).zip(out).filter(|(_, h)| !h.over);
         for no in out.map(|(no, _)| no).collect::<Vec<_>>() {
-            self.pools.recall(HandOffId { access, no });
+            self.pools.recall(AttemptId { access, no });
         }
     }
 
@@ -558,7 +558,7 @@
             return self.reply(call.id, Reply::Aborted);
         }
         self.state.next += 1;
-        let id = AccessId(self.state.next);
+        let id = RequestId(self.state.next);
         let limit = self.clock.moment(call.come) + call.left;
         let arrival = Arrival {
             id,
@@ -571,12 +571,12 @@
         };
         self.state.limits.insert((limit, id));
         self.state.calls.insert(call.id, id);
-        let keyed = self.effects[usize::from(call.track.0)] != Effect::Retriable;
+        let keyed = self.effects[usize::from(call.track.0)] != Effect::Idempotent;
         let mark = call.mark.clone().filter(|_| keyed);
         let (closed, hand_offs) = (false, Vec::new());
         self.state.accesses.insert(
             id,
-            Access {
+            Request {
                 call: Rc::new(call),
                 limit,
                 closed,
@@ -601,7 +601,7 @@
     }
 
     /// No answer is owed any more; what is out may still end.
-    fn close(&mut self, id: AccessId) {
+    fn close(&mut self, id: RequestId) {
         if let Some(access) = self.state.accesses.get_mut(&id) {
             must(!access.closed, &self.counts.broken_two_finals);
             access.closed = true;
@@ -611,9 +611,9 @@
         }
     }
 
-    fn forget(&mut self, now: Moment, id: AccessId) {
+    fn forget(&mut self, now: Moment, id: RequestId) {
         let longest = self.pools.shared.bounds.longest_limit;
-        let over = |access: &Access| access.closed && access.hand_offs.iter().all(|h| h.over);
+        let over = |access: &Request| access.closed && access.hand_offs.iter().all(|h| h.over);
         if self.state.accesses.get(&id).is_some_and(over)
             && let Some(access) = self.state.accesses.remove(&id)
         {
@@ -639,7 +639,7 @@
     }
 
     /// Others are to know what came of it.
-    fn came(&mut self, now: Moment, id: AccessId, done: Option<&[u8]>) {
+    fn came(&mut self, now: Moment, id: RequestId, done: Option<&[u8]>) {
         let beside = &mut self.decisions.crossings;
         if let Some(access) = self.state.accesses.get(&id)
             && access.call.mark.is_some()
@@ -651,7 +651,7 @@
     }
 
     /// The one final answer of an access.
-    fn answer(&mut self, now: Moment, id: AccessId, reply: Reply) {
+    fn answer(&mut self, now: Moment, id: RequestId, reply: Reply) {
         let Some(access) = self.state.accesses.get(&id).filter(|access| !access.closed) else {
             return;
         };
@@ -676,7 +676,7 @@
         self.reply(call, reply);
     }
 
-    fn ended(&mut self, now: Moment, id: HandOffId, line: Option<LineId>, answer: Answer) {
+    fn ended(&mut self, now: Moment, id: AttemptId, line: Option<LineId>, answer: Answer) {
         let ending = answer.ending;
         let access = self.state.accesses.get_mut(&id.access);
         let hand_off = access.and_then(|access| access.hand_offs.get_mut(usize::from(id.no.0)));
@@ -730,7 +730,7 @@
         self.forget(now, id.access);
     }
 
-    fn client_of(&self, id: AccessId) -> Option<&Client> {
+    fn client_of(&self, id: RequestId) -> Option<&Client> {
         let access = self.state.accesses.get(&id)?;
         self.state.clients.get(&access.call.id.client)
     }
@@ -775,7 +775,7 @@
                 Some((None, group)) => open.call.group == group,
                 None => false,
             };
-            for (no, hand_off) in (0..).map(HandOffNo).zip(&open.hand_offs) {
+            for (no, hand_off) in (0..).map(AttemptNo).zip(&open.hand_offs) {
                 let hosts = [Some(hand_off.host), hand_off.source];
                 let unready = || {
                     hosts
@@ -784,7 +784,7 @@
                         .any(|&host| !self.pools.is_ready(host))
                 };
                 if !hand_off.over && (purged || listed && unready()) {
-                    recalls.push(HandOffId { access, no });
+                    recalls.push(AttemptId { access, no });
                 }
             }
         }
@@ -797,7 +797,7 @@
         while let Some((_, id)) = self.state.fading.pop_front_if(|(until, _)| *until <= now) {
             self.state.references.remove(&id);
         }
-        let due: Vec<AccessId> = {
+        let due: Vec<RequestId> = {
             let due = self.state.limits.iter().take_while(|(at, _)| *at <= now);
             due.map(|&(_, id)| id).collect()
         };
@@ -805,11 +805,11 @@
             let Some(access) = self.state.accesses.get(&id) else {
                 continue;
             };
-            let out = access.hand_offs.iter().zip((0..).map(HandOffNo));
-            let out: Vec<HandOffNo> = out.filter(|(h, _)| !h.over).map(|(_, no)| no).collect();
+            let out = access.hand_offs.iter().zip((0..).map(AttemptNo));
+            let out: Vec<AttemptNo> = out.filter(|(h, _)| !h.over).map(|(_, no)| no).collect();
             self.state.limits.remove(&(access.limit, id));
             for no in out {
-                let hand_off = HandOffId { access: id, no };
+                let hand_off = AttemptId { access: id, no };
                 self.pools.kill(hand_off);
                 self.ended(now, hand_off, None, Answer::bare(Ending::TimedOut));
             }
@@ -829,18 +829,18 @@
         }
         for action in self.decisions.settle(now) {
             match action {
-                Action::HandOff(hand_off) => self.hand_off(now, hand_off),
-                Action::Reject { id, come_back } => {
+                Action::Attempt(hand_off) => self.hand_off(now, hand_off),
+                Action::Refuse { id, come_back } => {
                     self.answer(now, id, Reply::Rejected { come_back });
                     self.forget(now, id);
                 }
-                Action::Abort { id } => {
+                Action::Fail { id } => {
                     self.answer(now, id, Reply::Aborted);
                     self.forget(now, id);
                 }
                 Action::Withdraw { id, hand_off } => {
                     let (access, no) = (id, hand_off);
-                    self.pools.kill(HandOffId { access, no });
+                    self.pools.kill(AttemptId { access, no });
                 }
                 Action::Wake { at, wake } => {
                     self.state.wakes.insert((at, wake));
@@ -853,8 +853,8 @@
         }
     }
 
-    fn hand_off(&mut self, now: Moment, hand_off: HandOff) {
-        let HandOff { id, host, fill } = hand_off;
+    fn hand_off(&mut self, now: Moment, hand_off: Attempt) {
+        let Attempt { id, host, fill } = hand_off;
         let access = self.state.accesses.get_mut(&id);
         let access = access.filter(|access| !access.closed);
         must(access.is_some(), &self.counts.broken_sent_after_end);
@@ -876,13 +876,13 @@
             .filter(|earlier| earlier.ran)
             .map(|earlier| earlier.sent);
         let begin_by = match self.effects[track] {
-            Effect::Fingerprinted { window, .. } => ran.min().map(|first| first + window),
+            Effect::Keyed { window, .. } => ran.min().map(|first| first + window),
             _ => None,
         };
         let sending = Sending {
-            id: HandOffId {
+            id: AttemptId {
                 access: id,
-                no: HandOffNo(access.hand_offs.len() as u8),
+                no: AttemptNo(access.hand_offs.len() as u8),
             },
             host,
             call: access.call.clone(),
@@ -893,7 +893,7 @@
             begin_by: begin_by.map(|by| self.clock.instant(by)),
             avoid: earlier.filter_map(|earlier| earlier.line).collect(),
         };
-        access.hand_offs.push(HandedOff {
+        access.hand_offs.push(AttemptState {
             host,
             source,
             sent: now,
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -38,8 +38,8 @@
     Probe(ProbeId),
 }
 
-struct OpenHandOff {
-    id: HandOffId,
+struct OpenAttempt {
+    id: AttemptId,
     sent: Instant,
     may_be_same: bool,
 }
@@ -59,11 +59,11 @@
     begun: bool,
     unsent: VecDeque<Packet>,
     /// By the id of the request; one that is in the ring and not begun is here, too.
-    open: BTreeMap<Rc<str>, OpenHandOff>,
+    open: BTreeMap<Rc<str>, OpenAttempt>,
     /// The last probe, until it is answered; one before it has its end already.
     probe: Option<ProbeId>,
     /// Given up, and when the host knows.
-    withdrawn: VecDeque<(Instant, HandOffId)>,
+    withdrawn: VecDeque<(Instant, AttemptId)>,
     heard: Instant,
     active: Instant,
     retired: bool,
@@ -167,7 +167,7 @@
         }
     }
 
-    fn end(&self, id: HandOffId, ending: Ending) {
+    fn end(&self, id: AttemptId, ending: Ending) {
         let answer = Answer::bare(ending);
         self.shared.end(id, self.host, Some(self.id), answer);
     }
@@ -189,7 +189,7 @@
             count(&self.shared.counts.reading_paused);
         }
         self.write()?;
-        let known = |at: &mut (Instant, HandOffId)| at.0 <= Instant::now();
+        let known = |at: &mut (Instant, AttemptId)| at.0 <= Instant::now();
         while let Some((_, id)) = self.withdrawn.pop_front_if(known) {
             self.end(id, Ending::Withdrawn);
         }
@@ -249,7 +249,7 @@
     }
 
     /// Whether not a byte of it was written: then it is dropped.
-    fn drop_unsent(&mut self, id: HandOffId) -> bool {
+    fn drop_unsent(&mut self, id: AttemptId) -> bool {
         let is_it =
             |packet: &Packet| matches!(packet, Packet::Sending(sending) if sending.id == id);
         if let Some(at) = self.unsent.iter().position(is_it) {
@@ -274,7 +274,7 @@
         true
     }
 
-    fn kill(&mut self, id: HandOffId) {
+    fn kill(&mut self, id: AttemptId) {
         let found = self.open.iter().find(|(_, sending)| sending.id == id);
         let Some((reference, sending)) = found.map(|(r, sending)| (r.clone(), sending)) else {
             return;
@@ -341,7 +341,7 @@
                 resp::put_word(&mut out, call.reference.as_bytes());
                 resp::put_word(&mut out, fields(&sending, now).as_bytes());
                 resp::put_word(&mut out, &call.body);
-                let open = OpenHandOff {
+                let open = OpenAttempt {
                     id: sending.id,
                     sent: now,
                     may_be_same: call.held_tag.is_some(),
@@ -504,7 +504,7 @@
     }
 }
 
-fn read_answer(words: [&[u8]; 3], sending: &OpenHandOff, held: &Held) -> Option<Answer> {
+fn read_answer(words: [&[u8]; 3], sending: &OpenAttempt, held: &Held) -> Option<Answer> {
     let [word, fields, body] = words;
     let fields = std::str::from_utf8(fields).ok()?;
     let named = |name: &str| named(fields, name);
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -177,7 +177,7 @@
     let tracks = start.bounds.track_names.iter().cloned();
     let shared = Rc::new(clients::Shared {
         queue: queue.clone(),
-        tracks: tracks.zip((0..).map(trailproxy::units::TrackId)).collect(),
+        tracks: tracks.zip((0..).map(trailproxy::units::ClassId)).collect(),
         places: RefCell::new(places::Places::new(most_clients)),
         longest_limit: Duration::from_micros(start.bounds.longest_limit.0),
         ending: Cell::new(false),
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -52,7 +52,7 @@
     pub come: Instant,
     pub reference: Rc<str>,
     pub left: Span,
-    pub track: TrackId,
+    pub track: ClassId,
     pub object: ObjectId,
     pub object_text: String,
     pub group: GroupId,
@@ -102,14 +102,14 @@
 
 /// One hand-off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HandOffId {
-    pub access: AccessId,
-    pub no: HandOffNo,
+pub struct AttemptId {
+    pub access: RequestId,
+    pub no: AttemptNo,
 }
 
 /// What goes to a host.
 pub struct Sending {
-    pub id: HandOffId,
+    pub id: AttemptId,
     pub host: HostId,
     pub call: Rc<Call>,
     pub track: Rc<str>,
@@ -162,7 +162,7 @@
         refused: bool,
     },
     Ended {
-        id: HandOffId,
+        id: AttemptId,
         host: HostId,
         line: Option<LineId>,
         answer: Answer,
@@ -189,9 +189,9 @@
     Send(Sending),
     Probe(ProbeId),
     /// Given up: a KILL goes out if the request has.
-    Kill(HandOffId),
+    Kill(AttemptId),
     /// Dropped if not a byte of it is written, else left alone.
-    Recall(HandOffId),
+    Recall(AttemptId),
     /// Nothing new comes.
     Retire,
     /// The process behind it is gone.
--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -61,7 +61,7 @@
 /// How long a record of a keyed access has to be kept at least.
 pub fn longest_window(terms: &Terms, longest_limit: Span) -> Span {
     let windows = terms.tracks.iter().map(|track| match track.effect {
-        Effect::Fingerprinted { window, .. } => window,
+        Effect::Keyed { window, .. } => window,
         _ => Span::ZERO,
     });
     windows.max().unwrap_or_default() + longest_limit
--- a/crates/trailproxyd/src/peered.rs
+++ b/crates/trailproxyd/src/peered.rs
@@ -56,14 +56,14 @@
         self.act(now);
     }
 
-    pub fn sent(&mut self, now: Moment, id: AccessId, host: HostId) {
+    pub fn sent(&mut self, now: Moment, id: RequestId, host: HostId) {
         if let Some(place) = self.waiting.place(host) {
             self.peers.hand_off(now, id, place);
             self.act(now);
         }
     }
 
-    pub fn ended(&mut self, now: Moment, id: AccessId, came: Came) {
+    pub fn ended(&mut self, now: Moment, id: RequestId, came: Came) {
         self.waiting.forget(id);
         self.peers.ended(now, id, came);
         self.act(now);
@@ -114,7 +114,7 @@
         self.act(now);
     }
 
-    pub fn earlier(&self, id: AccessId) -> Option<Earlier> {
+    pub fn earlier(&self, id: RequestId) -> Option<Earlier> {
         self.peers.earlier(id)
     }
 
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -69,7 +69,7 @@
     pub shared: Rc<Shared>,
     pools: BTreeMap<HostId, Pool>,
     /// Where each open hand-off is.
-    places: BTreeMap<HandOffId, (HostId, Option<LineId>)>,
+    places: BTreeMap<AttemptId, (HostId, Option<LineId>)>,
     lines: usize,
     next: u64,
 }
@@ -285,16 +285,16 @@
     }
 
     /// Gives a hand-off up; its ending comes by the queue.
-    pub fn kill(&mut self, id: HandOffId) {
+    pub fn kill(&mut self, id: AttemptId) {
         self.order(id, ToServer::Kill(id));
     }
 
     /// Drops a hand-off of which nothing is written yet.
-    pub fn recall(&mut self, id: HandOffId) {
+    pub fn recall(&mut self, id: AttemptId) {
         self.order(id, ToServer::Recall(id));
     }
 
-    fn order(&mut self, id: HandOffId, order: ToServer) {
+    fn order(&mut self, id: AttemptId, order: ToServer) {
         let Some(&(host, line)) = self.places.get(&id) else {
             return;
         };
@@ -327,7 +327,7 @@
     }
 
     /// What a connection or a dial tells; an answer is handed back, once for each hand-off.
-    pub fn told(&mut self, told: FromServer) -> Option<(HandOffId, Option<LineId>, Answer)> {
+    pub fn told(&mut self, told: FromServer) -> Option<(AttemptId, Option<LineId>, Answer)> {
         match told {
             FromServer::Dialled {
                 host,
--- a/crates/trailproxyd/src/waiting.rs
+++ b/crates/trailproxyd/src/waiting.rs
@@ -10,7 +10,7 @@
     /// An access goes to the decisions now.
     Arrived(Arrival),
     /// An access is answered from a record.
-    Answered(AccessId, Vec<u8>),
+    Answered(RequestId, Vec<u8>),
     Tell(Event),
     /// A host is restricted by what others know of it: it counts as in this state, and as started then; `None`: the own
     /// list holds again.
@@ -18,7 +18,7 @@
 }
 
 pub struct Waiting {
-    held: BTreeMap<AccessId, Arrival>,
+    held: BTreeMap<RequestId, Arrival>,
     hosts: BTreeMap<HostId, (ZoneId, CellId)>,
     /// By track.
     dues: Vec<Span>,
@@ -42,11 +42,11 @@
         now + self.dues[usize::from(arrival.track.0)].min(arrival.left)
     }
 
-    pub fn forget(&mut self, id: AccessId) {
+    pub fn forget(&mut self, id: RequestId) {
         self.held.remove(&id);
     }
 
-    pub fn decided(&mut self, id: AccessId, verdict: Verdict) {
+    pub fn decided(&mut self, id: RequestId, verdict: Verdict) {
         let Some(arrival) = self.held.remove(&id) else {
             return;
         };
--- a/crates/trailproxyd/src/ways.rs
+++ b/crates/trailproxyd/src/ways.rs
@@ -24,7 +24,7 @@
 }
 
 impl Shared {
-    pub fn end(&self, id: HandOffId, host: HostId, line: Option<LineId>, answer: Answer) {
+    pub fn end(&self, id: AttemptId, host: HostId, line: Option<LineId>, answer: Answer) {
         let ended = FromServer::Ended {
             id,
             host,
--- a/crates/trials/src/decide/keys.rs
+++ b/crates/trials/src/decide/keys.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 use std::collections::BTreeMap;
-use trailproxy::interface::{Effect, Track};
+use trailproxy::interface::{ClassTerms, Effect};
 use trailproxy::units::*;
 use trailproxy_lab::rules::Final;
 use trailproxy_standins::shape::DAWN;
@@ -17,7 +17,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Run {
-    id: AccessId,
+    id: RequestId,
     no: u8,
     at: Moment,
     place: (ZoneId, CellId),
@@ -26,8 +26,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct OfKey {
-    track: TrackId,
-    tries: BTreeMap<AccessId, Try>,
+    track: ClassId,
+    tries: BTreeMap<RequestId, Try>,
     runs: Vec<Run>,
 }
 
@@ -86,17 +86,17 @@
 
 /// Everything by key. Bounded by the length of a run.
 pub struct Keys {
-    tracks: Vec<Track>,
+    tracks: Vec<ClassTerms>,
     places: BTreeMap<HostId, (ZoneId, CellId)>,
     keys: BTreeMap<String, OfKey>,
-    by_id: BTreeMap<AccessId, String>,
+    by_id: BTreeMap<RequestId, String>,
     slack: Span,
 }
 
 impl Keys {
     /// `slack`: by which what is seen at two ends may be apart.
     pub fn new(
-        tracks: Vec<Track>,
+        tracks: Vec<ClassTerms>,
         places: BTreeMap<HostId, (ZoneId, CellId)>,
         slack: Span,
     ) -> Keys {
@@ -109,7 +109,7 @@
         }
     }
 
-    pub fn asked(&mut self, at: Moment, id: AccessId, key: &str, track: TrackId, seat: usize) {
+    pub fn asked(&mut self, at: Moment, id: RequestId, key: &str, track: ClassId, seat: usize) {
         self.by_id.insert(id, key.to_owned());
         let of = self.keys.entry(key.to_owned()).or_default();
         of.track = track;
@@ -125,7 +125,7 @@
         );
     }
 
-    pub fn answered(&mut self, id: AccessId, how: Option<Final>) {
+    pub fn answered(&mut self, id: RequestId, how: Option<Final>) {
         if let Some(found) = self.found(id)
             && let Some(one) = found.tries.get_mut(&id)
         {
@@ -133,12 +133,12 @@
         }
     }
 
-    fn found(&mut self, id: AccessId) -> Option<&mut OfKey> {
+    fn found(&mut self, id: RequestId) -> Option<&mut OfKey> {
         self.keys.get_mut(self.by_id.get(&id)?)
     }
 
     /// A host got it.
-    pub fn sent(&mut self, at: Moment, id: AccessId, no: u8, host: HostId) {
+    pub fn sent(&mut self, at: Moment, id: RequestId, no: u8, host: HostId) {
         let place = self.places.get(&host).copied().unwrap_or_default();
         let Some(of) = self.found(id) else {
             return;
@@ -157,7 +157,7 @@
     }
 
     /// How it ended there.
-    pub fn ended(&mut self, id: AccessId, no: u8, never_ran: bool) {
+    pub fn ended(&mut self, id: RequestId, no: u8, never_ran: bool) {
         if let Some(of) = self.found(id) {
             let runs = of
                 .runs
@@ -198,7 +198,7 @@
     }
 
     fn repeats(&self, of: &OfKey, count: &mut Count) {
-        let Some(Effect::Fingerprinted { group, window }) = self
+        let Some(Effect::Keyed { group, window }) = self
             .tracks
             .get(usize::from(of.track.0))
             .map(|track| track.effect)
--- a/crates/trials/src/play.rs
+++ b/crates/trials/src/play.rs
@@ -110,11 +110,11 @@
 struct Watched(Keys);
 
 impl Watch for Watched {
-    fn asked(&mut self, at: Moment, id: AccessId, key: &str, track: TrackId, seat: usize) {
+    fn asked(&mut self, at: Moment, id: RequestId, key: &str, track: ClassId, seat: usize) {
         self.0.asked(at, id, key, track, seat);
     }
 
-    fn answered(&mut self, _: Moment, id: AccessId, how: Option<Final>) {
+    fn answered(&mut self, _: Moment, id: RequestId, how: Option<Final>) {
         self.0.answered(id, how);
     }
 
@@ -125,12 +125,12 @@
                 host,
                 no,
                 ..
-            } => self.0.sent(at, AccessId(reference), no, host),
+            } => self.0.sent(at, RequestId(reference), no, host),
             Seen::Ended {
                 reference,
                 no,
                 never_ran,
-            } => self.0.ended(AccessId(reference), no, never_ran),
+            } => self.0.ended(RequestId(reference), no, never_ran),
             _ => {}
         }
     }
--- a/crates/zones/src/decide/account.rs
+++ b/crates/zones/src/decide/account.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
-use trailproxy::units::{Moment, Span, TrackId, ZoneId};
+use trailproxy::units::{ClassId, Moment, Span, ZoneId};
 
 /// Why bytes crossed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -88,7 +88,7 @@
     pub from: ZoneId,
     pub to: ZoneId,
     pub tier: Tier,
-    pub track: TrackId,
+    pub track: ClassId,
     pub cause: Cause,
 }
 
--- a/crates/zones/src/decide/mod.rs
+++ b/crates/zones/src/decide/mod.rs
@@ -21,7 +21,7 @@
 pub struct Rules {
     pub limits: Vec<Limit>,
     /// Tracks that go first beside the written, fingerprinted and binding ones.
-    pub first: Vec<TrackId>,
+    pub first: Vec<ClassId>,
     pub alarm: Option<Alarm>,
     pub report_every: Span,
 }
@@ -78,14 +78,14 @@
     learners: Vec<Learner>,
     account: Account,
     memory: Memory,
-    flying: BTreeMap<(AccessId, HandOffNo), Flying>,
+    flying: BTreeMap<(RequestId, AttemptNo), Flying>,
     /// The share of accesses that crossed, by track and cause.
     crossed: Vec<[f64; Cause::ALL.len()]>,
     watches: BTreeMap<(ZoneId, ZoneId), Watch>,
     told: Vec<Rise>,
     /// What was turned away since time last passed, each access once.
     refused: RefCell<Vec<(Crossing, f64, Why)>>,
-    last_refused: Cell<Option<AccessId>>,
+    last_refused: Cell<Option<RequestId>>,
     turned_away: RefCell<Vec<(u64, f64)>>,
 }
 
@@ -104,7 +104,7 @@
 impl Zones {
     /// `terms` as the decisions have them; the seed draws this dispatcher's points in its budgets.
     pub fn new(terms: &Terms, rules: Rules, seed: u64) -> Zones {
-        let of_track = |track: &Track| OfTrack {
+        let of_track = |track: &ClassTerms| OfTrack {
             class: class_of(track),
             written: track.written,
             fresh: track.fresh,
@@ -140,7 +140,7 @@
     /// Other rules in place of these. Counts, debts and what is under way stay; a limit is the same by its name.
     pub fn change(&mut self, now: Moment, rules: Rules) {
         for (nth, track) in (0..).zip(&mut self.tracks) {
-            if rules.first.contains(&TrackId(nth)) {
+            if rules.first.contains(&ClassId(nth)) {
                 track.class = Class::First;
             }
         }
@@ -336,7 +336,7 @@
         limit.to == crossing.to && limit.from.is_none_or(|from| from == crossing.from)
     }
 
-    fn class(&self, track: TrackId) -> Class {
+    fn class(&self, track: ClassId) -> Class {
         self.tracks
             .get(usize::from(track.0))
             .map_or(Class::Plain, |track| track.class)
@@ -421,8 +421,8 @@
 }
 
 /// Orders and all that may not simply run again go first.
-pub fn class_of(track: &Track) -> Class {
-    match track.written || track.effect != Effect::Retriable {
+pub fn class_of(track: &ClassTerms) -> Class {
+    match track.written || track.effect != Effect::Idempotent {
         true => Class::First,
         false => Class::Plain,
     }
@@ -441,7 +441,7 @@
             Event::Purged { object, group, ago } => self.memory.purged(now - *ago, *object, *group),
             Event::Outcome(outcome) => self.outcome(now, outcome),
             Event::Left { id } => {
-                let all = (*id, HandOffNo(0))..=(*id, HandOffNo(u8::MAX));
+                let all = (*id, AttemptNo(0))..=(*id, AttemptNo(u8::MAX));
                 self.flying
                     .range_mut(all)
                     .for_each(|(_, flying)| flying.left = true);
@@ -523,7 +523,7 @@
             .insert((crossing.asked.id, crossing.hand_off), flying);
     }
 
-    fn come_back(&self, now: Moment, track: TrackId) -> Option<Span> {
+    fn come_back(&self, now: Moment, track: ClassId) -> Option<Span> {
         let own = |budget: &&Budget| budget.limit.to == self.zone;
         let plain = self.class(track) == Class::Plain;
         let full = self.budgets.iter().filter(own).filter(|_| plain);
--- a/crates/zones/src/decide/sheet.rs
+++ b/crates/zones/src/decide/sheet.rs
@@ -175,7 +175,7 @@
                     wanted,
                 )
             })?;
-            rules.first.push(TrackId(track as u16));
+            rules.first.push(ClassId(track as u16));
         }
         for crossing in &self.crossings {
             let from = match crossing.out_of.as_str() {
--- a/crates/zones/src/report.rs
+++ b/crates/zones/src/report.rs
@@ -7,7 +7,7 @@
 use crate::decide::sheet::Names;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use trailproxy::units::{Moment, Span, TrackId, ZoneId};
+use trailproxy::units::{ClassId, Moment, Span, ZoneId};
 
 /// One line of the account since the dispatcher's start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -70,7 +70,7 @@
     /// What `zones` has to tell at `now`.
     pub fn of(zones: &Zones, names: &Names, dispatcher: &str, life: u64, now: Moment) -> Report {
         let zone = |id: ZoneId| name(&names.zones, usize::from(id.0));
-        let track = |id: TrackId| name(&names.tracks, usize::from(id.0));
+        let track = |id: ClassId| name(&names.tracks, usize::from(id.0));
         let account = zones.account();
         let line =
             |(key, sum): (&crate::decide::account::Key, &crate::decide::account::Sum)| Line {
@@ -114,7 +114,7 @@
                 .collect(),
             turned_away: refused
                 .map(|((accesses, kb), nth)| Refusals {
-                    track: track(TrackId(nth)),
+                    track: track(ClassId(nth)),
                     accesses,
                     kb: short(kb),
                 })
--- a/crates/zones/tests/properties.rs
+++ b/crates/zones/tests/properties.rs
@@ -65,7 +65,7 @@
     fn the_seconds_of_an_account_sum_to_its_totals(
         moves in prop::collection::vec((0u64..50_000_000, 0u64..20_000_000, 0.0f64..1e4), 1..100),
     ) {
-        let key = Key { from: ZoneId(0), to: ZoneId(1), tier: Tier::Origin, track: TrackId(0), cause: Cause::First };
+        let key = Key { from: ZoneId(0), to: ZoneId(1), tier: Tier::Origin, track: ClassId(0), cause: Cause::First };
         let mut account = Account::default();
         account.advance(at(0));
         let now = at(58_000_000);
--- a/crates/zones/tests/stories.rs
+++ b/crates/zones/tests/stories.rs
@@ -9,8 +9,8 @@
 
 const HUB: ZoneId = ZoneId(0);
 const DEPOT: ZoneId = ZoneId(1);
-const VIDEO: TrackId = TrackId(0);
-const ORDER: TrackId = TrackId(1);
+const VIDEO: ClassId = ClassId(0);
+const ORDER: ClassId = ClassId(1);
 const CACHES: [HostId; 2] = [HostId(11), HostId(12)];
 const PARENT: HostId = HostId(21);
 const ORIGIN: HostId = HostId(31);
@@ -39,16 +39,16 @@
 }
 
 fn terms(seats: u32) -> Terms {
-    let video = Track {
+    let video = ClassTerms {
         due: Span::from_millis(400),
         due_stretch: 2.0,
-        effect: Effect::Retriable,
+        effect: Effect::Idempotent,
         fresh: None,
         grace: Span::ZERO,
         written: false,
     };
-    let order = Track {
-        effect: Effect::Binding,
+    let order = ClassTerms {
+        effect: Effect::NonIdempotent,
         written: true,
         ..video.clone()
     };
@@ -119,10 +119,10 @@
         Desk { zones, next: 0 }
     }
 
-    fn way(&mut self, track: TrackId, object: u64, kb: f64) -> Crossing {
+    fn way(&mut self, track: ClassId, object: u64, kb: f64) -> Crossing {
         self.next += 1;
         let asked = Arrival {
-            id: AccessId(self.next),
+            id: RequestId(self.next),
             left: Span::from_secs(3),
             track,
             object: ObjectId(object),
@@ -133,7 +133,7 @@
         let source = if track == ORDER { ORIGIN } else { PARENT };
         Crossing {
             asked,
-            hand_off: HandOffNo(0),
+            hand_off: AttemptNo(0),
             host: CACHES[(object % 2) as usize],
             source,
             from: HUB,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -12,7 +12,7 @@
     pub seats: Vec<u32>,
     pub parent_kind: Option<KindId>,
     pub origin_kind: Option<KindId>,
-    pub tracks: Vec<Track>,
+    pub tracks: Vec<ClassTerms>,
     /// Top pace of one answer; host sizes count answers at this pace.
     pub flow_kb_per_s: f64,
     /// What the own zone's link for fills carries; `None` where it is not told.
@@ -55,7 +55,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Track {
+pub struct ClassTerms {
     pub due: Span,
     /// The due time grows by this many times the access's own sending time.
     pub due_stretch: f64,
@@ -71,13 +71,13 @@
 /// Whether an access may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Retriable,
+    Idempotent,
     /// Repeats are dropped within a group of hosts, for a while from the first hand-off.
-    Fingerprinted {
+    Keyed {
         group: RepeatGroup,
         window: Span,
     },
-    Binding,
+    NonIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,13 +123,13 @@
     Arrived(Arrival),
     /// The answer of a streamed hand-off has begun: it belongs to the client now.
     Begun {
-        id: AccessId,
-        hand_off: HandOffNo,
+        id: RequestId,
+        hand_off: AttemptNo,
     },
     Outcome(Outcome),
     /// The client left, or the final answer is overdue.
     Left {
-        id: AccessId,
+        id: RequestId,
     },
     Woken {
         wake: WakeId,
@@ -181,10 +181,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
-    pub id: AccessId,
+    pub id: RequestId,
     /// How long the client will wait.
     pub left: Span,
-    pub track: TrackId,
+    pub track: ClassId,
     pub object: ObjectId,
     pub group: GroupId,
     pub part: u32,
@@ -193,8 +193,8 @@
 
 #[derive(Clone, Debug)]
 pub struct Outcome {
-    pub id: AccessId,
-    pub hand_off: HandOffNo,
+    pub id: RequestId,
+    pub hand_off: AttemptNo,
     pub ending: Ending,
     pub took: Span,
     /// The access needs no final answer any more.
@@ -267,19 +267,19 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    HandOff(HandOff),
+    Attempt(Attempt),
     /// Final: trying again is harmless.
-    Reject {
-        id: AccessId,
+    Refuse {
+        id: RequestId,
         come_back: Option<Span>,
     },
     /// Final: promises nothing.
-    Abort {
-        id: AccessId,
+    Fail {
+        id: RequestId,
     },
     Withdraw {
-        id: AccessId,
-        hand_off: HandOffNo,
+        id: RequestId,
+        hand_off: AttemptNo,
     },
     Wake {
         at: Moment,
@@ -296,8 +296,8 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct HandOff {
-    pub id: AccessId,
+pub struct Attempt {
+    pub id: RequestId,
     pub host: HostId,
     /// `None`: a plain look at what the host holds.
     pub fill: Option<Fill>,
@@ -322,7 +322,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Crossing {
     pub asked: Arrival,
-    pub hand_off: HandOffNo,
+    pub hand_off: AttemptNo,
     pub host: HostId,
     /// What fills the host; the host itself where that is in another zone and asked straight.
     pub source: HostId,
@@ -348,7 +348,7 @@
     /// This goes out now.
     fn sent(&mut self, _now: Moment, _crossing: &Crossing) {}
     /// After how long a client of this track had better come again; `None`: nothing was in its way here.
-    fn come_back(&self, _now: Moment, _track: TrackId) -> Option<Span> {
+    fn come_back(&self, _now: Moment, _track: ClassId) -> Option<Span> {
         None
     }
 }
@@ -364,7 +364,7 @@
 /// Whoever knows what other dispatchers did for the same client's request.
 pub trait Others {
     /// An earlier hand-off under the key of this access; it binds the access as one of its own would.
-    fn earlier(&self, _id: AccessId) -> Option<Earlier> {
+    fn earlier(&self, _id: RequestId) -> Option<Earlier> {
         None
     }
     /// The breaker of a host opened, or let it back.
@@ -392,13 +392,13 @@
         self.iter_mut().for_each(|on| on.sent(now, crossing));
     }
 
-    fn come_back(&self, now: Moment, track: TrackId) -> Option<Span> {
+    fn come_back(&self, now: Moment, track: ClassId) -> Option<Span> {
         self.as_ref()?.come_back(now, track)
     }
 }
 
 impl<O: Others> Others for Option<O> {
-    fn earlier(&self, id: AccessId) -> Option<Earlier> {
+    fn earlier(&self, id: RequestId) -> Option<Earlier> {
         self.as_ref()?.earlier(id)
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -283,7 +283,7 @@
     }
 }
 
-struct Access {
+struct Request {
     asked: Arrival,
     send: f64, // predicted sending time alone, in seconds
     due: Moment,
@@ -293,7 +293,7 @@
     ended: bool,
 }
 
-impl Access {
+impl Request {
     fn failed_at(&self, id: HostId) -> bool {
         (self.tries.iter()).any(|t| t.failed && [t.plan.host, t.plan.source].contains(&id))
     }
@@ -337,10 +337,10 @@
     caches: Vec<HostId>,
     parents: Vec<HostId>,
     origin: Option<HostId>,
-    accesses: BTreeMap<AccessId, Access>,
+    accesses: BTreeMap<RequestId, Request>,
     /// Accesses to look at when settling, those to look at later, and the wake-up asked for.
-    touched: BTreeSet<AccessId>,
-    timed: BTreeSet<(Moment, AccessId)>,
+    touched: BTreeSet<RequestId>,
+    timed: BTreeSet<(Moment, RequestId)>,
     armed: Option<Moment>,
     purges: BTreeMap<(GroupId, Option<ObjectId>), Moment>,
     seen: BTreeSet<(ObjectId, u32)>,
@@ -378,7 +378,7 @@
 
 impl<C: Crossings + Others> Dispatcher<C> {
     pub fn with(crossings: C, terms: Terms, seed: u64) -> Dispatcher<C> {
-        let first_guess = |track: &Track| (track.due.as_secs_f64() * 0.5, 1.0);
+        let first_guess = |track: &ClassTerms| (track.due.as_secs_f64() * 0.5, 1.0);
         Dispatcher {
             crossings,
             chance: fastrand::Rng::with_seed(seed),
@@ -574,7 +574,7 @@
         (*sum, *n) = told.map_or((*sum, *n), |send| (*sum + send, *n + 1.0));
         let send = told.unwrap_or(*sum / *n);
         let limit = now + asked.left;
-        let access = Access {
+        let access = Request {
             asked,
             send,
             due: limit.min(now + track.due + Span::from_secs_f64(send * track.due_stretch)),
@@ -588,7 +588,7 @@
     }
 
     /// What a hand-off is charged with: caches count the mean of a track, others the access itself.
-    fn work(&self, access: &Access) -> f64 {
+    fn work(&self, access: &Request) -> f64 {
         let (sum, n) = self.sending[usize::from(access.asked.track.0)];
         access.send.max(sum / n)
     }
@@ -606,15 +606,15 @@
             || host.cost(now, work * COLD_USE) <= host.among() && host.allowance(now, mean) >= 0.0
     }
 
-    fn track(&self, access: &Access) -> &Track {
+    fn track(&self, access: &Request) -> &ClassTerms {
         &self.terms.tracks[usize::from(access.asked.track.0)]
     }
 
-    fn try_mut(&mut self, id: AccessId, no: HandOffNo) -> Option<&mut Try> {
+    fn try_mut(&mut self, id: RequestId, no: AttemptNo) -> Option<&mut Try> {
         self.accesses.get_mut(&id)?.tries.get_mut(usize::from(no.0))
     }
 
-    fn close(&mut self, id: AccessId) {
+    fn close(&mut self, id: RequestId) {
         if let Some(access) = self.accesses.get_mut(&id) {
             access.ended = true;
             (0..access.tries.len()).for_each(|no| self.withdraw(id, no));
@@ -622,8 +622,8 @@
         }
     }
 
-    fn withdraw(&mut self, id: AccessId, no: usize) {
-        let (hand_off, may) = (HandOffNo(no as u8), self.terms.may_withdraw);
+    fn withdraw(&mut self, id: RequestId, no: usize) {
+        let (hand_off, may) = (AttemptNo(no as u8), self.terms.may_withdraw);
         let free = |t: &&mut Try| may && t.out && !t.withdrawn;
         if let Some(attempt) = self.try_mut(id, hand_off).filter(free) {
             attempt.withdrawn = true;
@@ -732,7 +732,7 @@
 
     /// An overdue hand-off is its host's fault if nothing was heard from it since, else its source's if it
     /// was not either, or not lately while another parent was, else an origin's that served none well since.
-    fn blame(&mut self, now: Moment, id: AccessId) {
+    fn blame(&mut self, now: Moment, id: RequestId) {
         let late = |t: &&mut Try| t.out && !t.blamed && now >= t.overdue_at;
         let tries = self.accesses.get_mut(&id).map(|access| &mut access.tries);
         let Some(attempt) = tries.and_then(|tries| tries.iter_mut().find(late)) else {
@@ -824,7 +824,7 @@
                     }
                 }
             }
-            let over = |access: &Access| access.ended && access.tries.iter().all(|t| !t.out);
+            let over = |access: &Request| access.ended && access.tries.iter().all(|t| !t.out);
             if self.accesses.get(&id).is_some_and(over) {
                 self.accesses.remove(&id);
             }
@@ -841,7 +841,7 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn next_step(&mut self, now: Moment, id: AccessId) -> Step {
+    fn next_step(&mut self, now: Moment, id: RequestId) -> Step {
         let access = &self.accesses[&id];
         if now >= access.limit {
             return Step::GiveUp;
@@ -853,7 +853,7 @@
             }
             let lost = [attempt.plan.host, attempt.plan.source].map(|id| self.hosts[&id].sick());
             let lost = lost.contains(&true) || self.origin_hides(&attempt);
-            let again = self.terms.may_withdraw && self.track(access).effect == Effect::Retriable;
+            let again = self.terms.may_withdraw && self.track(access).effect == Effect::Idempotent;
             if lost && again && !attempt.withdrawn && attempt.trial_of.is_none() {
                 return Step::Withdraw(no);
             }
@@ -870,7 +870,7 @@
         self.plan(now, id).map_or(Step::GiveUp, Step::Send)
     }
 
-    fn in_hash_order(&self, access: &Access, role: Role) -> Vec<HostId> {
+    fn in_hash_order(&self, access: &Request, role: Role) -> Vec<HostId> {
         // Parts spread over caches, or a long object crowds one; its fills still meet at one parent.
         let (hosts, part) = match role {
             Role::Cache => (&self.caches, access.asked.part),
@@ -886,7 +886,7 @@
         order.into_iter().map(|(_, id)| id).collect()
     }
 
-    fn open_to(&self, now: Moment, access: &Access, id: HostId) -> bool {
+    fn open_to(&self, now: Moment, access: &Request, id: HostId) -> bool {
         let host = &self.hosts[&id];
         let share = match host.role {
             Role::Origin if self.track(access).written => host.breaker.share().ceil(),
@@ -899,7 +899,7 @@
         !failed && (within || host.breaker.wants_trial(now))
     }
 
-    fn plan(&mut self, now: Moment, id: AccessId) -> Option<Plan> {
+    fn plan(&mut self, now: Moment, id: RequestId) -> Option<Plan> {
         for id in self.caches.iter().chain(&self.parents).chain(&self.origin) {
             let host = self.hosts.get_mut(id);
             host.into_iter().for_each(|host| host.breaker.advance(now));
@@ -931,7 +931,7 @@
     }
 
     /// The first open parent, or the origin where none is, if a fill from there would be in time.
-    fn pick_source(&self, now: Moment, access: &Access, cache: Option<HostId>) -> Option<HostId> {
+    fn pick_source(&self, now: Moment, access: &Request, cache: Option<HostId>) -> Option<HostId> {
         let has_room = |id: &HostId| {
             let (host, source) = (cache.unwrap_or(*id), *id);
             let fits = || self.fits(now, access, Plan { host, source });
@@ -966,7 +966,7 @@
     }
 
     /// The first cache in order with room and, by told sizes, time, else the least crowded, if that is in time.
-    fn pick_cache(&self, now: Moment, access: &Access) -> Option<HostId> {
+    fn pick_cache(&self, now: Moment, access: &Request) -> Option<HostId> {
         let mut caches = self.in_hash_order(access, Role::Cache);
         caches.retain(|id| self.has_budget(now, *id, self.work(access)));
         let stretch = |id: &HostId| self.stretch(now, &self.hosts[id]);
@@ -985,15 +985,15 @@
     }
 
     /// Rule 2: whether what may have run allows a hand-off to this host.
-    fn may_run_again(&self, now: Moment, access: &Access, host: HostId) -> bool {
+    fn may_run_again(&self, now: Moment, access: &Request, host: HostId) -> bool {
         let of = |id| (self.hosts[&id].entry.zone, self.hosts[&id].entry.cell);
         let mut ran = access.tries.iter().filter(|t| t.out || t.may_have_run);
         let others = self.crossings.earlier(access.asked.id);
         match self.track(access).effect {
             // It is withdrawn before it goes out again: never two at once.
-            Effect::Retriable => access.tries.iter().all(|t| !t.out),
-            Effect::Binding => ran.next().is_none() && others.is_none(),
-            Effect::Fingerprinted { group, window } => {
+            Effect::Idempotent => access.tries.iter().all(|t| !t.out),
+            Effect::NonIdempotent => ran.next().is_none() && others.is_none(),
+            Effect::Keyed { group, window } => {
                 let others = others.map(|earlier| (earlier.place, earlier.first));
                 let mut ran = ran.map(|t| (Some(of(t.plan.host)), t.sent)).chain(others);
                 ran.all(|(at, first)| group.covers(at, of(host)) && now < first + window)
@@ -1002,7 +1002,7 @@
     }
 
     /// Rule 5: the oldest copy that will do, given the latest purge of the object or its group.
-    fn oldest(&self, now: Moment, access: &Access, stale: bool) -> Option<Span> {
+    fn oldest(&self, now: Moment, access: &Request, stale: bool) -> Option<Span> {
         let track = self.track(access);
         let (object, group) = (access.asked.object, access.asked.group);
         let keys = [(GroupId::default(), Some(object)), (group, None)];
@@ -1014,13 +1014,13 @@
     }
 
     /// The way between zones that a plan takes, if any.
-    fn crossing(&self, access: &Access, plan: Plan) -> Option<Crossing> {
+    fn crossing(&self, access: &Request, plan: Plan) -> Option<Crossing> {
         let (own, Plan { host, source }) = (self.terms.zone, plan);
         let [at, fill] = [host, source].map(|id| self.hosts[&id].entry.zone);
         // What another zone's host fills for itself crosses no more than its answer does.
         let straight = at != own;
         let (source, from) = if straight { (host, at) } else { (source, fill) };
-        let (asked, hand_off) = (access.asked, HandOffNo(access.tries.len() as u8));
+        let (asked, hand_off) = (access.asked, AttemptNo(access.tries.len() as u8));
         let usual = access.send * self.terms.flow_kb_per_s;
         (from != own).then(|| Crossing {
             asked,
@@ -1035,13 +1035,13 @@
     }
 
     /// Whether the links between zones have room for it.
-    fn fits(&self, now: Moment, access: &Access, plan: Plan) -> bool {
+    fn fits(&self, now: Moment, access: &Request, plan: Plan) -> bool {
         let way = self.crossing(access, plan);
         way.is_none_or(|way| self.crossings.room(now, &way))
     }
 
     /// The one gate that every hand-off passes, with each rule at its own place.
-    fn passes(&self, now: Moment, access: &Access, plan: &Plan) -> bool {
+    fn passes(&self, now: Moment, access: &Request, plan: &Plan) -> bool {
         let (host, source) = (&self.hosts[&plan.host], &self.hosts[&plan.source]);
         let own = plan.host == plan.source;
         // Rule 1: nothing goes out for an access that has ended or whose client has given up.
@@ -1054,7 +1054,7 @@
         may && self.fits(now, access, *plan)
     }
 
-    fn send(&mut self, now: Moment, id: AccessId, plan: Plan) {
+    fn send(&mut self, now: Moment, id: RequestId, plan: Plan) {
         let access = &self.accesses[&id];
         if !self.passes(now, access, &plan) {
             return self.give_up(now, id);
@@ -1116,26 +1116,26 @@
         }
         way.iter().for_each(|way| self.crossings.sent(now, way));
         let (actions, host) = (&mut self.actions, plan.host);
-        actions.push(Action::HandOff(HandOff { id, host, fill }));
+        actions.push(Action::Attempt(Attempt { id, host, fill }));
     }
 
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
-    fn give_up(&mut self, now: Moment, id: AccessId) {
+    fn give_up(&mut self, now: Moment, id: RequestId) {
         let access = &self.accesses[&id];
         let ran = access.tries.iter().any(|t| t.out || t.may_have_run);
         let ran = ran || self.crossings.earlier(id).is_some();
         let harmless = match self.track(access).effect {
-            Effect::Retriable => true,
-            Effect::Binding => !ran,
-            Effect::Fingerprinted { group, .. } => !ran || group == RepeatGroup::All,
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => !ran,
+            Effect::Keyed { group, .. } => !ran || group == RepeatGroup::All,
         };
         let full = self.crossings.come_back(now, access.asked.track);
         let spread = full.map_or(COME_BACK, |full| full.max(COME_BACK));
         let spread = spread.times(0.75 + 0.5 * self.chance.f64());
         let come_back = self.terms.longest_away.map(|longest| spread.min(longest));
         self.actions.push(match harmless {
-            true => Action::Reject { id, come_back },
-            false => Action::Abort { id },
+            true => Action::Refuse { id, come_back },
+            false => Action::Fail { id },
         });
         self.close(id);
     }
--- a/src/units.rs
+++ b/src/units.rs
@@ -100,9 +100,9 @@
 
 ids! {
     /// One access, as long as it is open.
-    AccessId(u64);
+    RequestId(u64);
     /// The place of a hand-off among those of its access, from 0.
-    HandOffNo(u8);
+    AttemptNo(u8);
     /// A cache host, a parent or the origin.
     HostId(u64);
     /// An object, whatever the part.
@@ -110,7 +110,7 @@
     /// A group of objects that may be purged together.
     GroupId(u32);
     /// The place of a track in the terms.
-    TrackId(u16);
+    ClassId(u16);
     /// A zone, by its place in the terms.
     ZoneId(u16);
     /// A kind of machine, by its place in the terms.
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -103,9 +103,9 @@
     dispatcher: Dispatcher,
     told_at: Moment,
     wakes: BTreeSet<Moment>,
-    out: VecDeque<(Moment, AccessId, HandOffNo)>,
+    out: VecDeque<(Moment, RequestId, AttemptNo)>,
     /// In requests of mean work.
-    works: BTreeMap<AccessId, f64>,
+    works: BTreeMap<RequestId, f64>,
     rate: f64,
 }
 
@@ -275,11 +275,11 @@
                     (true, true) => 12.0 / 2.1,
                 };
                 wanted += size * mean / CACHES.len() as f64;
-                process.works.insert(AccessId(next_id), size);
+                process.works.insert(RequestId(next_id), size);
                 all_ones[0] += 1.0;
                 large_ones[0] += f64::from(u8::from(large));
                 events.push(Event::Arrived(Arrival {
-                    id: AccessId(next_id),
+                    id: RequestId(next_id),
                     left: Span::from_secs(60),
                     track: READS,
                     object: ObjectId(chance.u64(..)),
@@ -296,9 +296,9 @@
                 .for_each(|event| process.dispatcher.take(now, event));
             for action in process.dispatcher.settle(now) {
                 match action {
-                    Action::HandOff(hand_off) => {
+                    Action::Attempt(hand_off) => {
                         let done = now + Span::from_millis(40);
-                        process.out.push_back((done, hand_off.id, HandOffNo(0)));
+                        process.out.push_back((done, hand_off.id, AttemptNo(0)));
                         let work = process.works[&hand_off.id];
                         all_ones[1] += 1.0;
                         large_ones[1] += f64::from(u8::from(work > 1.0));
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -39,7 +39,7 @@
         self.0.borrow_mut().sent.push(*crossing);
     }
 
-    fn come_back(&self, _now: Moment, _track: TrackId) -> Option<Span> {
+    fn come_back(&self, _now: Moment, _track: ClassId) -> Option<Span> {
         self.0.borrow().away
     }
 }
@@ -69,9 +69,9 @@
         }
     }
 
-    fn arrive(&mut self, track: TrackId, object: u64) -> (AccessId, Vec<Action>) {
+    fn arrive(&mut self, track: ClassId, object: u64) -> (RequestId, Vec<Action>) {
         self.next += 1;
-        let id = AccessId(self.next);
+        let id = RequestId(self.next);
         let arrival = Arrival {
             id,
             left: Span::from_secs(3),
@@ -85,11 +85,11 @@
         (id, self.dispatcher.settle(self.now))
     }
 
-    fn end(&mut self, id: AccessId, no: u8, ending: Ending, note: Note) -> Vec<Action> {
+    fn end(&mut self, id: RequestId, no: u8, ending: Ending, note: Note) -> Vec<Action> {
         self.now = self.now + ms(10);
         let outcome = Outcome {
             id,
-            hand_off: HandOffNo(no),
+            hand_off: AttemptNo(no),
             ending,
             took: ms(10),
             closed: ending == Ending::Done,
@@ -104,9 +104,9 @@
     }
 }
 
-fn handed(actions: &[Action]) -> Option<HandOff> {
+fn handed(actions: &[Action]) -> Option<Attempt> {
     actions.iter().find_map(|action| match action {
-        Action::HandOff(hand_off) => Some(hand_off.clone()),
+        Action::Attempt(hand_off) => Some(hand_off.clone()),
         _ => None,
     })
 }
@@ -120,7 +120,7 @@
     let [way] = notes.sent[..] else {
         panic!("{:?}", notes.sent);
     };
-    assert_eq!((way.asked.id, way.hand_off), (id, HandOffNo(0)));
+    assert_eq!((way.asked.id, way.hand_off), (id, AttemptNo(0)));
     assert_eq!((way.from, way.to, way.kb), (ZoneId(0), ZoneId(1), 40.0));
     assert_eq!(
         (way.host, Some(way.source)),
@@ -174,7 +174,7 @@
     let (id, _) = desk.arrive(READS, 5);
     let actions = desk.end(id, 0, Ending::Missed, Note::Untold);
     let [
-        Action::Reject {
+        Action::Refuse {
             come_back: Some(away),
             ..
         },
@@ -203,12 +203,12 @@
     assert!(
         actions
             .iter()
-            .any(|action| matches!(action, Action::Abort { .. })),
+            .any(|action| matches!(action, Action::Fail { .. })),
         "{actions:?}"
     );
     let (_, actions) = desk.arrive(ORDERS, 6);
     assert!(
-        matches!(actions[..], [Action::Reject { .. }]),
+        matches!(actions[..], [Action::Refuse { .. }]),
         "{actions:?}"
     );
 }
@@ -240,7 +240,7 @@
     desk.gate.0.borrow_mut().full = true;
     let (_, actions) = desk.arrive(READS, 6);
     assert!(
-        matches!(actions[..], [Action::Reject { .. }]),
+        matches!(actions[..], [Action::Refuse { .. }]),
         "{actions:?}"
     );
 }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -5,9 +5,9 @@
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
 
-pub const READS: TrackId = TrackId(0);
-pub const CHANGES: TrackId = TrackId(1);
-pub const ORDERS: TrackId = TrackId(2);
+pub const READS: ClassId = ClassId(0);
+pub const CHANGES: ClassId = ClassId(1);
+pub const ORDERS: ClassId = ClassId(2);
 pub const CACHES: [HostId; 3] = [HostId(11), HostId(12), HostId(13)];
 pub const PARENTS: [HostId; 2] = [HostId(21), HostId(22)];
 pub const ORIGIN: HostId = HostId(31);
@@ -17,28 +17,28 @@
 }
 
 pub fn terms() -> Terms {
-    let reads = Track {
+    let reads = ClassTerms {
         due: ms(400),
         due_stretch: 2.0,
-        effect: Effect::Retriable,
+        effect: Effect::Idempotent,
         fresh: Some(Span::from_secs(8)),
         grace: Span::from_secs(20),
         written: false,
     };
-    let written = Track {
+    let written = ClassTerms {
         written: true,
         fresh: None,
         grace: Span::ZERO,
         ..reads.clone()
     };
     let (group, window) = (RepeatGroup::Zone, Span::from_secs(2));
-    let by_mark = Effect::Fingerprinted { group, window };
-    let changes = Track {
+    let by_mark = Effect::Keyed { group, window };
+    let changes = ClassTerms {
         effect: by_mark,
         ..written.clone()
     };
-    let orders = Track {
-        effect: Effect::Binding,
+    let orders = ClassTerms {
+        effect: Effect::NonIdempotent,
         ..written
     };
     let cold = Cold {
@@ -103,9 +103,9 @@
 pub struct Stage {
     pub dispatcher: Dispatcher,
     pub now: Moment,
-    pub handed: Vec<HandOff>,
-    pub finals: BTreeMap<AccessId, Vec<Action>>,
-    pub withdrawn: Vec<AccessId>,
+    pub handed: Vec<Attempt>,
+    pub finals: BTreeMap<RequestId, Vec<Action>>,
+    pub withdrawn: Vec<RequestId>,
     pub logged: Vec<String>,
     pub probed: Vec<(Moment, HostId)>,
     wakes: Vec<Moment>,
@@ -150,14 +150,14 @@
     fn settle(&mut self) {
         for action in self.dispatcher.settle(self.now) {
             match action {
-                Action::HandOff(hand_off) => {
+                Action::Attempt(hand_off) => {
                     assert!(
                         !self.finals.contains_key(&hand_off.id),
                         "sent after the final answer"
                     );
                     self.handed.push(hand_off);
                 }
-                Action::Reject { id, .. } | Action::Abort { id } => {
+                Action::Refuse { id, .. } | Action::Fail { id } => {
                     self.finals.entry(id).or_default().push(action);
                 }
                 Action::Withdraw { id, .. } => self.withdrawn.push(id),
@@ -180,20 +180,20 @@
         self.now = end;
     }
 
-    pub fn arrive(&mut self, track: TrackId, object: u64) -> AccessId {
+    pub fn arrive(&mut self, track: ClassId, object: u64) -> RequestId {
         self.arrive_part(track, object, 0, Some(50.0))
     }
 
     pub fn arrive_part(
         &mut self,
-        track: TrackId,
+        track: ClassId,
         object: u64,
         part: u32,
         size_kb: Option<f64>,
-    ) -> AccessId {
+    ) -> RequestId {
         self.next += 1;
         let (id, object, group) = (
-            AccessId(self.next),
+            RequestId(self.next),
             ObjectId(object),
             GroupId(object as u32 % 4),
         );
@@ -210,9 +210,9 @@
         id
     }
 
-    pub fn answer(&mut self, id: AccessId, ending: Ending, note: Note, took: Span) {
+    pub fn answer(&mut self, id: RequestId, ending: Ending, note: Note, took: Span) {
         let of_access = self.handed.iter().filter(|hand_off| hand_off.id == id);
-        let hand_off = HandOffNo(of_access.count() as u8 - 1);
+        let hand_off = AttemptNo(of_access.count() as u8 - 1);
         let closed = ending == Ending::Done;
         let waited = Some(took).filter(|_| note != Note::Hit);
         self.event(Event::Outcome(Outcome {
@@ -229,24 +229,24 @@
         }));
     }
 
-    pub fn play(&mut self, object: u64, ending: Ending, note: Note, took: Span) -> AccessId {
+    pub fn play(&mut self, object: u64, ending: Ending, note: Note, took: Span) -> RequestId {
         let id = self.arrive(READS, object);
         self.pass(took);
         self.answer(id, ending, note, took);
         id
     }
 
-    pub fn last(&self, id: AccessId) -> &HandOff {
+    pub fn last(&self, id: RequestId) -> &Attempt {
         let last = self.handed.iter().rfind(|hand_off| hand_off.id == id);
         last.expect("nothing was handed off")
     }
 
-    pub fn count(&self, id: AccessId) -> usize {
+    pub fn count(&self, id: RequestId) -> usize {
         let all = self.handed.iter().filter(|hand_off| hand_off.id == id);
         all.count()
     }
 
-    pub fn source(&self, id: AccessId) -> HostId {
+    pub fn source(&self, id: RequestId) -> HostId {
         self.last(id).fill.expect("a plain look").source
     }
 
@@ -262,17 +262,17 @@
         (start..).filter(homes).take(n).collect()
     }
 
-    pub fn rejected(&self, id: AccessId) -> bool {
+    pub fn rejected(&self, id: RequestId) -> bool {
         matches!(
             self.finals.get(&id).map(Vec::as_slice),
-            Some([Action::Reject { .. }])
+            Some([Action::Refuse { .. }])
         )
     }
 
-    pub fn aborted(&self, id: AccessId) -> bool {
+    pub fn aborted(&self, id: RequestId) -> bool {
         matches!(
             self.finals.get(&id).map(Vec::as_slice),
-            Some([Action::Abort { .. }])
+            Some([Action::Fail { .. }])
         )
     }
 }
--- a/tests/others.rs
+++ b/tests/others.rs
@@ -16,7 +16,7 @@
 impl Crossings for Known {}
 
 impl Others for Known {
-    fn earlier(&self, _id: AccessId) -> Option<Earlier> {
+    fn earlier(&self, _id: RequestId) -> Option<Earlier> {
         Some(self.0)
     }
 }
@@ -25,7 +25,7 @@
 fn change_after(group: RepeatGroup, place: Option<(u16, u16)>, ago: Span) -> Vec<Action> {
     let mut terms = terms();
     let window = Span::from_secs(2);
-    terms.tracks[1].effect = Effect::Fingerprinted { group, window };
+    terms.tracks[1].effect = Effect::Keyed { group, window };
     let place = place.map(|(zone, cell)| (ZoneId(zone), CellId(cell)));
     let first = Moment(START.0 - ago.0);
     let mut dispatcher = Dispatcher::with(Known(Earlier { place, first }), terms, 1);
@@ -44,7 +44,7 @@
     dispatcher.take(
         START,
         Event::Arrived(Arrival {
-            id: AccessId(1),
+            id: RequestId(1),
             left: Span::from_secs(3),
             track: CHANGES,
             object: ObjectId(7),
@@ -59,13 +59,13 @@
 fn went(actions: &[Action]) -> bool {
     actions
         .iter()
-        .any(|action| matches!(action, Action::HandOff(_)))
+        .any(|action| matches!(action, Action::Attempt(_)))
 }
 
 fn aborted(actions: &[Action]) -> bool {
     actions
         .iter()
-        .any(|action| matches!(action, Action::Abort { .. }))
+        .any(|action| matches!(action, Action::Fail { .. }))
 }
 
 #[test]
@@ -99,7 +99,7 @@
     assert!(
         actions
             .iter()
-            .any(|action| matches!(action, Action::Reject { .. }))
+            .any(|action| matches!(action, Action::Refuse { .. }))
     );
 }
 
@@ -141,7 +141,7 @@
     let first = Moment(START.0 - 1);
     for place in [None, Some((ZoneId(0), CellId(0)))] {
         let mut terms = terms();
-        terms.tracks[1].effect = Effect::Binding;
+        terms.tracks[1].effect = Effect::NonIdempotent;
         let mut dispatcher = Dispatcher::with(Known(Earlier { place, first }), terms, 1);
         let actions = change(&mut dispatcher);
         assert!(!went(&actions) && aborted(&actions), "{actions:?}");
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -367,7 +367,7 @@
     });
     let crowd: Vec<_> = (0..crowd).map(|_| stage.arrive(READS, 3)).collect();
     let first = stage.last(crowd[0]).host;
-    let there = |id: &AccessId| stage.last(*id).host == first;
+    let there = |id: &RequestId| stage.last(*id).host == first;
     assert!(crowd.iter().all(there));
     let large = stage.arrive_part(READS, 3, 0, Some(1200.0));
     let went = (!stage.rejected(large)).then(|| stage.last(large).host);
@@ -541,7 +541,7 @@
     let id = stage.arrive(READS, 3);
     stage.event(Event::Begun {
         id,
-        hand_off: HandOffNo(0),
+        hand_off: AttemptNo(0),
     });
     stage.pass(Span::from_secs(5));
     assert!(stage.withdrawn.is_empty() && stage.finals.is_empty());
@@ -559,7 +559,7 @@
     assert!(stage.rejected(id));
     let soon = |span: Span| span <= Span::from_secs(1);
     let answer = &stage.finals[&id][0];
-    assert!(matches!(answer, Action::Reject { come_back: Some(span), .. } if soon(*span)));
+    assert!(matches!(answer, Action::Refuse { come_back: Some(span), .. } if soon(*span)));
 }
 
 #[test]
@@ -567,7 +567,7 @@
     let mut stage = Stage::new(terms());
     let id = stage.play(3, Ending::Done, Note::Hit, ms(20));
     stage.answer(id, Ending::TimedOut, Note::Untold, ms(30));
-    stage.event(Event::Left { id: AccessId(999) });
+    stage.event(Event::Left { id: RequestId(999) });
     stage.event(Event::Woken { wake: WakeId(77) });
     assert!(stage.finals.is_empty());
 }
@@ -605,7 +605,7 @@
     let ids: Vec<_> = (0..5).map(|_| stage.arrive(ORDERS, 3)).collect();
     stage.pass(ms(2000));
     assert!(stage.withdrawn.is_empty());
-    let held = |&id: &AccessId| stage.count(id) == 1 && !stage.finals.contains_key(&id);
+    let held = |&id: &RequestId| stage.count(id) == 1 && !stage.finals.contains_key(&id);
     assert!(ids.iter().all(held));
     assert!(may_reach_origin(&mut stage) < 70);
 }
@@ -767,7 +767,7 @@
     });
     stage.list(ListForm::Changes, struck.to_vec());
     let ids: Vec<_> = (0..300).map(|object| stage.arrive(READS, object)).collect();
-    let sent = |id: &&AccessId| stage.count(**id) > 0;
+    let sent = |id: &&RequestId| stage.count(**id) > 0;
     let (taken, left): (Vec<_>, Vec<_>) = ids.iter().partition(sent);
     assert!(!taken.is_empty() && left.iter().all(|&&id| stage.rejected(id)));
     stage.pass(Span::from_secs(3));
