--- a/crates/lab/src/bin/bare-relay.rs
+++ b/crates/lab/src/bin/bare-relay.rs
@@ -15,7 +15,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use trailproxy_lab::chance::mix;
 use trailproxy_standins::client::writer;
-use trailproxyd::held::Held;
+use trailproxyd::buffered::Held;
 use trailproxyd::msgpack::{self, Fault, Value};
 use trailproxyd::resp;
 use trailproxyd::ring::Ring;
--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -1,4 +1,4 @@
-//! What must hold: asserted in debug builds, counted in release builds. Beside it, all that is counted
+//! What must hold: asserted in debug builds, counted in release builds. Subsystems it, all that is counted
 //! and logged now and then.
 
 use std::cell::Cell;
--- a/crates/trailproxyd/src/places.rs
+++ b/crates/trailproxyd/src/client_slots.rs
@@ -27,16 +27,16 @@
     None,
 }
 
-pub struct Places {
+pub struct Slots {
     most: usize,
     held: BTreeMap<ClientId, (Use, mpsc::Sender<ToClient>)>,
     /// Those that may be asked to leave: the ones that have said nothing, and the idle ones.
     yielding: [BTreeSet<(Instant, ClientId)>; 2],
 }
 
-impl Places {
-    pub fn new(most: usize) -> Places {
-        Places {
+impl Slots {
+    pub fn new(most: usize) -> Slots {
+        Slots {
             most,
             held: BTreeMap::new(),
             yielding: Default::default(),
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -1,11 +1,11 @@
 //! Clients: MessagePack-RPC over TCP, requests pipelined and answered in any order.
 
+use crate::buffered::Held;
 use crate::checks::{Counts, count};
-use crate::held::Held;
+use crate::client_slots::{Room, Slots, Use};
 use crate::list::object_id;
 use crate::messages::*;
 use crate::msgpack::{self, Fault, Value};
-use crate::places::{Places, Room, Use};
 use crate::ring::Ring;
 use local_channel::mpsc;
 use slog::{Logger, debug};
@@ -49,7 +49,7 @@
 pub struct Shared {
     pub queue: Queue,
     pub tracks: HashMap<String, ClassId>,
-    pub places: RefCell<Places>,
+    pub places: RefCell<Slots>,
     /// No client waits longer than this for anything.
     pub longest_limit: Duration,
     pub ending: Cell<bool>,
@@ -437,7 +437,7 @@
                 if self.owed.insert(number, Rc::default()).is_some() {
                     return damage("a number is used twice");
                 }
-                self.reply(number, Reply::Aborted);
+                self.reply(number, Reply::Failed);
                 self.write()?;
             }
             Message::Nothing => {}
@@ -473,16 +473,16 @@
         msgpack::put_nil(head);
     };
     match reply {
-        Reply::Done(body) => return done(body.bytes(), &[]),
+        Reply::Served(body) => return done(body.bytes(), &[]),
         Reply::Same => return done(&[], &[("same", "1")]),
-        Reply::Rejected { come_back: None } => failed(&mut head, "Throttled", &[]),
-        Reply::Rejected {
+        Reply::Refused { come_back: None } => failed(&mut head, "Throttled", &[]),
+        Reply::Refused {
             come_back: Some(span),
         } => {
             let ms = (span.0 / 1000).max(1).to_string();
             failed(&mut head, "Throttled", &[("cooldown", &ms)]);
         }
-        Reply::Aborted => failed(&mut head, "Broken", &[]),
+        Reply::Failed => failed(&mut head, "Broken", &[]),
     }
     out.push(&head);
 }
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -2,15 +2,15 @@
 //! actions. It keeps the open accesses and the timers.
 
 use crate::accounts::Accounts;
-use crate::beside::{Beside, Shared, came};
+use crate::buffered::Parcel;
 use crate::checks::{Counts, count, must};
-use crate::held::Parcel;
 use crate::messages::*;
 use crate::operator::{PeersTold, Told, longest_window};
 use crate::peered::Peered;
 use crate::peers;
 use crate::servers::Pools;
 use crate::store;
+use crate::subsystems::{Shared, Subsystems, came};
 use crate::waiting::Due;
 use local_channel::mpsc;
 use slog::{Logger, debug, info, warn};
@@ -64,7 +64,7 @@
 }
 
 pub struct Dispatch {
-    pub decisions: Dispatcher<Beside>,
+    pub decisions: Dispatcher<Subsystems>,
     /// What tells of traffic between zones, with what a new account of it is made of.
     pub accounts: Option<(Accounts, Terms, u64)>,
     pub pools: Pools,
@@ -102,7 +102,7 @@
 
 impl Dispatch {
     pub fn new(
-        decisions: Dispatcher<Beside>,
+        decisions: Dispatcher<Subsystems>,
         pools: Pools,
         reports: Reports,
         effects: Vec<Effect>,
@@ -350,7 +350,7 @@
                 Due::Arrived(arrival) => self.go(now, arrival),
                 Due::Answered(id, body) => {
                     let body = Parcel::new(&body, &self.pools.shared.held);
-                    self.answer(now, id, Reply::Done(body));
+                    self.answer(now, id, Reply::Served(body));
                     self.forget(now, id);
                 }
                 Due::Tell(event) => self.tell(now, event),
@@ -529,7 +529,7 @@
             let out = access.is_some_and(|access| access.hand_offs.iter().any(|h| !h.over));
             self.recall(id);
             if !out {
-                self.answer(now, id, Reply::Aborted);
+                self.answer(now, id, Reply::Failed);
                 self.tell(now, Event::Left { id });
                 self.forget(now, id);
             }
@@ -550,12 +550,12 @@
         count(&self.counts.accesses);
         if self.state.accesses.len() >= self.pools.shared.bounds.max_open {
             count(&self.counts.rejected);
-            return self.reply(call.id, Reply::Rejected { come_back: None });
+            return self.reply(call.id, Reply::Refused { come_back: None });
         }
         if !self.state.references.insert(call.reference.clone()) {
             count(&self.counts.bad_clients);
             count(&self.counts.ids_again);
-            return self.reply(call.id, Reply::Aborted);
+            return self.reply(call.id, Reply::Failed);
         }
         self.state.next += 1;
         let id = RequestId(self.state.next);
@@ -633,7 +633,7 @@
 
     fn reply(&mut self, call: CallId, reply: Reply) {
         if let Some(client) = self.state.clients.get_mut(&call.client) {
-            client.proven |= matches!(reply, Reply::Done(_) | Reply::Same);
+            client.proven |= matches!(reply, Reply::Served(_) | Reply::Same);
             let _ = client.replies.send(ToClient::Reply(call.number, reply));
         }
     }
@@ -663,14 +663,14 @@
             now,
             id,
             match &reply {
-                Reply::Done(body) => Some(body.bytes()),
+                Reply::Served(body) => Some(body.bytes()),
                 _ => None,
             },
         );
         count(match &reply {
-            Reply::Done(_) | Reply::Same => &self.counts.done,
-            Reply::Rejected { .. } => &self.counts.rejected,
-            Reply::Aborted => &self.counts.aborted,
+            Reply::Served(_) | Reply::Same => &self.counts.done,
+            Reply::Refused { .. } => &self.counts.rejected,
+            Reply::Failed => &self.counts.aborted,
         });
         self.close(id);
         self.reply(call, reply);
@@ -700,11 +700,15 @@
         let came_kb = answer.body.as_ref();
         let came_kb = came_kb.map(|body| body.bytes().len() as f64 / 1024.0);
         if ending == Ending::Done {
-            self.answer(now, id.access, answer.body.map_or(Reply::Same, Reply::Done));
+            self.answer(
+                now,
+                id.access,
+                answer.body.map_or(Reply::Same, Reply::Served),
+            );
         }
         if self.client_of(id.access).is_some_and(|client| client.shut) {
             // Nothing more begins for it.
-            self.answer(now, id.access, Reply::Aborted);
+            self.answer(now, id.access, Reply::Failed);
         }
         let access = self.state.accesses.get(&id.access);
         let closed = access.is_none_or(|access| access.closed);
@@ -831,11 +835,11 @@
             match action {
                 Action::Attempt(hand_off) => self.hand_off(now, hand_off),
                 Action::Refuse { id, come_back } => {
-                    self.answer(now, id, Reply::Rejected { come_back });
+                    self.answer(now, id, Reply::Refused { come_back });
                     self.forget(now, id);
                 }
                 Action::Fail { id } => {
-                    self.answer(now, id, Reply::Aborted);
+                    self.answer(now, id, Reply::Failed);
                     self.forget(now, id);
                 }
                 Action::Withdraw { id, hand_off } => {
--- a/crates/trailproxyd/src/lib.rs
+++ b/crates/trailproxyd/src/lib.rs
@@ -1,6 +1,6 @@
 //! The parsers and buffers of the dispatcher on sockets, pure and bounded, for what else speaks its protocols.
 
-pub mod held;
+pub mod buffered;
 pub mod http;
 pub mod msgpack;
 pub mod resp;
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -1,12 +1,12 @@
 //! One connection to a host: RESP, requests pipelined and answered in any order.
 
+use crate::buffered::{Held, Parcel};
 use crate::checks::{count, must};
-use crate::held::{Held, Parcel};
+use crate::link_context::Shared;
 use crate::messages::*;
 use crate::msgpack::Fault;
 use crate::resp;
 use crate::ring::Ring;
-use crate::ways::Shared;
 use local_channel::mpsc;
 use slog::{info, warn};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/trailproxyd/src/ways.rs
+++ b/crates/trailproxyd/src/link_context.rs
@@ -1,7 +1,7 @@
 //! What the pools of connections to hosts and each such connection have in common.
 
+use crate::buffered::Held;
 use crate::checks::Counts;
-use crate::held::Held;
 use crate::messages::*;
 use slog::Logger;
 use std::rc::Rc;
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -1,28 +1,28 @@
 //! A trailproxy dispatcher on sockets: clients in, cache hosts out, the journal service beside.
 
 mod accounts;
-mod beside;
 mod checks;
+mod client_slots;
 mod clients;
 mod dispatch;
 mod divided;
 mod link;
+mod link_context;
 mod list;
 mod messages;
 mod operator;
 mod peered;
 mod peers;
-mod places;
 mod servers;
 mod startup;
 mod store;
+mod subsystems;
 mod waiting;
-mod ways;
 
 use accounts::Accounts;
+use buffered::Held;
 use checks::Counts;
 use dispatch::Dispatch;
-use held::Held;
 use local_channel::mpsc;
 use messages::{Clock, Inbound};
 use serde_json::Value;
@@ -40,7 +40,7 @@
 use trailproxy::interface::Terms;
 use trailproxy::logic::Dispatcher;
 use trailproxy_terms::Bounds;
-use trailproxyd::{held, http, msgpack, resp, ring, sse};
+use trailproxyd::{buffered, http, msgpack, resp, ring, sse};
 
 /// Lines that wait for the log's own thread; more are dropped and their number is logged.
 const LOG_LINES: usize = 4096;
@@ -178,7 +178,7 @@
     let shared = Rc::new(clients::Shared {
         queue: queue.clone(),
         tracks: tracks.zip((0..).map(trailproxy::units::ClassId)).collect(),
-        places: RefCell::new(places::Places::new(most_clients)),
+        places: RefCell::new(client_slots::Slots::new(most_clients)),
         longest_limit: Duration::from_micros(start.bounds.longest_limit.0),
         ending: Cell::new(false),
         held: held.clone(),
@@ -253,9 +253,9 @@
         log.clone(),
     );
     let terms = start.terms.clone();
-    let decisions = Dispatcher::with(beside::Beside::default(), start.terms, start.seed);
+    let decisions = Dispatcher::with(subsystems::Subsystems::default(), start.terms, start.seed);
     let most_lines = start.descriptors.saturating_sub(most_clients + RESERVE);
-    let pools = Pools::new(Rc::new(ways::Shared {
+    let pools = Pools::new(Rc::new(link_context::Shared {
         queue,
         bounds: start.bounds,
         clock: Clock::new(),
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -1,7 +1,7 @@
 //! What the parts say to each other, below all of them: clients, hosts and the journal service to the one task that
 //! has the decisions, and back. No wire words here.
 
-use crate::held::Parcel;
+use crate::buffered::Parcel;
 use crate::operator::Told;
 use local_channel::mpsc;
 use std::cell::Cell;
@@ -76,13 +76,13 @@
 }
 
 pub enum Reply {
-    Done(Parcel),
+    Served(Parcel),
     /// The copy that the client holds is the one that would be served.
     Same,
-    Rejected {
+    Refused {
         come_back: Option<Span>,
     },
-    Aborted,
+    Failed,
 }
 
 pub enum ToClient {
--- a/crates/trailproxyd/src/ring.rs
+++ b/crates/trailproxyd/src/ring.rs
@@ -1,7 +1,7 @@
 //! The one buffer a direction of a connection: a ring that grows for a large message and gives its
 //! memory back when it is empty.
 
-use crate::held::Held;
+use crate::buffered::Held;
 
 /// What an empty ring keeps, and the least it grows by.
 pub const RESTING: usize = 16 * 1024;
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -2,8 +2,8 @@
 
 use crate::checks::{count, must};
 use crate::link::Link;
+use crate::link_context::Shared;
 use crate::messages::*;
-use crate::ways::Shared;
 use local_channel::mpsc::{self, SendError};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/trailproxyd/src/beside.rs
+++ b/crates/trailproxyd/src/subsystems.rs
@@ -20,7 +20,7 @@
 use trailproxy_zones::Zones;
 
 #[derive(Default)]
-pub struct Beside {
+pub struct Subsystems {
     pub zones: Option<Zones>,
     pub shared: Option<Shared>,
     pub peers: Option<Peered>,
@@ -29,7 +29,7 @@
     cold: Option<(Option<f64>, Option<f64>)>,
 }
 
-impl Beside {
+impl Subsystems {
     /// An access with a key comes; `false`: nobody is asked about it. Where both know records, the store is asked: one
     /// record has one truth.
     pub fn come(&mut self, now: Moment, arrival: Arrival, mark: &str) -> bool {
@@ -369,7 +369,7 @@
     }
 }
 
-impl Crossings for Beside {
+impl Crossings for Subsystems {
     fn heard(&mut self, now: Moment, event: &Event) {
         self.zones.heard(now, event);
         self.shared
@@ -394,7 +394,7 @@
     }
 }
 
-impl Others for Beside {
+impl Others for Subsystems {
     fn earlier(&self, id: RequestId) -> Option<Earlier> {
         let shared = self
             .shared
--- a/crates/trailproxyd/tests/parsers.rs
+++ b/crates/trailproxyd/tests/parsers.rs
@@ -169,7 +169,7 @@
 }
 
 mod ring {
-    use trailproxyd::held::Held;
+    use trailproxyd::buffered::Held;
     use trailproxyd::ring::{RESTING, Ring};
 
     #[test]
