Rereading: one way to list what is out, nothing reckoned for warm hosts, one dial time

Seen on rereading the change; no behaviour changes: - Dispatch: what is out of a request was listed in three ways (recall, shut, the deadline); Request::out serves all, recall says if any. - Clients: turn parsed again what read has parsed; dead since reading goes on at all times. - Module: the mean of requests was reckoned for every cache of every request, also warm ones (has_budget); only cold ones ask for it. - Pools and each connection had the dial time of their own: Shared::dial_within.

--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -225,7 +225,6 @@
 
     async fn turn(&mut self) -> Result<(), Over> {
         self.write()?;
-        self.parse()?;
         let idle = self.outgoing.is_empty();
         let (used, leaves_at) = self.used();
         self.shared.places.borrow_mut().note(self.id, used);
@@ -246,7 +245,6 @@
                 return Err(Over::Clean);
             }
         }
-        let may_read = self.eof.is_none();
         let gone_at = self.eof.filter(|_| !self.shut).map(|at| at + GONE_AFTER);
         if gone_at.is_some_and(|at| at <= Instant::now()) {
             self.shut = true;
@@ -272,7 +270,7 @@
             ready = self.stream.writable(), if !idle => {
                 ready.map_err(|_| Over::Broken("write failed"))?;
             }
-            ready = self.stream.readable(), if may_read => {
+            ready = self.stream.readable(), if self.eof.is_none() => {
                 ready.map_err(|_| Over::Broken("read failed"))?;
                 self.read()?;
             }
@@ -295,7 +293,7 @@
         Ok(())
     }
 
-    /// Takes what has come, with the end behind it: so much at once that others have their turn, too.
+    /// Takes what has come and acts on it, with the end behind it: so much at once that others have their turn, too.
     fn read(&mut self) -> Result<(), Over> {
         let first = !self.spoken;
         for _ in 0..READS_AT_ONCE {
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -55,6 +55,14 @@
     hand_offs: Vec<AttemptState>,
 }
 
+impl Request {
+    /// Its attempts that have not ended.
+    fn out(&self) -> impl Iterator<Item = AttemptNo> {
+        let all = (0..).map(AttemptNo).zip(&self.hand_offs);
+        all.filter(|(_, attempt)| !attempt.over).map(|(no, _)| no)
+    }
+}
+
 struct Client {
     replies: mpsc::Sender<ToClient>,
     /// Whether anything was done for it.
@@ -525,10 +533,7 @@
             known.shut = true;
         }
         for (_, id) in self.calls_of(client) {
-            let access = self.state.accesses.get(&id);
-            let out = access.is_some_and(|access| access.hand_offs.iter().any(|h| !h.over));
-            self.recall(id);
-            if !out {
+            if !self.recall(id) {
                 self.answer(now, id, Reply::Failed);
                 self.tell(now, Event::Left { id });
                 self.forget(now, id);
@@ -536,14 +541,16 @@
         }
     }
 
-    /// Drops what of an access is not begun, also where the settings allow no withdrawal of what is.
-    fn recall(&mut self, access: RequestId) {
+    /// Drops what of a request is not begun, also where the settings allow no withdrawal of what is. Whether any
+    /// attempt of it had not ended.
+    fn recall(&mut self, access: RequestId) -> bool {
         let open = self.state.accesses.get(&access);
-        let out = open.into_iter().flat_map(|open| &open.hand_offs);
-        let out = (0..).map(AttemptNo).zip(out).filter(|(_, h)| !h.over);
-        for no in out.map(|(no, _)| no).collect::<Vec<_>>() {
+        let mut any = false;
+        for no in open.into_iter().flat_map(Request::out) {
             self.pools.recall(AttemptId { access, no });
+            any = true;
         }
+        any
     }
 
     fn arrived(&mut self, now: Moment, call: Call) {
@@ -613,7 +620,7 @@
 
     fn forget(&mut self, now: Moment, id: RequestId) {
         let longest = self.pools.shared.bounds.longest_limit;
-        let over = |access: &Request| access.closed && access.hand_offs.iter().all(|h| h.over);
+        let over = |access: &Request| access.closed && access.out().next().is_none();
         if self.state.accesses.get(&id).is_some_and(over)
             && let Some(access) = self.state.accesses.remove(&id)
         {
@@ -809,8 +816,7 @@
             let Some(access) = self.state.accesses.get(&id) else {
                 continue;
             };
-            let out = access.hand_offs.iter().zip((0..).map(AttemptNo));
-            let out: Vec<AttemptNo> = out.filter(|(h, _)| !h.over).map(|(_, no)| no).collect();
+            let out: Vec<AttemptNo> = access.out().collect();
             self.state.limits.remove(&(access.limit, id));
             for no in out {
                 let hand_off = AttemptId { access: id, no };
--- a/crates/trailproxyd/src/http.rs
+++ b/crates/trailproxyd/src/http.rs
@@ -4,8 +4,9 @@
 /// Longer heads and chunk lines are damage.
 const LONGEST_HEAD: usize = 16 * 1024;
 
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Default, PartialEq)]
 enum Part {
+    #[default]
     Head,
     /// Until the connection ends.
     Plain,
@@ -17,6 +18,7 @@
     Over,
 }
 
+#[derive(Default)]
 pub struct Response {
     part: Part,
     line: Vec<u8>,
@@ -25,15 +27,6 @@
 #[derive(Debug, PartialEq)]
 pub struct Damaged(pub &'static str);
 
-impl Default for Response {
-    fn default() -> Response {
-        Response {
-            part: Part::Head,
-            line: Vec::new(),
-        }
-    }
-}
-
 impl Response {
     /// Whether the body has come to its told end.
     pub fn is_over(&self) -> bool {
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -199,8 +199,7 @@
             && self.withdrawn.is_empty();
         let known_at = self.withdrawn.front().map(|at| at.0);
         // Half an answer and no more of it: what comes behind it would wait for its end, that of others, too.
-        let silence = Duration::from_micros(self.shared.bounds.dial_within.0);
-        let stuck_at = self.heard + silence;
+        let stuck_at = self.heard + self.shared.dial_within();
         let half = !self.incoming.is_empty() && !self.unfit;
         if idle && self.retired {
             return Err("retired");
@@ -280,7 +279,7 @@
             return;
         };
         // A connection that owed an answer and said nothing for a dial's time is not used again.
-        let silence = Duration::from_micros(self.shared.bounds.dial_within.0);
+        let silence = self.shared.dial_within();
         let (unheard, long) = (self.heard <= sending.sent, sending.sent.elapsed() > silence);
         if unheard && long {
             self.tell_unfit();
--- a/crates/trailproxyd/src/link_context.rs
+++ b/crates/trailproxyd/src/link_context.rs
@@ -5,6 +5,7 @@
 use crate::messages::*;
 use slog::Logger;
 use std::rc::Rc;
+use std::time::Duration;
 use trailproxy::interface::*;
 use trailproxy::units::*;
 use trailproxy_terms::Bounds;
@@ -24,6 +25,11 @@
 }
 
 impl Shared {
+    /// A connection comes up within this, or never.
+    pub fn dial_within(&self) -> Duration {
+        Duration::from_micros(self.bounds.dial_within.0)
+    }
+
     pub fn end(&self, id: AttemptId, host: HostId, line: Option<LineId>, answer: Answer) {
         let ended = FromServer::Ended {
             id,
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -156,7 +156,7 @@
 
     pub fn submit(&mut self, sending: Sending) {
         let (id, host) = (sending.id, sending.host);
-        let until = Instant::now() + self.dial_within();
+        let until = Instant::now() + self.shared.dial_within();
         let ready = |pool: &&mut Pool| pool.member.entry.state == HostState::Ready;
         let pool = self.pools.get_mut(&host).filter(ready);
         must(pool.is_some(), &self.shared.counts.broken_sent_to_drained);
@@ -172,7 +172,7 @@
     /// Asks a host for its load, one at a time: while one is out, another is not wanted. It takes a connection
     /// that is up, else one is dialled for it, within the descriptors that hand-offs leave.
     pub fn probe(&mut self, host: HostId) {
-        let until = Instant::now() + self.dial_within();
+        let until = Instant::now() + self.shared.dial_within();
         self.next += 1;
         let id = ProbeId(self.next);
         let ready = |pool: &&mut Pool| pool.member.entry.state == HostState::Ready;
@@ -185,14 +185,10 @@
         }
     }
 
-    fn dial_within(&self) -> Duration {
-        Duration::from_micros(self.shared.bounds.dial_within.0)
-    }
-
     /// Gives what waits to connections, and dials for the rest. An answer that can't be read ends all
     /// that is open on its connection, so each hand-off has one to itself as far as descriptors go.
     fn assign(&mut self, host: HostId) {
-        let within = self.dial_within();
+        let within = self.shared.dial_within();
         let share = (self.shared.most_lines / self.pools.len().max(1)).max(1);
         let free = self.shared.most_lines.saturating_sub(self.lines);
         let Some(pool) = self.pools.get_mut(&host) else {
--- a/crates/trailproxyd/tests/endings.rs
+++ b/crates/trailproxyd/tests/endings.rs
@@ -58,20 +58,31 @@
     }
 }
 
+/// By now whoever has left has gone, and that is known.
+fn gone(client: &mut Client) {
+    std::thread::sleep(GONE);
+    settled(client);
+}
+
 fn reset(client: Client) {
     let socket = socket2::SockRef::from(&client.stream);
     let lingers = socket.set_linger(Some(Duration::ZERO));
     lingers.expect("a reset at the close");
 }
 
+/// What a host hears next is of this object.
+fn pull_of(stage: &Stage, object: u64) -> Heard {
+    let pull = stage.pull();
+    let name = format!("{object:016x}");
+    assert_eq!(pull.field("name"), Some(name.as_str()), "the first to come");
+    pull
+}
+
 /// Asks for an object by a new client, hears its request alone, and answers it.
 fn next_heard(stage: &Stage, object: u64) {
     let mut other = stage.client();
     other.ask("image", object, 9000);
-    let pull = stage.pull();
-    let name = format!("{object:016x}");
-    assert_eq!(pull.field("name"), Some(name.as_str()), "the first to come");
-    pull.hit(b"other");
+    pull_of(stage, object).hit(b"other");
     assert_eq!(other.answer().1, Final::done(b"other"));
 }
 
@@ -91,31 +102,32 @@
         reset(resets);
         drop(closes);
         revokes.revoke(number);
-        std::thread::sleep(GONE);
-        settled(&mut other);
+        gone(&mut other);
         // It waits behind them, for the same connections.
         other.ask("image", homes[1], 9000);
         settled(&mut other);
         gate.open("c1", stage.heard_in.clone());
-        let pull = stage.pull();
-        let name = format!("{:016x}", homes[1]);
-        assert_eq!(pull.field("name"), Some(name.as_str()), "cancel {cancel}");
-        pull.hit(b"other");
+        pull_of(&stage, homes[1]).hit(b"other");
         assert_eq!(other.answer().1, Final::done(b"other"));
         next_heard(&stage, homes[2]);
     }
 }
 
-#[test]
-fn no_further_attempt_begins_for_a_client_that_has_closed() {
-    let stage = Stage::new();
+/// A client that has ended its side while its request was at a host.
+fn has_ended_its_side(stage: &Stage, class: &str) -> (Client, Heard) {
     let (mut closing, mut other) = (stage.client(), stage.client());
-    closing.ask("image", 7, 9000);
-    let first = stage.pull();
+    closing.ask(class, 7, 9000);
+    let pull = stage.pull();
     let ended = closing.stream.shutdown(Shutdown::Write);
     ended.expect("its side ends");
-    std::thread::sleep(GONE);
-    settled(&mut other);
+    gone(&mut other);
+    (closing, pull)
+}
+
+#[test]
+fn no_further_attempt_begins_for_a_client_that_has_closed() {
+    let stage = Stage::new();
+    let (mut closing, first) = has_ended_its_side(&stage, "image");
     first.hang_up();
     // It may still listen, so it has its final answer.
     assert!(closing.answer().1.is_error("Broken"));
@@ -126,13 +138,7 @@
 #[test]
 fn an_attempt_under_way_is_answered_after_its_client_ended_its_side() {
     let stage = Stage::new();
-    let (mut closing, mut other) = (stage.client(), stage.client());
-    closing.ask("order", 7, 9000);
-    let first = stage.pull();
-    let ended = closing.stream.shutdown(Shutdown::Write);
-    ended.expect("its side ends");
-    std::thread::sleep(GONE);
-    settled(&mut other);
+    let (mut closing, first) = has_ended_its_side(&stage, "order");
     first.answer("data", "tag=aa,minted=1", b"kept");
     assert_eq!(closing.answer().1, Final::done(b"kept"));
     assert!(closing.is_closed());
@@ -162,15 +168,12 @@
     reset(resets);
     let mut stays = stage.client();
     stays.ask("image", 102, 9000);
-    std::thread::sleep(GONE);
-    settled(&mut taken[1]);
+    gone(&mut taken[1]);
     // A place is free, and all three come in by it.
     held[0].hit(b"x");
     assert_eq!(taken[0].answer().1, Final::done(b"x"));
     drop(taken.remove(0));
-    let pull = stage.pull();
-    assert_eq!(pull.field("name"), Some("0000000000000066"), "of who stays");
-    pull.hit(b"stays");
+    pull_of(&stage, 102).hit(b"stays");
     assert_eq!(stays.answer().1, Final::done(b"stays"));
 }
 
@@ -193,13 +196,11 @@
     waiting.iter().for_each(|&number| rude.revoke(number));
     let mut other = stage.client();
     settled(&mut other);
-    std::thread::sleep(GONE);
-    settled(&mut other);
+    gone(&mut other);
     other.ask("image", at_c1[1], 9000);
     settled(&mut other);
     gate.open("c1", stage.heard_in.clone());
-    let name = format!("{:016x}", at_c1[1]);
-    assert_eq!(stage.pull().field("name"), Some(name.as_str()));
+    pull_of(&stage, at_c1[1]);
 }
 
 #[test]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -601,9 +601,9 @@
     /// Rule 4: whether a host can take this work out of this dispatcher's part. The last may overdraw, or
     /// one of hundreds could never send; the debt is waited off. No work may exceed the whole limit.
     fn has_budget(&self, now: Moment, id: HostId, work: f64) -> bool {
-        let (host, mean) = (&self.hosts[&id], self.mean_send());
-        host.warmth(now) >= 1.0
-            || host.cost(now, work * COLD_USE) <= host.among() && host.allowance(now, mean) >= 0.0
+        let host = &self.hosts[&id];
+        let bears = || host.cost(now, work * COLD_USE) <= host.among();
+        host.warmth(now) >= 1.0 || bears() && host.allowance(now, self.mean_send()) >= 0.0
     }
 
     fn track(&self, access: &Request) -> &ClassTerms {
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -232,15 +232,9 @@
                     outside.takes(now, 1.0, &terms);
                 }
             }
-            while process.wakes.pop_first().is_some_and(|at| {
-                let due = at <= now;
-                if due {
-                    events.push(Event::Woken { wake: WakeId(0) });
-                } else {
-                    process.wakes.insert(at);
-                }
-                due
-            }) {}
+            let later = process.wakes.split_off(&Moment(now.0 + 1));
+            let due = std::mem::replace(&mut process.wakes, later);
+            events.extend(due.iter().map(|_| Event::Woken { wake: WakeId(0) }));
             while let Some((_, id, hand_off)) = process.out.pop_front_if(|(at, ..)| *at <= now) {
                 let took = Span::from_millis(40);
                 let (ending, note) = (Ending::Done, Note::Hit);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -707,17 +707,21 @@
     assert_eq!(oldest(&mut stage, 12), None, "another of the first group");
 }
 
+fn large_cold_parent(now: Moment) -> HostEntry {
+    let (started, size) = (Some(now), 60.0);
+    HostEntry {
+        started,
+        size,
+        ..entry(PARENTS[0])
+    }
+}
+
 #[test]
 fn two_hundred_dispatchers_share_a_cold_parent_without_pushing_it_over() {
     let (mut seconds, mut senders) = (0.0, 0);
     for seed in 0..200 {
         let mut stage = Stage::seeded(one_of_many(), seed);
-        let (started, size) = (Some(stage.now), 60.0);
-        let cold = HostEntry {
-            started,
-            size,
-            ..entry(PARENTS[0])
-        };
+        let cold = large_cold_parent(stage.now);
         stage.list(ListForm::Changes, vec![cold]);
         let before = seconds;
         for object in seed * 100..seed * 100 + 40 {
@@ -1068,12 +1072,7 @@
 /// Work for a cold parent that one dispatcher of two hundred sends in a second, where it is divided among so many.
 fn sent_to_a_cold_parent(seed: u64, among: Option<f64>) -> f64 {
     let mut stage = Stage::seeded(one_of_many(), seed);
-    let (started, size) = (Some(stage.now), 60.0);
-    let cold = HostEntry {
-        started,
-        size,
-        ..entry(PARENTS[0])
-    };
+    let cold = large_cold_parent(stage.now);
     stage.dispatcher.divide(stage.now, None, among);
     stage.list(ListForm::Changes, vec![cold]);
     let mut seconds = 0.0;
