--- a/crates/budgets/src/decide/following.rs
+++ b/crates/budgets/src/decide/following.rs
@@ -30,7 +30,7 @@
     seats: (u32, u32),
     traffic: Traffic,
     look_at: Moment,
-    letters: Vec<(HolderId, Note)>,
+    messages: Vec<(HolderId, Note)>,
     differs: Vec<Differs>,
     /// Among how many work for cold caches and parents is divided, where that is another than was told.
     cold: (Option<f64>, Option<f64>),
@@ -68,7 +68,7 @@
             ),
             traffic: Traffic::default(),
             look_at: now,
-            letters: Vec::new(),
+            messages: Vec::new(),
             differs: Vec::new(),
             cold: (None, None),
             cold_told: true,
@@ -168,7 +168,7 @@
         let among = |part: f64| Some(1.0 / part.max(1e-9));
         for act in self.shares.take() {
             match act {
-                Act::Send(to, note) => self.letters.push((to, note)),
+                Act::Send(to, note) => self.messages.push((to, note)),
                 Act::Part(id, part) => match self.followers.get(&id) {
                     Some(Follower::Crossing(name)) => {
                         zones
@@ -198,8 +198,8 @@
     }
 
     /// Words to go out.
-    pub fn letters(&mut self) -> Vec<(HolderId, Note)> {
-        std::mem::take(&mut self.letters)
+    pub fn messages(&mut self) -> Vec<(HolderId, Note)> {
+        std::mem::take(&mut self.messages)
     }
 
     /// Among how many work for cold caches and parents is divided now; `None`: as before.
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -357,7 +357,7 @@
             return;
         };
         decider.divide(now, following);
-        for (to, note) in following.letters() {
+        for (to, note) in following.messages() {
             let place = (0..self.seats.len()).find(|&nth| HolderId::of_name(&name(nth)) == to);
             if let Some(place) = place {
                 self.file(now + WORD_TAKES, Ev::Word(place, from, note));
--- a/crates/peers/src/sheet.rs
+++ b/crates/peers/src/config.rs
@@ -1,13 +1,13 @@
 //! What the operator's file says of the other dispatchers, as the reader of the script hands it on.
 
 use crate::decide::Rules;
-use crate::decide::letters::Address;
+use crate::decide::messages::Address;
 use serde::{Deserialize, Serialize};
 use trailproxy::units::Span;
 
 /// The section `peers`, checked in its types and ranges by whoever read the script.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Sheet {
+pub struct Config {
     pub file: String,
     /// Line and column of the section, from 1.
     pub place: (usize, usize),
@@ -59,7 +59,7 @@
     })
 }
 
-impl Sheet {
+impl Config {
     /// The message of a field that does not fit.
     pub fn wrong(&self, field: &str, found: &str, accepted: &str) -> String {
         let (line, column) = self.place;
--- a/crates/peers/src/decide/claims.rs
+++ b/crates/peers/src/decide/claims.rs
@@ -6,7 +6,7 @@
 //! keepers until they have it.
 
 use super::facts::{Claim, Fact, FactId, Place, Stage, Token, merge, others};
-use super::letters::{AskNo, PeerId};
+use super::messages::{AskNo, PeerId};
 use std::collections::{BTreeMap, BTreeSet};
 use trailproxy::units::*;
 use trailproxy_shared_store::decide::records::{Came, Key, Record, Stand};
--- a/crates/peers/src/decide/facts.rs
+++ b/crates/peers/src/decide/facts.rs
@@ -161,7 +161,7 @@
         mix(hash.0)
     }
 
-    /// What about a letter it fills, in bytes.
+    /// What about a message it fills, in bytes.
     pub fn size(&self) -> usize {
         match self {
             Fact::Record { claims, .. } => {
--- a/crates/peers/src/decide/keepers.rs
+++ b/crates/peers/src/decide/keepers.rs
@@ -4,10 +4,10 @@
 //! goes takes only its own slots with it, each of which passes to the next in its order.
 
 use super::facts::{RECORD_SLOTS, Slot, mix};
-use super::letters::PeerId;
+use super::messages::PeerId;
 use trailproxy::units::{Moment, Span};
 
-/// So many members keep a slot. More cost letters on every claim, fewer lose a record with two that die together.
+/// So many members keep a slot. More cost messages on every claim, fewer lose a record with two that die together.
 pub const KEEP: usize = 3;
 /// So long after the fleet changed, the former keepers are asked as well: they know what the new ones still fetch.
 const FORMER: Span = Span::from_secs(5);
--- /dev/null
+++ b/crates/peers/src/decide/keyed.rs
@@ -0,0 +1,187 @@
+//! Keyed requests: what others are asked before one goes out, and what becomes of their answers.
+
+use super::*;
+
+impl Peers {
+    /// An access with a key came. It goes on with [`Action::Decided`], at once or soon.
+    pub fn come(&mut self, now: Moment, id: RequestId, key: Key, due: Moment) {
+        self.wake(now);
+        if !self.rules.records || self.quiet() {
+            let verdict = Verdict::Go;
+            return self.acts.push(Action::Decided { id, verdict });
+        }
+        let slot = FactId::Record(key.0).slot();
+        let own = self.members.own().id;
+        let keepers = self.keepers.of(slot);
+        let reached = |id: &&PeerId| **id == own || self.members.alive(**id);
+        let some = keepers.iter().filter(reached).count() > keepers.len() / 2;
+        let wait = Some(self.rules.wait).filter(|_| some && self.claims.room());
+        self.counts.waited += u64::from(wait.is_some());
+        let steps = self.records.come(now, id, key, due, wait);
+        self.follow(now, steps);
+    }
+
+    /// A hand-off of it goes out.
+    pub fn hand_off(&mut self, now: Moment, id: RequestId, place: (ZoneId, CellId)) {
+        let token = self.token();
+        self.records.sent(id, place);
+        self.claims.sent(now, id, place, token);
+        self.tell_owed(now);
+    }
+
+    /// It has its final answer.
+    pub fn ended(&mut self, now: Moment, id: RequestId, came: Came) {
+        self.records.ended(id, &came);
+        self.claims.ended(now, id, came);
+        self.tell_owed(now);
+    }
+
+    /// What another dispatcher did under the key of this access.
+    pub fn earlier(&self, id: RequestId) -> Option<Earlier> {
+        let unsure = || {
+            // It may have run anywhere, however long ago.
+            let refused = self.rules.refuse && !self.granted(id) && self.records.key(id).is_some();
+            let (place, first) = (None, Moment(0));
+            refused.then_some(Earlier { place, first })
+        };
+        self.records.earlier(id).or_else(unsure)
+    }
+
+    /// Whether the others said that no other has the key of this access.
+    pub fn granted(&self, id: RequestId) -> bool {
+        self.records.claimed(id)
+    }
+
+    pub(super) fn token(&mut self) -> Token {
+        Token(self.chance.u64(16..))
+    }
+
+    pub(super) fn follow(&mut self, now: Moment, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Claim(id, key) => self.claim(now, id, key),
+                Step::Decided(id, verdict) => {
+                    self.counts.answered += u64::from(matches!(verdict, Verdict::Answer(_)));
+                    self.acts.push(Action::Decided { id, verdict });
+                }
+            }
+        }
+    }
+
+    pub(super) fn claim(&mut self, now: Moment, id: RequestId, key: Key) {
+        if !self.claims.room() {
+            let steps = self.records.go(id);
+            return self.follow(now, steps);
+        }
+        self.counts.claimed += 1;
+        let token = self.token();
+        let claim = self.claims.claim(now, id, key, token);
+        let slot = FactId::Record(key.0).slot();
+        let own = self.members.own().id;
+        let keepers = self.keepers.of(slot).to_vec();
+        let enough = keepers.len() / 2 + 1;
+        let whom: BTreeSet<PeerId> = keepers.iter().copied().collect();
+        let former: BTreeSet<PeerId> = self.keepers.former(now, slot).collect();
+        let no = self.no();
+        self.claims.ask(now, no, id, whom.clone(), enough);
+        let key = key.0;
+        for &whom in whom.union(&former).filter(|&&whom| whom != own) {
+            let claim = claim.clone();
+            self.send_to(now, whom, vec![Note::Claim { no, key, claim }]);
+        }
+        if whom.contains(&own) {
+            let (sure, claims) = self.claimed(now, key, claim);
+            self.stood(now, no, own, sure, claims);
+        }
+    }
+
+    /// A claim at one who keeps its key: what is known of the key, and whether that is all.
+    pub(super) fn claimed(
+        &mut self,
+        now: Moment,
+        key: u128,
+        claim: Option<facts::Claim>,
+    ) -> (bool, Vec<facts::Claim>) {
+        let id = FactId::Record(key);
+        // One who does not know that it keeps the key has fetched nothing of it.
+        let keeps = self.keepers.keeps(self.members.own().id, id.slot());
+        let mut sure = keeps && self.sync.whole(id.slot()) && !self.island;
+        if let Some(claim) = claim {
+            let claims = vec![claim];
+            let taken = self.facts.take(now, Fact::Record { key, claims });
+            self.counts.full += u64::from(taken.is_none());
+            sure &= taken.is_some();
+        }
+        match self.facts.get(id) {
+            Some(Fact::Record { claims, .. }) => (sure, claims.clone()),
+            _ => (sure, Vec::new()),
+        }
+    }
+
+    pub(super) fn stood(
+        &mut self,
+        now: Moment,
+        no: AskNo,
+        from: PeerId,
+        sure: bool,
+        claims: Vec<facts::Claim>,
+    ) {
+        let Some((id, heard)) = self.claims.stood(now, no, from, sure, claims) else {
+            return;
+        };
+        let steps = match heard {
+            Heard::Waits => return,
+            Heard::Mine => {
+                self.counts.granted += u64::from(self.records.waits(id));
+                // One that claimed at the same time has taken its claim back.
+                self.records.freed(id);
+                self.records.mine(id)
+            }
+            Heard::Unsure => {
+                self.counts.unsure += 1;
+                self.records.go(id)
+            }
+            Heard::Found(asked, record) => {
+                let news = !self.records.waits(id) && self.records.earlier(id).is_none();
+                let steps = self.records.found(now, asked, id, record);
+                let waits = self.records.waits(id);
+                self.counts.joined += u64::from(steps.is_empty() && waits);
+                self.counts.found_late += u64::from(news);
+                steps
+            }
+        };
+        self.follow(now, steps);
+        self.tell_owed(now);
+    }
+
+    /// What keepers are owed goes out, and into the own copy.
+    pub(super) fn tell_owed(&mut self, now: Moment) {
+        let own = self.members.own().id;
+        let (keepers, members, next) = (&self.keepers, &self.members, &mut self.next_no);
+        let no = || {
+            *next += 1;
+            AskNo(*next)
+        };
+        let there =
+            |&id: &PeerId| id == own || members.get(id).is_some_and(|member| member.there());
+        let of = |id: FactId| {
+            keepers
+                .of(id.slot())
+                .iter()
+                .copied()
+                .filter(there)
+                .collect()
+        };
+        for (no, fact, to) in self.claims.advance(now, no, of) {
+            for whom in to {
+                if whom == own {
+                    let taken = self.facts.take(now, fact.clone());
+                    self.counts.full += u64::from(taken.is_none());
+                    self.claims.taken(no, own);
+                } else {
+                    self.send_to(now, whom, vec![Note::Put(no, vec![fact.clone()])]);
+                }
+            }
+        }
+    }
+}
--- a/crates/peers/src/decide/members.rs
+++ b/crates/peers/src/decide/members.rs
@@ -2,16 +2,16 @@
 //!
 //! Each second or so one other is pinged, in an order drawn anew each round. One that does not answer is pinged by a few
 //! others, and where none of them reaches it, it is suspected: told to all, itself included, which is how one that is
-//! well says so, under a higher turn. One that stays silent is dead, and then nothing waits for it. Dead ones are knocked
+//! well says so, under a higher incarnation. One that stays silent is dead, and then nothing waits for it. Dead ones are knocked
 //! at now and then, and so are the operator's addresses: after a cut both sides find each other again without anybody's
 //! doing.
 
 use super::facts::mix;
-use super::letters::{Address, AskNo, Life, Note, PeerId, Standing, State, Word};
+use super::messages::{Address, AskNo, Life, MemberUpdate, Note, PeerId, Standing, State};
 use std::collections::{BTreeMap, VecDeque};
 use trailproxy::units::{Moment, Span};
 
-/// How often one other is pinged. Shorter costs letters, longer finds a dead one later.
+/// How often one other is pinged. Shorter costs messages, longer finds a dead one later.
 pub const PERIOD: Span = Span::from_millis(400);
 /// A ping that is not answered by then goes by others.
 const DIRECT: Span = Span::from_millis(120);
@@ -24,9 +24,9 @@
 const REMEMBER: Span = Span::from_secs(3_600);
 /// How often one that is not there is knocked at.
 const KNOCK: Span = Span::from_millis(500);
-/// Words in one letter.
-const WORDS: usize = 10;
-/// Words in one letter of the whole fleet, and how often it is asked for where two know different ones.
+/// Updates in one message.
+const UPDATES: usize = 10;
+/// Updates in one message of the whole fleet, and how often it is asked for where two know different ones.
 const ROSTER: usize = 24;
 const ROSTER_EVERY: Span = Span::from_millis(500);
 /// Those lost lately are told with it.
@@ -38,20 +38,20 @@
 
 #[derive(Clone, Debug)]
 pub struct Member {
-    pub word: Word,
+    pub update: MemberUpdate,
     /// Since when it stands so.
     pub since: Moment,
     pub state: State,
     /// It answers others, and not this one.
     pub one_way: bool,
-    /// Times that its word is still to be passed on.
+    /// Times that its update is still to be passed on.
     telling: u32,
 }
 
 impl Member {
     /// Whether it counts as one of the fleet.
     pub fn there(&self) -> bool {
-        self.word.standing <= Standing::Suspected
+        self.update.standing <= Standing::Suspected
     }
 }
 
@@ -65,7 +65,7 @@
 
 /// What the members' side wants done.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Do {
+pub enum MemberAction {
     Send(Address, Vec<Note>),
     Turned(PeerId, Standing),
     /// Another process has the same name, and came later: this one keeps quiet.
@@ -83,7 +83,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Members {
-    own: Word,
+    own: MemberUpdate,
     born: Moment,
     seeds: Vec<Address>,
     members: BTreeMap<PeerId, Member>,
@@ -102,16 +102,16 @@
     /// It may be on the smaller side of a cut: what it thinks of the others is told to nobody.
     cut_off: bool,
     own_telling: u32,
-    todo: Vec<Do>,
+    todo: Vec<MemberAction>,
 }
 
 impl Members {
     pub fn new(now: Moment, own: Own, chance: &mut fastrand::Rng) -> Members {
-        let word = Word {
+        let update = MemberUpdate {
             id: own.id,
             address: own.address,
             life: own.life,
-            turn: 0,
+            incarnation: 0,
             standing: Standing::Alive,
         };
         Members {
@@ -121,7 +121,7 @@
                 .into_iter()
                 .filter(|&seed| seed != own.address)
                 .collect(),
-            own: word,
+            own: update,
             members: BTreeMap::new(),
             round: VecDeque::new(),
             probe: None,
@@ -138,7 +138,7 @@
         }
     }
 
-    pub fn own(&self) -> &Word {
+    pub fn own(&self) -> &MemberUpdate {
         &self.own
     }
 
@@ -158,14 +158,14 @@
 
     pub fn alive(&self, id: PeerId) -> bool {
         let member = self.members.get(&id);
-        member.is_some_and(|member| member.word.standing == Standing::Alive && !member.one_way)
+        member.is_some_and(|member| member.update.standing == Standing::Alive && !member.one_way)
     }
 
     pub fn address(&self, id: PeerId) -> Option<Address> {
-        Some(self.members.get(&id)?.word.address)
+        Some(self.members.get(&id)?.update.address)
     }
 
-    pub fn take(&mut self) -> Vec<Do> {
+    pub fn take(&mut self) -> Vec<MemberAction> {
         std::mem::take(&mut self.todo)
     }
 
@@ -178,7 +178,7 @@
     }
 
     fn send(&mut self, to: Address, notes: Vec<Note>) {
-        self.todo.push(Do::Send(to, notes));
+        self.todo.push(MemberAction::Send(to, notes));
     }
 
     fn no(&mut self) -> AskNo {
@@ -194,7 +194,7 @@
             member.since = now;
             member.one_way = false;
         }
-        self.own.turn += 1;
+        self.own.incarnation += 1;
         self.own_telling = self.tells();
     }
 
@@ -202,11 +202,12 @@
     /// believe for a moment that they lost each other; whoever is there it hears of from those that it reaches.
     pub fn cut_off(&mut self, is: bool) {
         let returns = std::mem::replace(&mut self.cut_off, is) && !is;
-        let reached = |member: &Member| member.word.standing == Standing::Alive;
+        let reached = |member: &Member| member.update.standing == Standing::Alive;
         if returns && self.members.values().any(reached) {
-            let doubted =
-                |word: &Word| matches!(word.standing, Standing::Suspected | Standing::Dead);
-            self.members.retain(|_, member| !doubted(&member.word));
+            let doubted = |update: &MemberUpdate| {
+                matches!(update.standing, Standing::Suspected | Standing::Dead)
+            };
+            self.members.retain(|_, member| !doubted(&member.update));
             let members = &self.members;
             self.round.retain(|id| members.contains_key(id));
             self.probe = None;
@@ -214,101 +215,110 @@
     }
 
     fn tellable(&self, member: &Member) -> bool {
-        !self.cut_off || matches!(member.word.standing, Standing::Alive | Standing::Left)
+        !self.cut_off || matches!(member.update.standing, Standing::Alive | Standing::Left)
     }
 
-    /// A letter came from there: it is alive, in this life at least.
-    pub fn heard(&mut self, now: Moment, from: PeerId, address: Address, life: Life, turn: u32) {
+    /// A message came from there: it is alive, in this life at least.
+    pub fn heard(
+        &mut self,
+        now: Moment,
+        from: PeerId,
+        address: Address,
+        life: Life,
+        incarnation: u32,
+    ) {
         let standing = Standing::Alive;
-        let word = Word {
+        let update = MemberUpdate {
             id: from,
             address,
             life,
-            turn,
+            incarnation,
             standing,
         };
         if let Some(member) = self.members.get(&from)
-            && member.word.standing == Standing::Dead
-            && member.word.rank() > word.rank()
+            && member.update.standing == Standing::Dead
+            && member.update.rank() > update.rank()
         {
-            // It does not know that it was given up: it says so itself under its next turn.
-            let told = member.word;
-            self.send(address, vec![Note::Words(vec![told])]);
+            // It does not know that it was given up: it says so itself under its next incarnation.
+            let told = member.update;
+            self.send(address, vec![Note::Updates(vec![told])]);
         }
-        self.word(now, word);
+        self.update(now, update);
         if let Some(member) = self.members.get_mut(&from)
-            && member.word.standing == Standing::Alive
+            && member.update.standing == Standing::Alive
         {
             member.one_way = false;
         }
     }
 
     /// Somebody says something of a member.
-    pub fn word(&mut self, now: Moment, word: Word) {
-        if word.id == self.own.id {
-            return self.of_self(now, word);
+    pub fn update(&mut self, now: Moment, update: MemberUpdate) {
+        if update.id == self.own.id {
+            return self.of_self(now, update);
         }
         let tells = self.tells();
         let full = self.members.len() >= MOST;
-        match self.members.get_mut(&word.id) {
-            Some(known) if word.rank() <= known.word.rank() => {}
+        match self.members.get_mut(&update.id) {
+            Some(known) if update.rank() <= known.update.rank() => {}
             Some(known) => {
-                let before = (known.word.standing, known.word.life);
-                known.word = word;
+                let before = (known.update.standing, known.update.life);
+                known.update = update;
                 known.telling = tells;
-                if before != (word.standing, word.life) {
+                if before != (update.standing, update.life) {
                     known.since = now;
-                    if before.1 != word.life {
+                    if before.1 != update.life {
                         known.state = State::default();
                     }
-                    self.todo.push(Do::Turned(word.id, word.standing));
+                    self.todo
+                        .push(MemberAction::Turned(update.id, update.standing));
                 }
             }
-            None if full || word.standing > Standing::Suspected => {}
+            None if full || update.standing > Standing::Suspected => {}
             None => {
                 let member = Member {
-                    word,
+                    update,
                     since: now,
                     state: State::default(),
                     one_way: false,
                     telling: tells,
                 };
-                self.members.insert(word.id, member);
+                self.members.insert(update.id, member);
                 // Somewhere in the present round, so that hundreds of newcomers are not pinged last.
                 let place = self.next_no as usize % (self.round.len() + 1);
-                self.round.insert(place, word.id);
-                self.todo.push(Do::Turned(word.id, word.standing));
+                self.round.insert(place, update.id);
+                self.todo
+                    .push(MemberAction::Turned(update.id, update.standing));
             }
         }
     }
 
-    fn of_self(&mut self, now: Moment, word: Word) {
-        if word.life > self.own.life {
+    fn of_self(&mut self, now: Moment, update: MemberUpdate) {
+        if update.life > self.own.life {
             // A former life with a clock that went ahead, or one elsewhere that this one takes the name from.
             let new = now.since(self.born) < NEW;
-            if word.address == self.own.address || new {
-                self.own.life = Life(word.life.0 + 1);
-                self.own.turn = 0;
+            if update.address == self.own.address || new {
+                self.own.life = Life(update.life.0 + 1);
+                self.own.incarnation = 0;
                 self.own_telling = self.tells();
-            } else if !self.shadowed && word.standing <= Standing::Suspected {
+            } else if !self.shadowed && update.standing <= Standing::Suspected {
                 self.shadowed = true;
-                self.todo.push(Do::Shadowed);
+                self.todo.push(MemberAction::Shadowed);
             }
-        } else if word.life == self.own.life
-            && word.turn >= self.own.turn
-            && word.standing > Standing::Alive
+        } else if update.life == self.own.life
+            && update.incarnation >= self.own.incarnation
+            && update.standing > Standing::Alive
         {
-            self.own.turn = word.turn + 1;
+            self.own.incarnation = update.incarnation + 1;
             self.own_telling = self.tells();
         }
     }
 
-    /// Words that are to be passed on: what was told least comes first.
+    /// Updates that are to be passed on: what was told least comes first.
     pub fn gossip(&mut self) -> Option<Note> {
-        let mut words = Vec::new();
+        let mut updates = Vec::new();
         if self.own_telling > 0 {
             self.own_telling -= 1;
-            words.push(self.own);
+            updates.push(self.own);
         }
         let mut fresh: Vec<(u32, PeerId)> = self
             .members
@@ -317,13 +327,13 @@
             .map(|(&id, member)| (u32::MAX - member.telling, id))
             .collect();
         fresh.sort_unstable();
-        for (_, id) in fresh.into_iter().take(WORDS) {
+        for (_, id) in fresh.into_iter().take(UPDATES) {
             if let Some(member) = self.members.get_mut(&id) {
                 member.telling -= 1;
-                words.push(member.word);
+                updates.push(member.update);
             }
         }
-        (!words.is_empty()).then_some(Note::Words(words))
+        (!updates.is_empty()).then_some(Note::Updates(updates))
     }
 
     /// A note about who is there; `false`: it is none of these.
@@ -375,13 +385,17 @@
                 let told = |member: &&Member| {
                     self.tellable(member) && (member.there() || now.since(member.since) < LATELY)
                 };
-                let words = self.members.values().filter(told).map(|member| member.word);
-                let words: Vec<Word> = words.chain([self.own]).collect();
-                for piece in words.chunks(ROSTER) {
-                    self.send(address, vec![Note::Words(piece.to_vec())]);
+                let updates = self
+                    .members
+                    .values()
+                    .filter(told)
+                    .map(|member| member.update);
+                let updates: Vec<MemberUpdate> = updates.chain([self.own]).collect();
+                for piece in updates.chunks(ROSTER) {
+                    self.send(address, vec![Note::Updates(piece.to_vec())]);
                 }
             }
-            Note::Words(words) => words.iter().for_each(|&word| self.word(now, word)),
+            Note::Updates(updates) => updates.iter().for_each(|&update| self.update(now, update)),
             _ => return false,
         }
         true
@@ -389,10 +403,10 @@
 
     /// A sum of who is there, and in which life.
     pub fn roster(&self) -> u64 {
-        let there = self.there().map(|(_, member)| member.word);
+        let there = self.there().map(|(_, member)| member.update);
         let sums = there
             .chain([self.own])
-            .map(|word| mix(word.id.0 ^ mix(word.life.0)));
+            .map(|update| mix(update.id.0 ^ mix(update.life.0)));
         sums.fold(0, u64::wrapping_add)
     }
 
@@ -410,7 +424,7 @@
     /// It comes back after it left, as another life.
     pub fn join(&mut self) {
         self.own.standing = Standing::Alive;
-        (self.own.life, self.own.turn) = (Life(self.own.life.0 + 1), 0);
+        (self.own.life, self.own.incarnation) = (Life(self.own.life.0 + 1), 0);
     }
 
     /// It leaves in order: all are told at once.
@@ -418,10 +432,10 @@
         self.own.standing = Standing::Left;
         let all: Vec<Address> = self
             .there()
-            .map(|(_, member)| member.word.address)
+            .map(|(_, member)| member.update.address)
             .collect();
         for to in all {
-            self.send(to, vec![Note::Words(vec![self.own])]);
+            self.send(to, vec![Note::Updates(vec![self.own])]);
         }
     }
 
@@ -434,7 +448,7 @@
         let doubts = self
             .members
             .values()
-            .filter(|member| member.word.standing == Standing::Suspected);
+            .filter(|member| member.update.standing == Standing::Suspected);
         let doubts = doubts.map(|member| member.since + doubt);
         let all = doubts.chain(probe).chain([self.ping_at, self.knock_at]);
         all.min().unwrap_or(self.ping_at)
@@ -448,13 +462,13 @@
     pub fn advance(&mut self, now: Moment, own: State, chance: &mut fastrand::Rng) {
         let doubt = self.doubt();
         let over = |member: &Member| {
-            member.word.standing == Standing::Suspected && now.since(member.since) >= doubt
+            member.update.standing == Standing::Suspected && now.since(member.since) >= doubt
         };
         let dead = self.members.values().filter(|member| over(member));
-        let dead: Vec<Word> = dead.map(|member| member.word).collect();
-        for word in dead {
+        let dead: Vec<MemberUpdate> = dead.map(|member| member.update).collect();
+        for update in dead {
             let standing = Standing::Dead;
-            self.word(now, Word { standing, ..word });
+            self.update(now, MemberUpdate { standing, ..update });
         }
         self.helping.retain(|_, (.., until)| now < *until);
         if let Some(probe) = self.probe {
@@ -485,7 +499,7 @@
             return;
         };
         let helpers = self.there().filter(|&(id, _)| id != probe.whom);
-        let mut helpers: Vec<Address> = helpers.map(|(_, member)| member.word.address).collect();
+        let mut helpers: Vec<Address> = helpers.map(|(_, member)| member.update.address).collect();
         chance.shuffle(&mut helpers);
         for to in helpers.into_iter().take(HELPERS) {
             self.send(to, vec![Note::PingFor(probe.no, probe.whom, address)]);
@@ -496,15 +510,15 @@
         let Some(member) = self.members.get(&whom) else {
             return;
         };
-        if member.word.standing == Standing::Alive {
+        if member.update.standing == Standing::Alive {
             let standing = Standing::Suspected;
-            let word = Word {
+            let update = MemberUpdate {
                 standing,
-                ..member.word
+                ..member.update
             };
-            self.word(now, word);
+            self.update(now, update);
             // The one that is doubted hears of it first.
-            self.send(word.address, vec![Note::Words(vec![word])]);
+            self.send(update.address, vec![Note::Updates(vec![update])]);
         }
     }
 
@@ -522,7 +536,7 @@
             let Some(member) = self.members.get(&whom).filter(|member| member.there()) else {
                 continue;
             };
-            let (to, sent, by_others) = (member.word.address, now, false);
+            let (to, sent, by_others) = (member.update.address, now, false);
             let no = self.no();
             self.probe = Some(Probe {
                 no,
@@ -538,24 +552,24 @@
     fn knock(&mut self, own: State) {
         let there: Vec<Address> = self
             .there()
-            .map(|(_, member)| member.word.address)
+            .map(|(_, member)| member.update.address)
             .collect();
         let dead = self
             .members
             .values()
-            .filter(|member| member.word.standing == Standing::Dead);
-        let dead = dead.map(|member| (member.word.address, Some(member.word)));
+            .filter(|member| member.update.standing == Standing::Dead);
+        let dead = dead.map(|member| (member.update.address, Some(member.update)));
         let seeds = self.seeds.iter().map(|&seed| (seed, None));
-        let mut all: Vec<(Address, Option<Word>)> = dead.chain(seeds).collect();
+        let mut all: Vec<(Address, Option<MemberUpdate>)> = dead.chain(seeds).collect();
         all.retain(|(address, _)| !there.contains(address));
         // Alone, all of them at once are few enough.
         let few = if there.is_empty() { 4 } else { 1 };
         for _ in 0..few.min(all.len()) {
             self.knock_next = self.knock_next.wrapping_add(1);
-            let (to, word) = all[self.knock_next % all.len()];
+            let (to, update) = all[self.knock_next % all.len()];
             let no = self.no();
             let mut notes = vec![Note::Ping(no, own), Note::Join];
-            notes.extend(word.map(|word| Note::Words(vec![word])));
+            notes.extend(update.map(|update| Note::Updates(vec![update])));
             self.send(to, notes);
         }
     }
--- a/crates/peers/src/decide/letters.rs
+++ b/crates/peers/src/decide/messages.rs
@@ -1,7 +1,7 @@
-//! What dispatchers say to each other: letters of a few notes each.
+//! What dispatchers say to each other: messages of a few notes each.
 //!
 //! Every note may be lost, doubled, late or out of order, and means the same then. Points in time are the writer's, in
-//! microseconds of Unix time; a letter whose own stamp is too far from the reader's clock is not read at all, so that no
+//! microseconds of Unix time; a message whose own stamp is too far from the reader's clock is not read at all, so that no
 //! writer's clock is ahead of a reader's by more than [`super::APART`].
 
 use super::facts::{Claim, Fact, FactId, Slot};
@@ -30,7 +30,7 @@
     pub port: u16,
 }
 
-/// How a member stands; what is further down holds against what is further up of the same life and turn.
+/// How a member stands; what is further down holds against what is further up of the same life and incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Standing {
     Alive,
@@ -39,20 +39,20 @@
     Left,
 }
 
-/// What somebody says of a member. The greater of two holds: a later life, then a later turn, then [`Standing`].
+/// What somebody says of a member. The greater of two holds: a later life, then a later incarnation, then [`Standing`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct MemberUpdate {
     pub id: PeerId,
     pub address: Address,
     pub life: Life,
     /// Raised by the member itself, when it hears that it is doubted.
-    pub turn: u32,
+    pub incarnation: u32,
     pub standing: Standing,
 }
 
-impl Word {
+impl MemberUpdate {
     pub fn rank(&self) -> (Life, u32, Standing) {
-        (self.life, self.turn, self.standing)
+        (self.life, self.incarnation, self.standing)
     }
 }
 
@@ -91,7 +91,7 @@
     AckFor(AskNo, PeerId),
     /// Who is there?
     Join,
-    Words(Vec<Word>),
+    Updates(Vec<MemberUpdate>),
     /// A breaker opened at that moment, for a host that started then (in seconds).
     Opened {
         host: u64,
@@ -149,10 +149,10 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Letter {
+pub struct Message {
     pub from: PeerId,
     pub life: Life,
-    pub turn: u32,
+    pub incarnation: u32,
     /// When it was written, by the writer's clock.
     pub stamp: u64,
     pub notes: Vec<Note>,
--- /dev/null
+++ b/crates/peers/src/decide/operating.rs
@@ -0,0 +1,95 @@
+//! What an operator asks from the command line, and the messages of other subsystems.
+
+use super::*;
+
+impl Peers {
+    /// A question from the command line is answered whatever state this one is in, and makes nobody a member.
+    pub fn shown(&mut self, now: Moment, address: Address, message: &Message) -> bool {
+        let no = match message.notes[..] {
+            [Note::Show(no)] => no,
+            [Note::Leave(no, leaves)] => {
+                if leaves {
+                    self.leave(now);
+                } else {
+                    self.join(now);
+                }
+                no
+            }
+            _ => return false,
+        };
+        let text = self.show(now);
+        self.answer(now, address, no, text);
+        true
+    }
+
+    /// What the command line asked for.
+    pub fn answer(&mut self, now: Moment, address: Address, no: AskNo, text: String) {
+        let message = self.message(now, vec![Note::Shown(no, text)]);
+        self.acts.push(Action::Send(address, message));
+    }
+
+    /// This one leaves in order.
+    pub fn leave(&mut self, now: Moment) {
+        if !self.quiet() {
+            self.members.leave();
+            self.settle(now);
+        }
+    }
+
+    /// One that left comes back, as one that was away.
+    pub fn join(&mut self, now: Moment) {
+        if self.stand == Stands::Left {
+            self.members.join();
+            self.members.back(now);
+            self.lack_all(now, Why::New);
+            self.settle(now);
+        }
+    }
+
+    /// In words, for a person: a line for itself, and one for each that is not well.
+    pub fn show(&self, now: Moment) -> String {
+        let (mut alive, mut rest) = (0, Vec::new());
+        for (id, member) in self.members.all() {
+            let update = member.update;
+            if update.standing == Standing::Alive && !member.one_way {
+                alive += 1;
+            } else if rest.len() < 16 {
+                let [a, b, c, d] = update.address.ip;
+                let how = if member.one_way {
+                    "reached by others only".into()
+                } else {
+                    format!("{:?}", update.standing)
+                };
+                rest.push(format!(
+                    "{:016x} at {a}.{b}.{c}.{d}:{}: {how} for {:.1} s",
+                    id.0,
+                    update.address.port,
+                    now.since(member.since).as_secs_f64()
+                ));
+            }
+        }
+        who!(self, who);
+        let mut text = format!(
+            "{}: alive={alive} not_well={} lacking={} records={} commons={} place={} {:?}",
+            self.stand.word(),
+            self.members.all().count() - alive,
+            self.sync.lacking(&who),
+            self.facts.records(),
+            self.facts.commons(),
+            self.place,
+            self.counts
+        );
+        for line in rest {
+            text.push('\n');
+            text.push_str(&line);
+        }
+        text
+    }
+
+    /// A word of another subsystem to that one. It may be lost, as any message, and is where that one is not known.
+    pub fn beside(&mut self, now: Moment, to: PeerId, of: u8, bytes: Vec<u8>) {
+        if !self.quiet() {
+            self.send_to(now, to, vec![Note::Beside(of, bytes)]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/decide/receiving.rs
@@ -0,0 +1,167 @@
+//! Messages from other members, note by note, and what is fetched from them.
+
+use super::*;
+
+impl Peers {
+    /// A message came from that address.
+    pub fn heard(&mut self, now: Moment, address: Address, message: Message) {
+        self.wake(now);
+        if self.quiet() {
+            return;
+        }
+        let stamp = Moment(message.stamp);
+        if stamp > now + APART || now.since(stamp) > APART + LATE {
+            self.counts.off_clock += 1;
+            return;
+        }
+        self.counts.letters_in += 1;
+        let from = message.from;
+        if from == self.members.own().id {
+            // Another process under this one's name: who came later keeps it.
+            self.counts.own_name += 1;
+            let update = messages::MemberUpdate {
+                id: from,
+                address,
+                life: message.life,
+                incarnation: message.incarnation,
+                standing: Standing::Alive,
+            };
+            self.members.update(now, update);
+            if !self.members.shadowed {
+                let own = *self.members.own();
+                self.send(now, address, vec![Note::Updates(vec![own])]);
+            }
+            return self.settle(now);
+        }
+        self.members
+            .heard(now, from, address, message.life, message.incarnation);
+        self.settle(now);
+        let mut answers = Vec::new();
+        for note in message.notes {
+            self.note(now, from, address, note, &mut answers);
+        }
+        if !answers.is_empty() {
+            self.send(now, address, answers);
+        }
+        self.settle(now);
+    }
+
+    pub(super) fn note(
+        &mut self,
+        now: Moment,
+        from: PeerId,
+        address: Address,
+        note: Note,
+        answers: &mut Vec<Note>,
+    ) {
+        let own = self.state();
+        if self.members.note(now, from, address, &note, own) {
+            return;
+        }
+        match note {
+            Note::Opened { host, started, at } => {
+                let (key, at) = ((HostId(host), started), Moment(at).min(now));
+                let known = self.hints.contains_key(&key);
+                if self.rules.hints
+                    && now.since(at) < HINT_LASTS
+                    && !known
+                    && self.hints.len() < MOST_HINTS
+                {
+                    self.hints.insert(key, (at, self.tells()));
+                    self.acts.push(Action::Hinted { host: HostId(host) });
+                }
+            }
+            Note::Rumours(facts) => facts.into_iter().for_each(|fact| self.told(now, fact)),
+            Note::Claim { no, key, claim } => {
+                let (sure, claims) = self.claimed(now, key, claim);
+                answers.push(Note::Stood { no, sure, claims });
+            }
+            Note::Stood { no, sure, claims } => self.stood(now, no, from, sure, claims),
+            Note::Put(no, facts) => {
+                facts.into_iter().for_each(|fact| self.told(now, fact));
+                answers.push(Note::Taken(no));
+            }
+            Note::Taken(no) => self.claims.taken(no, from),
+            Note::Sums(sums) => {
+                who!(self, who);
+                let facts = &mut self.facts;
+                answers.extend(self.sync.sums(from, &sums, |slot| facts.sum(slot), &who));
+            }
+            Note::Same { slots, has } => {
+                who!(self, who);
+                for slot in self.sync.same(now, from, &slots, has, &who) {
+                    self.facts.drop_slot(slot);
+                }
+            }
+            Note::Differ(slots) => {
+                // What is only held here becomes the same there before it is let go of.
+                let own = self.members.own().id;
+                let held: BTreeSet<Slot> = self.facts.slots().collect();
+                for slot in slots {
+                    if self.keepers.keeps(own, slot) || held.contains(&slot) {
+                        self.sync.fetch(slot, from);
+                    }
+                }
+            }
+            Note::Pull { slot, after } if self.sync.gives(now) => {
+                self.counts.pieces_out += 1;
+                let (facts, end) = self.facts.page(slot, after, PIECE);
+                let has = self.sync.has(slot);
+                answers.push(Note::Page {
+                    slot,
+                    after,
+                    facts,
+                    end,
+                    has,
+                });
+            }
+            Note::Page {
+                slot,
+                after,
+                facts,
+                end,
+                has,
+            } => {
+                who!(self, who);
+                let (wanted, next) =
+                    self.sync
+                        .page(now, from, (slot, after), &facts, (end, has), &who);
+                if wanted {
+                    self.counts.pieces_in += 1;
+                    let before = self.counts.news;
+                    facts.into_iter().for_each(|fact| self.told(now, fact));
+                    if self.counts.news > before && !slot.is_common() {
+                        who!(self, who);
+                        let others = (who.keepers)(slot);
+                        self.sync.spread(now, &others);
+                    }
+                }
+                if let Some((whom, note)) = next {
+                    self.send_to(now, whom, vec![note]);
+                }
+            }
+            Note::Beside(of, bytes) => self.acts.push(Action::Beside(from, of, bytes)),
+            Note::Show(no) => answers.push(Note::Shown(no, self.show(now))),
+            _ => {}
+        }
+    }
+
+    pub(super) fn fetch(&mut self, now: Moment) {
+        if now < self.sync.next() {
+            return;
+        }
+        let anybody = self.members.there().map(|(id, _)| id);
+        let anybody: Vec<PeerId> = anybody.filter(|&id| self.members.alive(id)).collect();
+        let held: Vec<Slot> = self.facts.slots().collect();
+        let asks = {
+            who!(self, who);
+            let facts = &mut self.facts;
+            let own = |slot| facts.sum(slot);
+            self.sync
+                .advance(now, &held, own, &who, &anybody, &mut self.chance)
+        };
+        for (whom, note) in asks {
+            self.send_to(now, whom, vec![note]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/decide/spreading.rs
@@ -0,0 +1,206 @@
+//! What all are to know: purges, hosts and hints, told on from one to the next.
+
+use super::*;
+
+impl Peers {
+    /// A purge was heard of, from the journal, which has it at this moment.
+    pub fn purged(&mut self, now: Moment, object: Option<ObjectId>, group: GroupId, at: Moment) {
+        if self.rules.purges {
+            let group = object.map_or(group.0, |_| 0);
+            let object = object.map(|object| object.0);
+            self.own_fact(
+                now,
+                Fact::Purge {
+                    object,
+                    group,
+                    at: at.0,
+                },
+            );
+        }
+    }
+
+    /// The own list speaks of hosts, at this place in the journal.
+    pub fn listed(&mut self, now: Moment, entries: &[HostEntry], place: u64) {
+        self.place = self.place.max(place);
+        if !self.rules.hosts {
+            return;
+        }
+        for entry in entries {
+            let listed = match entry.state {
+                HostState::Ready => Listed::Ready,
+                HostState::Draining => Listed::Draining,
+                HostState::Gone => Listed::Gone,
+            };
+            let started = entry.started.map_or(0, |at| at.0);
+            let host = self.hosts.entry(entry.host).or_default();
+            let (same, restricted) = (
+                (host.started, host.listed) == (started, Some(listed)),
+                host.restricted,
+            );
+            *host = Host {
+                started,
+                place,
+                listed: Some(listed),
+                restricted: None,
+            };
+            if listed == Listed::Gone {
+                self.hosts.remove(&entry.host);
+            }
+            // What another said of it is overtaken, unless that other is further in the journal.
+            let id = FactId::Host(entry.host.0);
+            let known = self.facts.get(id).cloned();
+            if restricted.is_some()
+                && let Some(known) = known
+            {
+                self.restrict(now, &known);
+            }
+            let young = now.since(Moment(started)) < TURN_LASTS;
+            if !same && (listed != Listed::Ready || young) {
+                let (host, at) = (entry.host.0, now.0);
+                self.own_fact(
+                    now,
+                    Fact::Host {
+                        host,
+                        started,
+                        place,
+                        listed,
+                        at,
+                    },
+                );
+            }
+        }
+    }
+
+    /// A breaker opened here.
+    pub fn opened(&mut self, now: Moment, entry: HostEntry) {
+        if self.rules.hints && self.hints.len() < MOST_HINTS {
+            let started = entry.started.map_or(0, |at| at.0 / 1_000_000);
+            self.hints
+                .insert((entry.host, started), (now, self.tells()));
+        }
+    }
+
+    pub(super) fn tells(&self) -> u32 {
+        (usize::BITS - self.members.all().count().leading_zeros()) + 2
+    }
+
+    /// What happened here, which others may have heard of, too.
+    pub(super) fn own_fact(&mut self, now: Moment, fact: Fact) {
+        let id = fact.id();
+        if self.facts.take(now, fact) == Some(true) && self.rumours.len() < MOST_RUMOURS {
+            let at = now + TELL_WITHIN.times(self.chance.f64());
+            let left = self.tells();
+            self.rumours.insert(id, Rumour { left, at });
+        }
+    }
+
+    /// A fact from another.
+    pub(super) fn told(&mut self, now: Moment, fact: Fact) {
+        let id = fact.id();
+        let wanted = match &fact {
+            Fact::Record { .. } => self.rules.records,
+            Fact::Purge { .. } => self.rules.purges,
+            Fact::Host { .. } => self.rules.hosts,
+        };
+        if !wanted {
+            return;
+        }
+        match self.facts.take(now, fact) {
+            None => self.counts.full += 1,
+            Some(false) => {
+                // All have it, by and by.
+                if let Some(rumour) = self.rumours.get_mut(&id) {
+                    rumour.left = rumour.left.saturating_sub(1);
+                }
+            }
+            Some(true) => {
+                self.counts.news += 1;
+                let Some(fact) = self.facts.get(id).cloned() else {
+                    return;
+                };
+                match fact {
+                    Fact::Record { .. } => return,
+                    Fact::Purge { object, group, at } => self.acts.push(Action::Purged {
+                        object: object.map(ObjectId),
+                        group: GroupId(group),
+                        at: Moment(at),
+                    }),
+                    Fact::Host { .. } => self.restrict(now, &fact),
+                }
+                if self.rumours.len() < MOST_RUMOURS {
+                    let left = self.tells();
+                    self.rumours.insert(id, Rumour { left, at: now });
+                }
+            }
+        }
+    }
+
+    /// Another's word of a host holds where it is later in the journal and allows less; it never adds a host.
+    pub(super) fn restrict(&mut self, now: Moment, fact: &Fact) {
+        let Fact::Host {
+            host,
+            started,
+            place,
+            listed,
+            at,
+        } = *fact
+        else {
+            return;
+        };
+        let Some(own) = self.hosts.get_mut(&HostId(host)) else {
+            return;
+        };
+        let until = Moment(at) + TURN_LASTS;
+        let less = own.listed.is_some_and(|own| listed > own) || started > own.started;
+        if place > own.place && less && until > now {
+            own.restricted = Some(until);
+            self.acts.push(Action::Restricted {
+                host: HostId(host),
+                listed: own.listed.map_or(listed, |own| own.max(listed)),
+                started: Some(Moment(started.max(own.started))).filter(|at| at.0 > 0),
+            });
+        }
+    }
+
+    pub(super) fn free(&mut self, now: Moment) {
+        for (&host, known) in &mut self.hosts {
+            if known.restricted.is_some_and(|until| until <= now) {
+                known.restricted = None;
+                self.acts.push(Action::Freed { host });
+            }
+        }
+    }
+
+    pub(super) fn gossip(&mut self, now: Moment) {
+        self.hints.retain(|_, (at, _)| now.since(*at) < HINT_LASTS);
+        let mut notes = Vec::new();
+        for (&(host, started), (at, left)) in &mut self.hints {
+            if *left > 0 && notes.len() < RUMOURS {
+                *left -= 1;
+                let (host, at) = (host.0, at.0);
+                notes.push(Note::Opened { host, started, at });
+            }
+        }
+        let due = self
+            .rumours
+            .iter_mut()
+            .filter(|(_, rumour)| rumour.at <= now);
+        let mut facts = Vec::new();
+        for (&id, rumour) in due.take(RUMOURS) {
+            rumour.left = rumour.left.saturating_sub(1);
+            facts.extend(self.facts.get(id).cloned());
+        }
+        self.rumours.retain(|_, rumour| rumour.left > 0);
+        if !facts.is_empty() {
+            notes.push(Note::Rumours(facts));
+        }
+        if notes.is_empty() {
+            return;
+        }
+        let mut whom: Vec<PeerId> = self.members.there().map(|(id, _)| id).collect();
+        self.chance.shuffle(&mut whom);
+        for id in whom.into_iter().take(TELL_TO) {
+            self.send_to(now, id, notes.clone());
+        }
+    }
+}
--- a/crates/peers/src/decide/sync.rs
+++ b/crates/peers/src/decide/sync.rs
@@ -6,7 +6,7 @@
 //! run out. Nobody waits for any of this.
 
 use super::facts::{Fact, FactId, Slot};
-use super::letters::{Has, Note, PeerId};
+use super::messages::{Has, Note, PeerId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use trailproxy::units::{Moment, Span};
 
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -1,7 +1,7 @@
-//! Letters as datagrams: postcard, each note by itself, so that one of a newer version is passed over, and a keyed sum
+//! Messages as datagrams: postcard, each note by itself, so that one of a newer version is passed over, and a keyed sum
 //! behind, so that nothing of another fleet is read.
 
-use crate::decide::letters::{Letter, Life, Note, PeerId};
+use crate::decide::messages::{Life, Message, Note, PeerId};
 use serde::{Deserialize, Serialize};
 
 /// The form of the head. A note of a kind that is not known is left out by its reader; a head never changes but with this.
@@ -10,7 +10,7 @@
 pub const MOST_BYTES: usize = 16 << 10;
 const SUM: usize = 16;
 
-/// Tells the letters of one fleet from all others'.
+/// Tells the messages of one fleet from all others'.
 #[derive(Clone)]
 pub struct Seal([u8; 32]);
 
@@ -19,7 +19,7 @@
     version: u8,
     from: PeerId,
     life: Life,
-    turn: u32,
+    incarnation: u32,
     stamp: u64,
 }
 
@@ -52,16 +52,16 @@
     }
 
     /// `None`: it is longer than any that is read.
-    pub fn write(&self, letter: &Letter) -> Option<Vec<u8>> {
+    pub fn write(&self, message: &Message) -> Option<Vec<u8>> {
         let head = Head {
             version: VERSION,
-            from: letter.from,
-            life: letter.life,
-            turn: letter.turn,
-            stamp: letter.stamp,
+            from: message.from,
+            life: message.life,
+            incarnation: message.incarnation,
+            stamp: message.stamp,
         };
         let mut bytes = postcard::to_allocvec(&head).ok()?;
-        for note in &letter.notes {
+        for note in &message.notes {
             let note = postcard::to_allocvec(note).ok()?;
             bytes.extend(u16::try_from(note.len()).ok()?.to_le_bytes());
             bytes.extend(note);
@@ -70,8 +70,8 @@
         (bytes.len() <= MOST_BYTES).then_some(bytes)
     }
 
-    /// The letter, and how many of its notes are of kinds that this version does not know.
-    pub fn read(&self, bytes: &[u8]) -> Result<(Letter, usize), Unread> {
+    /// The message, and how many of its notes are of kinds that this version does not know.
+    pub fn read(&self, bytes: &[u8]) -> Result<(Message, usize), Unread> {
         let at = bytes.len().checked_sub(SUM).ok_or(Unread::Garbled)?;
         let (bytes, sum) = bytes.split_at(at);
         let right = self.sum(bytes);
@@ -100,13 +100,13 @@
             }
             rest = behind;
         }
-        let letter = Letter {
+        let message = Message {
             from: head.from,
             life: head.life,
-            turn: head.turn,
+            incarnation: head.incarnation,
             stamp: head.stamp,
             notes,
         };
-        Ok((letter, unknown))
+        Ok((message, unknown))
     }
 }
--- a/crates/peers/tests/figures.rs
+++ b/crates/peers/tests/figures.rs
@@ -5,7 +5,7 @@
 use trailproxy::units::*;
 use trailproxy_peers::decide::Rules;
 use trailproxy_peers::decide::facts::{Claim, Fact, Place, Stage, Token};
-use trailproxy_peers::decide::letters::{AskNo, Letter, Note};
+use trailproxy_peers::decide::messages::{AskNo, Message, Note};
 use world::*;
 
 /// Records put into a fleet, as a client of it would have them written.
@@ -29,14 +29,14 @@
         let own = other.peers.as_ref().map(|peers| *peers.members().own());
         let own = own.expect("it is up");
         for piece in facts.chunks(500) {
-            let letter = Letter {
+            let message = Message {
                 from: own.id,
                 life: own.life,
-                turn: own.turn,
+                incarnation: own.incarnation,
                 stamp: world.now.0,
                 notes: vec![Note::Put(AskNo(1), piece.to_vec())],
             };
-            world.inject(n, own.address, letter);
+            world.inject(n, own.address, message);
         }
     }
 }
@@ -79,10 +79,10 @@
     world.run(Span::from_secs(40));
     figure("core_mb_at_300", (resident_mb() - before) / 300.0);
     world.weighs = true;
-    let (letters, bytes, begun) = (world.seen.letters, world.seen.bytes, world.now);
+    let (messages, bytes, begun) = (world.seen.messages, world.seen.bytes, world.now);
     world.run(Span::from_secs(5));
     let each = |n: u64| n as f64 / 300.0 / world.now.since(begun).as_secs_f64();
-    figure("letters_per_s_at_300", each(world.seen.letters - letters));
+    figure("letters_per_s_at_300", each(world.seen.messages - messages));
     figure("kb_per_s_at_300", each(world.seen.bytes - bytes) / 1024.0);
     world.split(|n| n < 100, true);
     world.run(Span::from_secs(12));
--- a/crates/peers/tests/stories.rs
+++ b/crates/peers/tests/stories.rs
@@ -4,8 +4,10 @@
 
 use trailproxy::interface::{HostEntry, HostState};
 use trailproxy::units::*;
-use trailproxy_peers::decide::letters::{AskNo, Letter, Life, Note, PeerId, Standing, Word};
-use trailproxy_peers::decide::{Act, Rules, Stands};
+use trailproxy_peers::decide::messages::{
+    AskNo, Life, MemberUpdate, Message, Note, PeerId, Standing,
+};
+use trailproxy_peers::decide::{Action, Rules, Stands};
 use world::*;
 
 const SECOND: Span = Span::from_secs(1);
@@ -467,28 +469,28 @@
     world.ask(0, 7);
     world.run(SECOND);
     // It says that all are dead, that it is this one, and that the record never was.
-    let lies = |now: Moment, notes| Letter {
+    let lies = |now: Moment, notes| Message {
         from: PeerId(99),
         life: Life(1),
-        turn: 0,
+        incarnation: 0,
         stamp: now.0,
         notes,
     };
-    let from = trailproxy_peers::decide::letters::Address {
+    let from = trailproxy_peers::decide::messages::Address {
         ip: [127, 9, 9, 9],
         port: 1,
     };
     for n in 0..3 {
-        let words = (0..3).map(|m| {
+        let updates = (0..3).map(|m| {
             let member = world.nodes[m].peers.as_ref().expect("up").members().own();
-            Word {
+            MemberUpdate {
                 standing: Standing::Dead,
                 ..*member
             }
         });
-        let words = words.collect();
-        let letter = lies(world.now, vec![Note::Words(words)]);
-        world.inject(n, from, letter);
+        let updates = updates.collect();
+        let message = lies(world.now, vec![Note::Updates(updates)]);
+        world.inject(n, from, message);
     }
     let took = world.until(Span::from_secs(5), |world| {
         world.nodes[0]
@@ -538,16 +540,16 @@
 #[test]
 fn one_that_is_asked_for_what_it_does_not_keep_is_not_sure() {
     let mut world = fleet(9, 20);
-    let asker = trailproxy_peers::decide::letters::Address {
+    let asker = trailproxy_peers::decide::messages::Address {
         ip: [127, 9, 9, 9],
         port: 1,
     };
     let mut sure = 0;
     for n in 0..9 {
-        let letter = Letter {
+        let message = Message {
             from: PeerId(99),
             life: Life(1),
-            turn: 0,
+            incarnation: 0,
             stamp: world.now.0,
             notes: vec![Note::Claim {
                 no: AskNo(1),
@@ -557,10 +559,10 @@
         };
         let now = world.clock(n);
         let peers = world.nodes[n].peers.as_mut().expect("up");
-        peers.heard(now, asker, letter);
+        peers.heard(now, asker, message);
         let acts = peers.take();
-        let says = |act: &Act| match act {
-            Act::Send(_, letter) => letter
+        let says = |act: &Action| match act {
+            Action::Send(_, message) => message
                 .notes
                 .iter()
                 .any(|note| matches!(note, Note::Stood { sure: true, .. })),
--- a/crates/peers/tests/sweep.rs
+++ b/crates/peers/tests/sweep.rs
@@ -3,9 +3,9 @@
 mod world;
 
 use trailproxy::units::*;
-use trailproxy_peers::decide::letters::{Letter, PeerId};
 use trailproxy_peers::decide::members::Own;
-use trailproxy_peers::decide::{Act, Peers, life};
+use trailproxy_peers::decide::messages::{Message, PeerId};
+use trailproxy_peers::decide::{Action, Peers, life};
 use trailproxy_shared_store::decide::records::{Folding, Verdict};
 use world::*;
 
@@ -252,10 +252,11 @@
     let took = world.until(Span::from_secs(20), |world| world.agree());
     assert!(took.is_some(), "all know all");
     world.run(Span::from_secs(5));
-    let (letters, begun) = (world.seen.letters, world.now);
+    let (messages, begun) = (world.seen.messages, world.now);
     world.run(Span::from_secs(3));
-    let each = (world.seen.letters - letters) as f64 / 300.0 / world.now.since(begun).as_secs_f64();
-    assert!(each < 40.0, "{each} letters a second each at rest");
+    let each =
+        (world.seen.messages - messages) as f64 / 300.0 / world.now.since(begun).as_secs_f64();
+    assert!(each < 40.0, "{each} messages a second each at rest");
     world.purge(7, 1);
     world.run(Span::from_secs(3));
     let known = (0..300)
@@ -286,7 +287,7 @@
         (Planted::WholeTooEarly, "all restarted", |ran| {
             ran.repeats > 0
         }),
-        (Planted::TurnTwice, "cut in two", |ran| {
+        (Planted::IncarnationTwice, "cut in two", |ran| {
             ran.heals.is_none_or(|took| took > Span::from_secs(6))
         }),
     ];
@@ -308,7 +309,7 @@
     struct Small {
         now: Moment,
         peers: Vec<Peers>,
-        flying: Vec<(usize, usize, Letter)>,
+        flying: Vec<(usize, usize, Message)>,
         granted: Vec<bool>,
         went: Vec<bool>,
     }
@@ -316,8 +317,10 @@
         fn act(&mut self, of: usize) {
             for act in self.peers[of].take() {
                 match act {
-                    Act::Send(to, letter) => self.flying.push((of, usize::from(to.ip[3]), letter)),
-                    Act::Decided {
+                    Action::Send(to, message) => {
+                        self.flying.push((of, usize::from(to.ip[3]), message))
+                    }
+                    Action::Decided {
                         id,
                         verdict: Verdict::Go,
                     } => {
@@ -334,16 +337,16 @@
             }
         }
         fn deliver(&mut self, nth: usize, lost: bool) {
-            let (from, to, letter) = self.flying.remove(nth);
+            let (from, to, message) = self.flying.remove(nth);
             if !lost {
                 self.now = self.now + Span(100);
                 let address = self.peers[from].members().own().address;
-                self.peers[to].heard(self.now, address, letter);
+                self.peers[to].heard(self.now, address, message);
                 self.act(to);
             }
         }
     }
-    let address = |n: u8| trailproxy_peers::decide::letters::Address {
+    let address = |n: u8| trailproxy_peers::decide::messages::Address {
         ip: [127, 0, 0, n],
         port: 1,
     };
--- a/crates/peers/tests/world/mod.rs
+++ b/crates/peers/tests/world/mod.rs
@@ -6,9 +6,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use trailproxy::units::*;
-use trailproxy_peers::decide::letters::{Address, Has, Letter, Note, PeerId};
 use trailproxy_peers::decide::members::Own;
-use trailproxy_peers::decide::{Act, Peers, Rules, Stands, life};
+use trailproxy_peers::decide::messages::{Address, Has, Message, Note, PeerId};
+use trailproxy_peers::decide::{Action, Peers, Rules, Stands, life};
 use trailproxy_peers::wire::Seal;
 use trailproxy_shared_store::decide::records::{Came, Folding, Verdict};
 
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Way {
     pub cut: bool,
-    /// Shares of letters, and a delay beside the usual one, at the mean.
+    /// Shares of messages, and a delay beside the usual one, at the mean.
     pub lost: f64,
     pub doubled: f64,
     pub slower: Span,
@@ -45,8 +45,8 @@
 pub enum Planted {
     /// Everybody says that it is sure.
     WholeTooEarly,
-    /// A member's turn never rises.
-    TurnTwice,
+    /// A member's incarnation never rises.
+    IncarnationTwice,
     /// Of a record only so many are known that the last claims are forgotten.
     ForgetByCount,
     /// The access goes before its claim is told.
@@ -61,7 +61,7 @@
     pub ahead: i64,
     pub faster: f64,
     pub paused: bool,
-    waiting: Vec<(Address, Letter)>,
+    waiting: Vec<(Address, Message)>,
     open: BTreeMap<RequestId, Open>,
     born: u64,
     woke: Moment,
@@ -96,7 +96,7 @@
     pub purges: BTreeSet<(usize, u64)>,
     pub hints: BTreeSet<(usize, u64)>,
     pub restricted: BTreeMap<(usize, u64), bool>,
-    pub letters: u64,
+    pub messages: u64,
     pub bytes: u64,
 }
 
@@ -109,12 +109,12 @@
     pub chance: fastrand::Rng,
     rules: Rules,
     folding: Folding,
-    flying: BTreeMap<(Moment, u64), (usize, usize, Letter)>,
+    flying: BTreeMap<(Moment, u64), (usize, usize, Message)>,
     by_address: BTreeMap<Address, usize>,
     next: u64,
     /// How long a hand-off runs.
     pub runs: Span,
-    /// Whether letters are put into bytes to know their size.
+    /// Whether messages are put into bytes to know their size.
     pub weighs: bool,
 }
 
@@ -208,10 +208,10 @@
             self.nodes[node].woke = self.now;
             // What the socket held until then; it holds so many and no more.
             let held = std::mem::take(&mut self.nodes[node].waiting);
-            for (from, letter) in held.into_iter().take(200) {
+            for (from, message) in held.into_iter().take(200) {
                 let now = self.clock(node);
                 if let Some(peers) = &mut self.nodes[node].peers {
-                    peers.heard(now, from, letter);
+                    peers.heard(now, from, message);
                 }
                 self.act(node);
             }
@@ -241,10 +241,10 @@
         (0..self.nodes.len()).filter(|&n| self.nodes[n].peers.is_some() && !self.nodes[n].paused)
     }
 
-    fn spoil(&self, letter: &mut Letter) {
+    fn spoil(&self, message: &mut Message) {
         match self.planted {
             Some(Planted::WholeTooEarly) => {
-                for note in &mut letter.notes {
+                for note in &mut message.notes {
                     match note {
                         Note::Stood { sure, .. } => *sure = true,
                         Note::Same { has, .. } | Note::Page { has, .. } => *has = Has::All,
@@ -252,19 +252,19 @@
                     }
                 }
             }
-            Some(Planted::TurnTwice) => {
-                letter.turn = 0;
-                for note in &mut letter.notes {
-                    if let Note::Words(words) = note {
-                        words
+            Some(Planted::IncarnationTwice) => {
+                message.incarnation = 0;
+                for note in &mut message.notes {
+                    if let Note::Updates(updates) = note {
+                        updates
                             .iter_mut()
-                            .filter(|word| word.id == letter.from)
-                            .for_each(|word| word.turn = 0);
+                            .filter(|update| update.id == message.from)
+                            .for_each(|update| update.incarnation = 0);
                     }
                 }
             }
             Some(Planted::ForgetByCount) => {
-                for note in &mut letter.notes {
+                for note in &mut message.notes {
                     if let Note::Stood { claims, .. } = note {
                         claims.truncate(0);
                     }
@@ -285,35 +285,35 @@
             }
             for act in acts {
                 match act {
-                    Act::Send(to, mut letter) => {
-                        self.spoil(&mut letter);
+                    Action::Send(to, mut message) => {
+                        self.spoil(&mut message);
                         if let Some(&to) = self.by_address.get(&to) {
-                            self.post(node, to, letter);
+                            self.post(node, to, message);
                         }
                     }
-                    Act::Decided { id, verdict } => self.decided(node, id, verdict),
-                    Act::Purged { object, .. } => {
+                    Action::Decided { id, verdict } => self.decided(node, id, verdict),
+                    Action::Purged { object, .. } => {
                         self.seen.purges.insert((node, object.map_or(0, |o| o.0)));
                     }
-                    Act::Hinted { host } => {
+                    Action::Hinted { host } => {
                         self.seen.hints.insert((node, host.0));
                     }
-                    Act::Restricted { host, .. } => {
+                    Action::Restricted { host, .. } => {
                         self.seen.restricted.insert((node, host.0), true);
                     }
-                    Act::Freed { host } => {
+                    Action::Freed { host } => {
                         self.seen.restricted.insert((node, host.0), false);
                     }
-                    Act::Turned(_) | Act::Member(..) | Act::Beside(..) => {}
+                    Action::Turned(_) | Action::Member(..) | Action::Beside(..) => {}
                 }
             }
         }
     }
 
-    fn post(&mut self, from: usize, to: usize, letter: Letter) {
-        self.seen.letters += 1;
+    fn post(&mut self, from: usize, to: usize, message: Message) {
+        self.seen.messages += 1;
         if self.weighs {
-            let bytes = Seal::new("", b"").write(&letter);
+            let bytes = Seal::new("", b"").write(&message);
             // With the heads of UDP and IP.
             self.seen.bytes += bytes.map_or(0, |bytes| bytes.len() as u64 + 28);
         }
@@ -328,7 +328,7 @@
             self.next += 1;
             let at = self.now + usual + slower;
             self.flying
-                .insert((at, self.next), (from, to, letter.clone()));
+                .insert((at, self.next), (from, to, message.clone()));
         }
     }
 
@@ -438,9 +438,9 @@
         self.act(node);
     }
 
-    /// A letter that nobody in the world wrote.
-    pub fn inject(&mut self, to: usize, from: Address, letter: Letter) {
-        self.with_peers(to, |peers, now| peers.heard(now, from, letter));
+    /// A message that nobody in the world wrote.
+    pub fn inject(&mut self, to: usize, from: Address, message: Message) {
+        self.with_peers(to, |peers, now| peers.heard(now, from, message));
     }
 
     /// Time goes on by this.
@@ -454,16 +454,16 @@
                 .first_entry()
                 .filter(|entry| entry.key().0 <= until)
             {
-                let ((at, _), (from, to, letter)) = entry.remove_entry();
+                let ((at, _), (from, to, message)) = entry.remove_entry();
                 self.now = self.now.max(at);
                 let address = self.nodes[from].address;
                 if self.nodes[to].paused {
-                    self.nodes[to].waiting.push((address, letter));
+                    self.nodes[to].waiting.push((address, message));
                     continue;
                 }
                 let now = self.clock(to);
                 if let Some(peers) = &mut self.nodes[to].peers {
-                    peers.heard(now, address, letter);
+                    peers.heard(now, address, message);
                     self.act(to);
                 }
             }
--- a/crates/trailproxy-cli/src/budgets.rs
+++ b/crates/trailproxy-cli/src/budgets.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddrV4;
 use trailproxy_budgets::BESIDE;
 use trailproxy_operator::read_file;
-use trailproxy_peers::decide::letters::{AskNo, Note};
+use trailproxy_peers::decide::messages::{AskNo, Note};
 
 #[derive(Subcommand)]
 pub enum Task {
--- a/crates/trailproxy-cli/src/peers.rs
+++ b/crates/trailproxy-cli/src/peers.rs
@@ -6,8 +6,8 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use trailproxy_operator::read_file;
-use trailproxy_peers::decide::letters::{AskNo, Letter, Life, Note, PeerId};
-use trailproxy_peers::sheet::Sheet;
+use trailproxy_peers::config::Config;
+use trailproxy_peers::decide::messages::{AskNo, Life, Message, Note, PeerId};
 use trailproxy_peers::wire::{MOST_BYTES, Seal};
 
 #[derive(Subcommand)]
@@ -41,7 +41,7 @@
 
 /// The way to the dispatchers of a file's section `peers`.
 pub struct Way {
-    sheet: Sheet,
+    sheet: Config,
     seal: Seal,
     socket: UdpSocket,
 }
@@ -84,16 +84,16 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH);
         let unix = unix.map_err(|e| e.to_string())?.as_micros() as u64;
         let no = AskNo(unix);
-        let letter = Letter {
+        let message = Message {
             from: PeerId(0),
             life: Life(0),
-            turn: 0,
+            incarnation: 0,
             stamp: unix,
             notes: vec![note(no)],
         };
         let bytes = self
             .seal
-            .write(&letter)
+            .write(&message)
             .ok_or("a question that is too long")?;
         self.socket.connect(at).map_err(|e| e.to_string())?;
         let begun = Instant::now();
@@ -119,10 +119,10 @@
                     }
                     Err(_) => break,
                 };
-                let Ok((letter, _)) = self.seal.read(&heard[..size]) else {
+                let Ok((message, _)) = self.seal.read(&heard[..size]) else {
                     continue;
                 };
-                if let Some(Note::Shown(of, text)) = letter.notes.into_iter().next()
+                if let Some(Note::Shown(of, text)) = message.notes.into_iter().next()
                     && of == no
                 {
                     return Ok((text, begun.elapsed()));
--- a/crates/trailproxy-cli/src/sections.rs
+++ b/crates/trailproxy-cli/src/sections.rs
@@ -2,7 +2,7 @@
 
 use trailproxy_budgets::sheet::Sheet as BudgetsSheet;
 use trailproxy_operator::decide::{Absent, Kind, Shape, Sheet as Script, may, must};
-use trailproxy_peers::sheet::{Sheet as PeersSheet, Unsure};
+use trailproxy_peers::config::{Config as PeersConfig, Unsure};
 use trailproxy_shared_store::sheet::Sheet as StoreSheet;
 
 /// Sections of the operator's own file.
@@ -95,9 +95,9 @@
 };
 
 /// What a checked script says; `None` where it has no section `peers`, or that is not on.
-pub fn peers_sheet(script: &Script) -> Option<PeersSheet> {
+pub fn peers_sheet(script: &Script) -> Option<PeersConfig> {
     let of = script.one("peers").filter(|of| of.flag("on"))?;
-    Some(PeersSheet {
+    Some(PeersConfig {
         file: script.file.clone(),
         place: (of.place.line, of.place.column),
         fleet: of.text("fleet").into(),
--- a/crates/trailproxy-cli/tests/peers.rs
+++ b/crates/trailproxy-cli/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::process::{Command, Output};
 use std::time::Duration;
-use trailproxy_peers::decide::letters::{Letter, Life, Note, PeerId};
+use trailproxy_peers::decide::messages::{Life, Message, Note, PeerId};
 use trailproxy_peers::wire::Seal;
 
 fn file(name: &str, text: &str) -> std::path::PathBuf {
@@ -44,13 +44,13 @@
         let seal = Seal::new(fleet, b"");
         let (mut bytes, mut lost) = (vec![0; 4_096], false);
         while let Ok((size, from)) = socket.recv_from(&mut bytes) {
-            let Ok((letter, _)) = seal.read(&bytes[..size]) else {
+            let Ok((message, _)) = seal.read(&bytes[..size]) else {
                 continue;
             };
             if !std::mem::replace(&mut lost, true) {
                 continue;
             }
-            let shown = match letter.notes[..] {
+            let shown = match message.notes[..] {
                 [Note::Show(no)] => Note::Shown(no, "whole: alive=2".into()),
                 [Note::ShowOf(no, 1)] => {
                     let text = "budget 1/link: whole=9\n  word given to 0a: 3\nbudget cold parents: whole=1";
@@ -59,14 +59,14 @@
                 [Note::Leave(no, true)] => Note::Shown(no, "left: alive=2".into()),
                 _ => continue,
             };
-            let letter = Letter {
+            let message = Message {
                 from: PeerId(1),
                 life: Life(1),
-                turn: 0,
-                stamp: letter.stamp,
+                incarnation: 0,
+                stamp: message.stamp,
                 notes: vec![shown],
             };
-            let bytes = seal.write(&letter).expect("short");
+            let bytes = seal.write(&message).expect("short");
             let _ = socket.send_to(&bytes, from);
         }
     });
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -21,8 +21,8 @@
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
 use trailproxy::units::*;
-use trailproxy_peers::decide::letters::PeerId;
 use trailproxy_peers::decide::members::Own;
+use trailproxy_peers::decide::messages::PeerId;
 use trailproxy_peers::decide::{Peers, life};
 use trailproxy_peers::wire::Seal;
 use trailproxy_shared_store::decide::Sharing;
@@ -479,7 +479,7 @@
                     warn!(self.log, "operator's file refused"; "why" => why);
                 }
             }
-            Inbound::Peers(told) => self.decisions.crossings.letter(now, told),
+            Inbound::Peers(told) => self.decisions.crossings.message(now, told),
             Inbound::Store(told) => {
                 if let Some(shared) = &mut self.decisions.crossings.shared {
                     shared.told(now, told);
--- a/crates/trailproxyd/src/divided.rs
+++ b/crates/trailproxyd/src/divided.rs
@@ -6,7 +6,7 @@
 use trailproxy_budgets::decide::following::Following;
 use trailproxy_budgets::decide::{HolderId, LifeId};
 use trailproxy_budgets::sheet::Sheet;
-use trailproxy_peers::decide::letters::{Life, PeerId};
+use trailproxy_peers::decide::messages::{Life, PeerId};
 use trailproxy_zones::Zones;
 
 pub struct Divided {
@@ -52,9 +52,9 @@
         }
     }
 
-    /// Letters to go out.
-    pub fn letters(&mut self) -> Vec<(PeerId, Vec<u8>)> {
-        let words = self.following.letters().into_iter();
+    /// Messages to go out.
+    pub fn messages(&mut self) -> Vec<(PeerId, Vec<u8>)> {
+        let words = self.following.messages().into_iter();
         words
             .map(|(to, note)| (PeerId(to.0), trailproxy_budgets::write(&note)))
             .collect()
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 use trailproxy::interface::*;
 use trailproxy::units::*;
-use trailproxy_peers::decide::letters::{Address, Letter};
+use trailproxy_peers::decide::messages::{Address, Message};
 use trailproxy_shared_store::decide::{OpId, Reply as StoreReply};
 use trailproxy_shared_store::words::Request;
 use trailproxy_terms::Reports;
@@ -215,15 +215,15 @@
 }
 
 pub enum ToPeers {
-    Send(Address, Letter),
+    Send(Address, Message),
     /// Nothing is sent or heard any more.
     End,
 }
 
-/// A letter of the fleet, with where it came from.
+/// A message of the fleet, with where it came from.
 pub struct FromPeers {
     pub from: Address,
-    pub letter: Letter,
+    pub message: Message,
 }
 
 /// A host as the list names it, with where it is reached.
--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -11,7 +11,7 @@
 use trailproxy::interface::{Effect, Terms};
 use trailproxy::units::Span;
 use trailproxy_budgets::sheet::Sheet as BudgetsSheet;
-use trailproxy_peers::sheet::{Addresses, Sheet as PeersSheet};
+use trailproxy_peers::config::{Addresses, Config as PeersConfig};
 use trailproxy_shared_store::sheet::Sheet as StoreSheet;
 use trailproxy_zones::Rules;
 use trailproxy_zones::decide::sheet::{Names, Sheet};
@@ -42,7 +42,7 @@
 /// The section `peers`, with what it comes to here.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeersTold {
-    pub sheet: PeersSheet,
+    pub sheet: PeersConfig,
     pub addresses: Addresses,
     pub secret: Vec<u8>,
 }
@@ -102,7 +102,7 @@
             store.rules(against.longest_window, against.purges_last)?;
         }
         let peers = all.as_object_mut().and_then(|all| all.remove("peers"));
-        let peers: Option<PeersSheet> = match peers {
+        let peers: Option<PeersConfig> = match peers {
             Some(peers) => {
                 serde_json::from_value(peers).map_err(|e| format!("{path}: section peers: {e}"))?
             }
@@ -194,7 +194,7 @@
 
 impl PeersTold {
     fn of(
-        sheet: PeersSheet,
+        sheet: PeersConfig,
         store: Option<&StoreSheet>,
         against: &Against,
     ) -> Result<PeersTold, String> {
--- a/crates/trailproxyd/src/peered.rs
+++ b/crates/trailproxyd/src/peered.rs
@@ -10,8 +10,8 @@
 use trailproxy::interface::*;
 use trailproxy::units::*;
 use trailproxy_peers::decide::facts::Listed;
-use trailproxy_peers::decide::letters::{Address, AskNo, Letter, Life, PeerId};
-use trailproxy_peers::decide::{Act, Peers};
+use trailproxy_peers::decide::messages::{Address, AskNo, Life, Message, PeerId};
+use trailproxy_peers::decide::{Action, Peers};
 use trailproxy_shared_store::decide::records::{Came, Folding};
 
 pub struct Peered {
@@ -69,9 +69,9 @@
         self.act(now);
     }
 
-    pub fn letter(&mut self, now: Moment, address: Address, letter: Letter) {
-        if !self.peers.shown(now, address, &letter) {
-            self.peers.heard(now, address, letter);
+    pub fn message(&mut self, now: Moment, address: Address, message: Message) {
+        if !self.peers.shown(now, address, &message) {
+            self.peers.heard(now, address, message);
         }
         self.act(now);
     }
@@ -156,14 +156,14 @@
     fn act(&mut self, now: Moment) {
         for act in self.peers.take() {
             match act {
-                Act::Send(to, letter) => drop(self.to.send(ToPeers::Send(to, letter))),
-                Act::Decided { id, verdict } => self.waiting.decided(id, verdict),
-                Act::Purged { object, group, at } => {
+                Action::Send(to, message) => drop(self.to.send(ToPeers::Send(to, message))),
+                Action::Decided { id, verdict } => self.waiting.decided(id, verdict),
+                Action::Purged { object, group, at } => {
                     let ago = now.since(at);
                     self.waiting
                         .due(Due::Tell(Event::Purged { object, group, ago }));
                 }
-                Act::Restricted {
+                Action::Restricted {
                     host,
                     listed,
                     started,
@@ -176,11 +176,11 @@
                     self.waiting
                         .due(Due::Restricted(host, Some((state, started))));
                 }
-                Act::Freed { host } => self.waiting.due(Due::Restricted(host, None)),
-                Act::Hinted { host } => self.waiting.due(Due::Tell(Event::Hinted { host })),
-                Act::Beside(from, of, bytes) => self.beside.push((from, of, bytes)),
-                Act::Turned(stands) => info!(self.log, "peers"; "stands" => stands.word()),
-                Act::Member(id, standing) => {
+                Action::Freed { host } => self.waiting.due(Due::Restricted(host, None)),
+                Action::Hinted { host } => self.waiting.due(Due::Tell(Event::Hinted { host })),
+                Action::Beside(from, of, bytes) => self.beside.push((from, of, bytes)),
+                Action::Turned(stands) => info!(self.log, "peers"; "stands" => stands.word()),
+                Action::Member(id, standing) => {
                     info!(self.log, "peer"; "id" => format!("{:016x}", id.0), "is" => ?standing);
                 }
             }
--- a/crates/trailproxyd/src/peers.rs
+++ b/crates/trailproxyd/src/peers.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
-use trailproxy_peers::decide::letters::Address;
+use trailproxy_peers::decide::messages::Address;
 use trailproxy_peers::wire::{MOST_BYTES, Seal, Unread};
 
 /// What was not read is told this often at most.
@@ -60,8 +60,8 @@
     log: Logger,
 ) {
     let hearing = tokio::task::spawn_local(hear(socket.clone(), seal.clone(), queue, log));
-    while let Some(ToPeers::Send(to, letter)) = asked.recv().await {
-        if let Some(bytes) = seal.write(&letter) {
+    while let Some(ToPeers::Send(to, message)) = asked.recv().await {
+        if let Some(bytes) = seal.write(&message) {
             let _ = socket.try_send_to(&bytes, to_socket(to));
         }
     }
@@ -83,7 +83,7 @@
             tokio::task::yield_now().await;
         }
         match seal.read(&bytes[..size]) {
-            Ok((letter, unknown)) => {
+            Ok((message, unknown)) => {
                 if unknown > 0 {
                     more(&unreads.unknown_notes, unknown);
                     unreads.tell(&log);
@@ -92,7 +92,7 @@
                     ip: from.ip().octets(),
                     port: from.port(),
                 };
-                let told = FromPeers { from, letter };
+                let told = FromPeers { from, message };
                 if queue.send(Inbound::Peers(told)).is_err() {
                     return;
                 }
--- a/crates/trailproxyd/src/subsystems.rs
+++ b/crates/trailproxyd/src/subsystems.rs
@@ -11,7 +11,7 @@
 use trailproxy::units::*;
 use trailproxy_budgets::BESIDE;
 use trailproxy_budgets::sheet::Sheet as BudgetsSheet;
-use trailproxy_peers::decide::letters::{Life, Note, PeerId};
+use trailproxy_peers::decide::messages::{Life, Note, PeerId};
 use trailproxy_shared_store::decide::ops::BoxId;
 use trailproxy_shared_store::decide::records::{Came, Folding, MOST_BODY};
 use trailproxy_shared_store::decide::{Act, Sharing};
@@ -83,12 +83,12 @@
         self.divide(now);
     }
 
-    /// A letter of another dispatcher, or a question from the command line.
-    pub fn letter(&mut self, now: Moment, told: FromPeers) {
+    /// A message of another dispatcher, or a question from the command line.
+    pub fn message(&mut self, now: Moment, told: FromPeers) {
         let Some(peers) = &mut self.peers else {
             return;
         };
-        match told.letter.notes[..] {
+        match told.message.notes[..] {
             [Note::ShowOf(no, BESIDE)] => {
                 let shown = self
                     .divided
@@ -97,11 +97,11 @@
                 let text = shown.unwrap_or("budgets are off".into());
                 peers.answer(now, told.from, no, text);
             }
-            _ => peers.letter(now, told.from, told.letter),
+            _ => peers.message(now, told.from, told.message),
         }
     }
 
-    /// Words of others reach the division, and what follows goes out: by the peers' letters, or else by the store.
+    /// Words of others reach the division, and what follows goes out: by the peers' messages, or else by the store.
     fn divide(&mut self, now: Moment) {
         let words = self.peers.as_mut().map(Peered::words).unwrap_or_default();
         let posted = self
@@ -128,8 +128,8 @@
         let Some(divided) = &mut self.divided else {
             return;
         };
-        let (own, letters) = (divided.own().0, divided.letters());
-        for (to, bytes) in letters {
+        let (own, messages) = (divided.own().0, divided.messages());
+        for (to, bytes) in messages {
             match (&mut self.peers, &mut self.shared) {
                 (Some(peers), _) => peers.send(now, to, BESIDE, bytes),
                 (None, Some(shared)) => shared.post(now, own, to, BESIDE, &bytes),
