Peers: two of three replicas asked, ends told once, no walk over all members per event

Change: within a zone the two nearest replicas are asked, the third when one is not sure; what becomes of a claim is told once, with the attempt where it ends within 100 ms, and replicas compare the rest.

--- a/crates/peers/src/decide/claims.rs
+++ b/crates/peers/src/decide/claims.rs
@@ -27,6 +27,8 @@
     asked: Moment,
     /// Who has not answered, and how many have to be sure.
     open: BTreeSet<PeerId>,
+    /// Who is asked as soon as one of the others is not sure.
+    reserve: Vec<PeerId>,
     enough: usize,
     sure: usize,
     claims: Vec<Claim>,
@@ -69,6 +71,8 @@
 pub struct Claims {
     own: BTreeMap<RequestId, Own>,
     asking: BTreeMap<AskNo, Asking>,
+    /// Questions that are to go out now, of the reserve.
+    to_ask: Vec<(AskNo, RequestId, PeerId)>,
     owed: BTreeMap<FactId, Owed>,
     timed: BTreeSet<(Moment, FactId)>,
 }
@@ -109,6 +113,7 @@
         no: AskNo,
         id: RequestId,
         whom: BTreeSet<PeerId>,
+        reserve: Vec<PeerId>,
         enough: usize,
     ) {
         // The round before it is over: its answers would count twice.
@@ -120,6 +125,7 @@
                 id,
                 asked: now,
                 open: whom,
+                reserve,
                 enough,
                 sure: 0,
                 claims: Vec::new(),
@@ -154,9 +160,14 @@
         let heard = match others(asked, &asking.claims, token) {
             Some(record) => Heard::Found(asked, record),
             None if asking.sure >= asking.enough => Heard::Mine,
-            None if asking.open.is_empty() => Heard::Unsure,
+            None if asking.open.is_empty() && asking.reserve.is_empty() => Heard::Unsure,
             None => Heard::Waits,
         };
+        if !sure && heard == Heard::Waits {
+            asking.open.extend(asking.reserve.iter().copied());
+            self.to_ask
+                .extend(asking.reserve.drain(..).map(|whom| (no, id, whom)));
+        }
         let earlier = |claim: &Claim| {
             (claim.at, claim.token) < (own.claim.at, own.claim.token)
                 && claim.stage != Stage::Free
@@ -174,6 +185,17 @@
         Some((id, heard))
     }
 
+    /// Who is to be asked in addition, about which claim.
+    pub fn to_ask(&mut self) -> Vec<(AskNo, PeerId, u128, Option<Claim>)> {
+        let to_ask = std::mem::take(&mut self.to_ask);
+        let claims = to_ask.into_iter().filter_map(|(no, id, whom)| {
+            let own = self.own.get(&id)?;
+            let claim = (!own.yielded).then(|| own.claim.clone());
+            Some((no, whom, own.key.0, claim))
+        });
+        claims.collect()
+    }
+
     fn yield_to(&mut self, now: Moment, id: RequestId) {
         if let Some(own) = self.own.get_mut(&id).filter(|own| !own.yielded) {
             own.yielded = true;
@@ -184,8 +206,15 @@
         }
     }
 
-    /// A hand-off goes out.
-    pub fn sent(&mut self, now: Moment, id: RequestId, place: (ZoneId, CellId), token: Token) {
+    /// A hand-off goes out. It is told after `delay`, together with the end where that comes before.
+    pub fn sent(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        place: (ZoneId, CellId),
+        token: Token,
+        delay: Span,
+    ) {
         let Some(own) = self.own.get_mut(&id) else {
             return;
         };
@@ -205,7 +234,7 @@
         }
         (own.claim.stage, own.claim.place) = (Stage::Sent, joined);
         let (key, claim) = (own.key.0, own.claim.clone());
-        self.owe(now, key, claim);
+        self.owe(now + delay, key, claim);
     }
 
     /// It has its final answer.
@@ -225,7 +254,7 @@
         self.owe(now, key, claim);
     }
 
-    fn owe(&mut self, now: Moment, key: u128, claim: Claim) {
+    fn owe(&mut self, at: Moment, key: u128, claim: Claim) {
         let claims = vec![claim];
         let fact = Fact::Record { key, claims };
         let id = fact.id();
@@ -236,8 +265,8 @@
             Some(owed) => merge(owed.fact, fact),
             None => fact,
         };
-        self.timed.insert((now, id));
-        let (to, at, pause, no) = (None, now, AGAIN, AskNo::default());
+        self.timed.insert((at, id));
+        let (to, pause, no) = (None, AGAIN, AskNo::default());
         self.owed.insert(
             id,
             Owed {
@@ -250,6 +279,11 @@
         );
     }
 
+    /// What was told is not told again: whoever keeps it compares it with the others that do.
+    pub fn told(&mut self, fact: FactId) {
+        self.owed.remove(&fact);
+    }
+
     /// Somebody has what was told under this number.
     pub fn taken(&mut self, no: AskNo, from: PeerId) {
         let found = self.owed.iter_mut().find(|(_, owed)| owed.no == no);
--- a/crates/peers/src/decide/keepers.rs
+++ b/crates/peers/src/decide/keepers.rs
@@ -74,16 +74,17 @@
 
 /// The first few in the order of one slot.
 fn first_few(slot: Slot, fleet: &[PeerId]) -> Vec<PeerId> {
-    let drawn = |id: &PeerId| mix(id.0 ^ mix(u64::from(slot.0)));
-    let mut few: Vec<PeerId> = Vec::with_capacity(KEEP + 1);
+    let salt = mix(u64::from(slot.0));
+    let mut few: Vec<(u64, PeerId)> = Vec::with_capacity(KEEP + 1);
     for &id in fleet {
-        let at = few.partition_point(|other| drawn(other) > drawn(&id));
+        let drawn = mix(id.0 ^ salt);
+        let at = few.partition_point(|&(other, _)| other > drawn);
         if at < KEEP {
-            few.insert(at, id);
+            few.insert(at, (drawn, id));
             few.truncate(KEEP);
         }
     }
-    few
+    few.into_iter().map(|(_, id)| id).collect()
 }
 
 /// The seats of a group among the members of one zone. Each seat has an order of its own, so that the members in the
--- a/crates/peers/src/decide/keyed.rs
+++ b/crates/peers/src/decide/keyed.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// Within a zone an attempt is told to its replicas this late, so that the end of a short one goes with it: until then the
+/// claim binds others as one that may have been sent anywhere.
+const SENT_WITHIN: Span = Span::from_millis(100);
+
 impl Peers {
     /// An access with a key came. It goes on with [`Action::Decided`], at once or soon.
     pub fn come(&mut self, now: Moment, id: RequestId, key: Key, due: Moment) {
@@ -25,7 +29,11 @@
     pub fn hand_off(&mut self, now: Moment, id: RequestId, place: (ZoneId, CellId)) {
         let token = self.token();
         self.records.sent(id, place);
-        self.claims.sent(now, id, place, token);
+        let delay = match self.keepers.scope() {
+            Scope::Fleet => Span::ZERO,
+            Scope::Zone => SENT_WITHIN,
+        };
+        self.claims.sent(now, id, place, token, delay);
         self.tell_owed(now);
     }
 
@@ -80,18 +88,18 @@
         let own = self.members.own().id;
         let keepers = self.keepers.of(slot).to_vec();
         let enough = keepers.len() / 2 + 1;
-        let whom: BTreeSet<PeerId> = keepers.iter().copied().collect();
+        let scope = self.keepers.scope();
+        let (whom, reserve) = match scope {
+            Scope::Fleet => (keepers, Vec::new()),
+            Scope::Zone => self.nearest(keepers, enough),
+        };
+        let whom: BTreeSet<PeerId> = whom.into_iter().collect();
         let former: BTreeSet<PeerId> = self.keepers.former(now, slot).collect();
         let no = self.no();
-        self.claims.ask(now, no, id, whom.clone(), enough);
-        let (key, scope) = (key.0, self.keepers.scope());
+        self.claims.ask(now, no, id, whom.clone(), reserve, enough);
+        let key = key.0;
         for &whom in whom.union(&former).filter(|&&whom| whom != own) {
-            let claim = claim.clone();
-            let note = match scope {
-                Scope::Fleet => Note::Claim { no, key, claim },
-                Scope::Zone => Note::ClaimInZone { no, key, claim },
-            };
-            self.send_to(now, whom, vec![note]);
+            self.ask(now, whom, no, key, claim.clone());
         }
         if whom.contains(&own) {
             let (sure, claims) = self.claimed(now, key, claim, scope);
@@ -99,6 +107,37 @@
         }
     }
 
+    /// Of a key's replicas as many as have to be sure, the nearest ones that are reached, and the others in reserve.
+    fn nearest(&self, mut replicas: Vec<PeerId>, enough: usize) -> (Vec<PeerId>, Vec<PeerId>) {
+        let own = self.members.own().id;
+        let here = self.keepers.topology().map(|topology| topology.own);
+        let distance = |id: PeerId| {
+            let places = here.zip(self.members.locality(id));
+            places.map(|(here, there)| here.distance(there))
+        };
+        replicas.sort_by_key(|&id| match id == own {
+            true => (false, None),
+            false => (!self.members.alive(id), distance(id)),
+        });
+        let reserve = replicas.split_off(enough.min(replicas.len()));
+        (replicas, reserve)
+    }
+
+    fn ask(
+        &mut self,
+        now: Moment,
+        whom: PeerId,
+        no: AskNo,
+        key: u128,
+        claim: Option<facts::Claim>,
+    ) {
+        let note = match self.keepers.scope() {
+            Scope::Fleet => Note::Claim { no, key, claim },
+            Scope::Zone => Note::ClaimInZone { no, key, claim },
+        };
+        self.send_to(now, whom, vec![note]);
+    }
+
     /// A claim at one who keeps its key: what is known of the key, and whether that is all.
     pub(super) fn claimed(
         &mut self,
@@ -134,7 +173,11 @@
         sure: bool,
         claims: Vec<facts::Claim>,
     ) {
-        let Some((id, heard)) = self.claims.stood(now, no, from, sure, claims) else {
+        let heard = self.claims.stood(now, no, from, sure, claims);
+        for (no, whom, key, claim) in self.claims.to_ask() {
+            self.ask(now, whom, no, key, claim);
+        }
+        let Some((id, heard)) = heard else {
             return;
         };
         let steps = match heard {
@@ -180,14 +223,23 @@
                 .filter(there)
                 .collect()
         };
+        let scope = self.keepers.scope();
         for (no, fact, to) in self.claims.advance(now, no, of) {
+            if scope == Scope::Zone {
+                self.claims.told(fact.id());
+            }
             for whom in to {
                 if whom == own {
                     let taken = self.keep(now, fact.clone());
                     self.counts.full += u64::from(taken.is_none());
                     self.claims.taken(no, own);
                 } else {
-                    self.send_to(now, whom, vec![Note::Put(no, vec![fact.clone()])]);
+                    let facts = vec![fact.clone()];
+                    let note = match scope {
+                        Scope::Fleet => Note::Put(no, facts),
+                        Scope::Zone => Note::Rumours(facts),
+                    };
+                    self.send_to(now, whom, vec![note]);
                 }
             }
         }
--- a/crates/peers/src/decide/members.rs
+++ b/crates/peers/src/decide/members.rs
@@ -10,7 +10,7 @@
 use super::keepers::Located;
 use super::locality::{Distance, Locality, Topology};
 use super::messages::{Address, AskNo, Life, MemberUpdate, Note, PeerId, Standing, State};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use trailproxy::units::{Moment, Span};
 
 /// How often one other is pinged. Shorter costs messages, longer finds a dead one later.
@@ -62,6 +62,11 @@
     pub fn there(&self) -> bool {
         self.update.standing <= Standing::Suspected
     }
+
+    /// Whether it is alive and answers this one.
+    pub fn is_reached(&self) -> bool {
+        self.update.standing == Standing::Alive && !self.one_way
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +77,50 @@
     by_others: bool,
 }
 
+/// What would else be looked for among all members with each event.
+#[derive(Clone, Debug, Default)]
+struct Index {
+    suspected: BTreeSet<PeerId>,
+    /// Members whose update is still to be passed on.
+    telling: BTreeSet<PeerId>,
+    /// A sum over whoever is there, as [`Members::roster`] has it.
+    there: u64,
+}
+
+/// One part of the sum of who is there, and in which life.
+fn roster_part(update: &MemberUpdate) -> u64 {
+    mix(update.id.0 ^ mix(update.life.0))
+}
+
+impl Index {
+    fn of(members: &BTreeMap<PeerId, Member>) -> Index {
+        let mut index = Index::default();
+        members.values().for_each(|member| index.add(member));
+        index
+    }
+
+    fn add(&mut self, member: &Member) {
+        let id = member.update.id;
+        if member.update.standing == Standing::Suspected {
+            self.suspected.insert(id);
+        }
+        if member.telling > 0 {
+            self.telling.insert(id);
+        }
+        if member.there() {
+            self.there = self.there.wrapping_add(roster_part(&member.update));
+        }
+    }
+
+    fn remove(&mut self, member: &Member) {
+        self.suspected.remove(&member.update.id);
+        self.telling.remove(&member.update.id);
+        if member.there() {
+            self.there = self.there.wrapping_sub(roster_part(&member.update));
+        }
+    }
+}
+
 /// What the members' side wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum MemberAction {
@@ -79,6 +128,8 @@
     Turned(PeerId, Standing),
     /// A member said where it is.
     Located,
+    /// A member is reached by others only, or by this one again.
+    Reach,
     /// Another process has the same name, and came later: this one keeps quiet.
     Shadowed,
 }
@@ -118,6 +169,7 @@
     own_telling: u32,
     /// The updates of the message that is being read, to which localities may follow.
     updated: Vec<(PeerId, Life)>,
+    index: Index,
     todo: Vec<MemberAction>,
 }
 
@@ -152,6 +204,7 @@
             cut_off: false,
             own_telling: 0,
             updated: Vec::new(),
+            index: Index::default(),
             todo: Vec::new(),
         }
     }
@@ -176,7 +229,7 @@
 
     pub fn alive(&self, id: PeerId) -> bool {
         let member = self.members.get(&id);
-        member.is_some_and(|member| member.update.standing == Standing::Alive && !member.one_way)
+        member.is_some_and(Member::is_reached)
     }
 
     pub fn address(&self, id: PeerId) -> Option<Address> {
@@ -204,14 +257,10 @@
         (located, again)
     }
 
-    /// Members of the own zone, or all where nothing is known of zones.
-    pub fn in_zone(&self) -> impl Iterator<Item = (&PeerId, &Member)> {
-        let own = self.locality.map(|own| own.zone);
-        let near = move |member: &Member| match (own, member.locality) {
-            (Some(own), Some(locality)) => locality.zone == own,
-            _ => true,
-        };
-        self.all().filter(move |(_, member)| near(member))
+    /// Whether a member is of the own zone; all are where nothing is known of zones.
+    pub fn is_in_zone(&self, member: &Member) -> bool {
+        let places = self.locality.zip(member.locality);
+        places.is_none_or(|(own, other)| own.zone == other.zone)
     }
 
     /// How long an answer to a ping is waited for.
@@ -283,6 +332,7 @@
             member.since = now;
             member.one_way = false;
         }
+        self.todo.push(MemberAction::Reach);
         self.own.incarnation += 1;
         self.own_telling = self.tells();
     }
@@ -297,6 +347,7 @@
                 matches!(update.standing, Standing::Suspected | Standing::Dead)
             };
             self.members.retain(|_, member| !doubted(&member.update));
+            self.index = Index::of(&self.members);
             let members = &self.members;
             self.round.retain(|id| members.contains_key(id));
             self.probe = None;
@@ -336,7 +387,9 @@
         self.update(now, update);
         if let Some(member) = self.members.get_mut(&from)
             && member.update.standing == Standing::Alive
+            && member.one_way
         {
+            self.todo.push(MemberAction::Reach);
             member.one_way = false;
         }
     }
@@ -351,6 +404,7 @@
         match self.members.get_mut(&update.id) {
             Some(known) if update.rank() <= known.update.rank() => {}
             Some(known) => {
+                self.index.remove(known);
                 let before = (known.update.standing, known.update.life);
                 known.update = update;
                 known.telling = tells;
@@ -362,6 +416,7 @@
                     self.todo
                         .push(MemberAction::Turned(update.id, update.standing));
                 }
+                self.index.add(known);
             }
             None if full || update.standing > Standing::Suspected => {}
             None => {
@@ -374,6 +429,7 @@
                     met: now,
                     telling: tells,
                 };
+                self.index.add(&member);
                 self.members.insert(update.id, member);
                 // Somewhere in the present round, so that hundreds of newcomers are not pinged last.
                 let place = self.next_no as usize % (self.round.len() + 1);
@@ -412,16 +468,19 @@
             self.own_telling -= 1;
             updates.push(self.own);
         }
-        let mut fresh: Vec<(u32, PeerId)> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.telling > 0 && self.tellable(member))
-            .map(|(&id, member)| (u32::MAX - member.telling, id))
+        let telling = self.index.telling.iter();
+        let telling = telling.filter_map(|id| self.members.get(id));
+        let mut fresh: Vec<(u32, PeerId)> = telling
+            .filter(|member| self.tellable(member))
+            .map(|member| (u32::MAX - member.telling, member.update.id))
             .collect();
         fresh.sort_unstable();
         for (_, id) in fresh.into_iter().take(UPDATES) {
             if let Some(member) = self.members.get_mut(&id) {
                 member.telling -= 1;
+                if member.telling == 0 {
+                    self.index.telling.remove(&id);
+                }
                 updates.push(member.update);
             }
         }
@@ -473,6 +532,7 @@
                     self.probe = None;
                     if let Some(member) = self.members.get_mut(whom) {
                         member.one_way = true;
+                        self.todo.push(MemberAction::Reach);
                     }
                 }
             }
@@ -515,11 +575,7 @@
 
     /// A sum of who is there, and in which life.
     pub fn roster(&self) -> u64 {
-        let there = self.there().map(|(_, member)| member.update);
-        let sums = there
-            .chain([self.own])
-            .map(|update| mix(update.id.0 ^ mix(update.life.0)));
-        sums.fold(0, u64::wrapping_add)
+        self.index.there.wrapping_add(roster_part(&self.own))
     }
 
     fn state(&mut self, now: Moment, from: PeerId, address: Address, state: State) {
@@ -557,15 +613,16 @@
             .filter(|probe| !probe.by_others)
             .map(|probe| probe.sent + self.direct(probe.whom));
         let doubt = self.doubt();
-        let doubts = self
-            .members
-            .values()
-            .filter(|member| member.update.standing == Standing::Suspected);
-        let doubts = doubts.map(|member| member.since + doubt);
+        let doubts = self.suspected().map(|member| member.since + doubt);
         let all = doubts.chain(probe).chain([self.ping_at, self.knock_at]);
         all.min().unwrap_or(self.ping_at)
     }
 
+    fn suspected(&self) -> impl Iterator<Item = &Member> {
+        let suspected = self.index.suspected.iter();
+        suspected.filter_map(|id| self.members.get(id))
+    }
+
     fn doubt(&self) -> Span {
         DOUBT + DOUBT_EACH.times(f64::from(self.doublings()))
     }
@@ -573,10 +630,8 @@
     /// What is due by now.
     pub fn advance(&mut self, now: Moment, own: State, chance: &mut fastrand::Rng) {
         let doubt = self.doubt();
-        let over = |member: &Member| {
-            member.update.standing == Standing::Suspected && now.since(member.since) >= doubt
-        };
-        let dead = self.members.values().filter(|member| over(member));
+        let dead = self.suspected();
+        let dead = dead.filter(|member| now.since(member.since) >= doubt);
         let dead: Vec<MemberUpdate> = dead.map(|member| member.update).collect();
         for update in dead {
             let standing = Standing::Dead;
@@ -600,6 +655,7 @@
             self.knock_at = now + KNOCK.times(0.75 + 0.5 * chance.f64());
             self.members
                 .retain(|_, member| member.there() || now.since(member.since) < REMEMBER);
+            self.index = Index::of(&self.members);
             self.knock(own);
         }
     }
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -200,6 +200,8 @@
     hints: BTreeMap<(HostId, u64), (Moment, u32)>,
     hosts: BTreeMap<HostId, Host>,
     gossip_at: Moment,
+    /// When it is to be looked again how many were lost lately, where nothing turns before.
+    look_round_at: Moment,
     /// When it was last reckoned who keeps what, and when it is to be again.
     fleet_at: Moment,
     fleet_due: Option<Moment>,
@@ -237,6 +239,7 @@
             hints: BTreeMap::new(),
             hosts: BTreeMap::new(),
             gossip_at: now,
+            look_round_at: now,
             fleet_at: now - FLEET,
             fleet_due: None,
             last: now,
@@ -411,7 +414,7 @@
 
     /// What the members' side wants, and what follows from it.
     fn settle(&mut self, now: Moment) {
-        let mut turned = false;
+        let (mut turned, mut members_changed) = (false, false);
         for todo in self.members.take() {
             match todo {
                 MemberAction::Send(to, mut notes) => {
@@ -419,9 +422,10 @@
                     self.send(now, to, notes);
                 }
                 MemberAction::Turned(id, standing) => {
-                    turned = true;
+                    (turned, members_changed) = (true, true);
                     self.acts.push(Action::Member(id, standing));
                 }
+                MemberAction::Reach => turned = true,
                 MemberAction::Located => {
                     self.look_at_fleet(self.fleet_at + FLEET);
                 }
@@ -433,6 +437,8 @@
         }
         if turned {
             self.look_round(now);
+        }
+        if members_changed {
             self.look_at_fleet(self.fleet_at + FLEET);
         }
         if self.fleet_due.is_some_and(|due| due <= now) {
@@ -451,6 +457,7 @@
     /// what it can't know, and its "nothing known" counts for nothing until it has compared. At once, and not when it is
     /// next reckoned who keeps what: between the two it would be the only keeper that it knows, and sure.
     fn look_round(&mut self, now: Moment) {
+        self.look_round_at = now + FLEET;
         let keep = self.rules.keep;
         let lost = |member: &members::Member| match member.update.standing {
             Standing::Dead => now.since(member.since) < keep,
@@ -458,13 +465,18 @@
             _ => member.one_way,
         };
         // Only those matter that a claim is agreed on with.
-        let all: Vec<(&PeerId, &members::Member)> = match self.keepers.scope() {
-            Scope::Fleet => self.members.all().collect(),
-            Scope::Zone => self.members.in_zone().collect(),
-        };
-        let there = all.iter().filter(|of| self.members.alive(*of.0)).count() + 1;
-        let lost = all.into_iter().filter(|of| lost(of.1));
-        let lost: Vec<PeerId> = lost.map(|of| *of.0).collect();
+        let zone_only = self.keepers.scope() == Scope::Zone;
+        let (mut there, mut lost_now) = (1, Vec::new());
+        for (&id, member) in self.members.all() {
+            if zone_only && !self.members.is_in_zone(member) {
+                continue;
+            }
+            there += usize::from(member.is_reached());
+            if lost(member) {
+                lost_now.push(id);
+            }
+        }
+        let lost = lost_now;
         let island = there <= lost.len();
         if island && !self.island {
             self.sync.together();
@@ -523,7 +535,9 @@
         self.facts.advance(now);
         self.free(now);
         // The lost are counted for a while only.
-        self.look_round(now);
+        if now >= self.look_round_at {
+            self.look_round(now);
+        }
         if self.quiet() {
             return;
         }
--- a/crates/peers/src/decide/relaying.rs
+++ b/crates/peers/src/decide/relaying.rs
@@ -134,7 +134,10 @@
     ) -> (bool, Vec<Claim>) {
         let own = self.keepers.topology().map(|topology| topology.own.zone);
         let theirs = self.members.locality(from).map(|locality| locality.zone);
-        let (sure, claims) = self.claimed(now, key, claim, Scope::Zone);
+        let asked = claim.as_ref().map(|claim| claim.token);
+        let (sure, mut claims) = self.claimed(now, key, claim, Scope::Zone);
+        // The asker knows its own.
+        claims.retain(|claim| Some(claim.token) != asked);
         (sure && own == theirs, claims)
     }
 
