Section site: where dispatchers are, checked with file, line and field

Cause: replicas by zone need to know where each dispatcher is. Change: sections site(name, zone, region, members) in the operator's file, one file for all: each finds its own site by the address that others write to. A zone in two regions, an address at two sites and a dispatcher at none are told with line and field, exit 1. Without a section site nothing changes.

--- a/crates/operator/src/decide/mod.rs
+++ b/crates/operator/src/decide/mod.rs
@@ -89,6 +89,8 @@
     /// An IPv4 address and a port, and a list of such.
     Address,
     Addresses,
+    /// A list of IPv4 addresses, with or without a port, or networks.
+    AddressRanges,
     /// The name of a section of this kind that stands in the same file.
     Of(&'static str),
 }
@@ -105,6 +107,9 @@
             Shape::Names => f.write_str("a list of names"),
             Shape::Address => f.write_str("an IPv4 address and a port, as in \"10.1.2.3:7946\""),
             Shape::Addresses => f.write_str("a list of IPv4 addresses with ports"),
+            Shape::AddressRanges => f.write_str(
+                "a list of IPv4 addresses, with or without a port, or networks as in \"10.1.2.0/24\"",
+            ),
             Shape::Of(kind) => write!(f, "the name of a {kind}"),
         }
     }
@@ -127,6 +132,9 @@
             (Shape::Addresses, Value::List(items)) => {
                 items.iter().all(|item| Shape::Address.takes(item))
             }
+            (Shape::AddressRanges, Value::List(items)) => items
+                .iter()
+                .all(|item| matches!(item, Value::Text(text) if is_address_range(text))),
             (Shape::Names, Value::List(items)) => items.iter().all(|item| Shape::Name.takes(item)),
             _ => false,
         }
@@ -144,6 +152,17 @@
     octets == [true; 4] && port.parse::<u16>().is_ok_and(|port| port > 0)
 }
 
+fn is_ip(text: &str) -> bool {
+    text.parse::<std::net::Ipv4Addr>().is_ok()
+}
+
+fn is_address_range(text: &str) -> bool {
+    match text.split_once('/') {
+        Some((ip, bits)) => is_ip(ip) && bits.parse::<u8>().is_ok_and(|bits| bits <= 32),
+        None => is_ip(text) || is_address(text),
+    }
+}
+
 fn is_name(text: &str) -> bool {
     let fits = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
     (1..=64).contains(&text.len()) && text.chars().all(fits)
--- a/crates/peers/src/config.rs
+++ b/crates/peers/src/config.rs
@@ -1,7 +1,9 @@
 //! What the operator's file says of the other dispatchers, as the reader of the script hands it on.
 
 use crate::decide::Rules;
+use crate::decide::locality::Topology;
 use crate::decide::messages::Address;
+use crate::sites::{self, Site};
 use serde::{Deserialize, Serialize};
 use trailproxy::units::Span;
 
@@ -31,6 +33,9 @@
     pub purges: bool,
     pub hosts: bool,
     pub hints: bool,
+    /// Where dispatchers are; empty: nothing depends on it.
+    #[serde(default)]
+    pub sites: Vec<Site>,
 }
 
 /// What becomes of an access with a key that nobody is sure about.
@@ -104,6 +109,11 @@
         })
     }
 
+    /// Where the dispatcher that others write to at this address is; the message names what does not fit.
+    pub fn topology(&self, own: Address) -> Result<Option<Topology>, String> {
+        sites::topology(&self.file, &self.sites, own)
+    }
+
     /// What only the fleet knows, as its file has it; empty where none is named.
     pub fn secret(&self) -> Result<Vec<u8>, String> {
         let path = self.secret_file.as_str();
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod config;
 pub mod decide;
+pub mod sites;
 pub mod wire;
--- /dev/null
+++ b/crates/peers/src/sites.rs
@@ -0,0 +1,176 @@
+//! Where the fleet's dispatchers are, as the operator's file has it: one section `site` for each place.
+
+use crate::decide::locality::{Locality, NearId, Topology};
+use crate::decide::messages::Address;
+use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
+
+/// The section `site`, checked in its types by whoever read the script.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Site {
+    /// Line and column of the section, from 1.
+    pub place: (usize, usize),
+    pub name: String,
+    pub zone: String,
+    pub region: String,
+    /// The dispatchers there: addresses that others write to, or networks of them.
+    pub members: Vec<String>,
+}
+
+/// Addresses that a site has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Range {
+    first: u32,
+    last: u32,
+    /// Only this port; else any.
+    port: Option<u16>,
+}
+
+/// The forms of a site's members.
+const FORMS: &str = "addresses as in 10.1.2.3 or 10.1.2.3:7946, or networks as in 10.1.2.0/24";
+
+impl Range {
+    fn read(text: &str) -> Option<Range> {
+        if let Some((network, bits)) = text.split_once('/') {
+            let network = u32::from(network.parse::<Ipv4Addr>().ok()?);
+            let bits: u32 = bits.parse().ok().filter(|bits| *bits <= u32::BITS)?;
+            let mask = u32::MAX.checked_shl(u32::BITS - bits).unwrap_or(0);
+            let first = network & mask;
+            let (last, port) = (first | !mask, None);
+            return Some(Range { first, last, port });
+        }
+        if let Some((ip, port)) = text.split_once(':') {
+            let first = u32::from(ip.parse::<Ipv4Addr>().ok()?);
+            let (last, port) = (first, Some(port.parse().ok()?));
+            return Some(Range { first, last, port });
+        }
+        let first = u32::from(text.parse::<Ipv4Addr>().ok()?);
+        let (last, port) = (first, None);
+        Some(Range { first, last, port })
+    }
+
+    fn contains(&self, address: Address) -> bool {
+        let ip = u32::from(Ipv4Addr::from(address.ip));
+        let port = self.port.is_none_or(|port| port == address.port);
+        (self.first..=self.last).contains(&ip) && port
+    }
+
+    fn overlaps(&self, other: &Range) -> bool {
+        let ports = self.port.zip(other.port);
+        let port = ports.is_none_or(|(one, other)| one == other);
+        self.first <= other.last && other.first <= self.last && port
+    }
+}
+
+/// What does not fit, of which section and field.
+struct Misfit<'a> {
+    site: &'a Site,
+    field: &'static str,
+    found: String,
+    accepted: String,
+}
+
+impl Misfit<'_> {
+    fn message(&self, file: &str) -> String {
+        let ((line, column), field) = (self.site.place, self.field);
+        let (found, accepted) = (&self.found, &self.accepted);
+        format!(
+            "{file}:{line}:{column}: section site, field {field}: found {found}, accepted: {accepted}"
+        )
+    }
+}
+
+fn ranges(site: &Site) -> Result<Vec<Range>, Misfit<'_>> {
+    let read = |text: &String| {
+        Range::read(text).ok_or_else(|| Misfit {
+            site,
+            field: "members",
+            found: format!("{text:?}"),
+            accepted: FORMS.into(),
+        })
+    };
+    site.members.iter().map(read).collect()
+}
+
+fn zones_in_one_region(sites: &[Site]) -> Result<(), Misfit<'_>> {
+    for (nth, site) in sites.iter().enumerate() {
+        let other = sites[..nth].iter().find(|other| other.zone == site.zone);
+        if let Some(other) = other.filter(|other| other.region != site.region) {
+            let (zone, region) = (&site.zone, &other.region);
+            return Err(Misfit {
+                site,
+                field: "region",
+                found: format!("{:?}", site.region),
+                accepted: format!("{region:?}, where line {} has zone {zone:?}", other.place.0),
+            });
+        }
+    }
+    Ok(())
+}
+
+fn apart(sites: &[Site]) -> Result<Vec<Vec<Range>>, Misfit<'_>> {
+    let mut all: Vec<Vec<Range>> = Vec::new();
+    for site in sites {
+        let own = ranges(site)?;
+        for (text, range) in site.members.iter().zip(&own) {
+            let taken = all
+                .iter()
+                .position(|other| other.iter().any(|of| of.overlaps(range)));
+            if let Some(other) = taken.and_then(|nth| sites.get(nth)) {
+                return Err(Misfit {
+                    site,
+                    field: "members",
+                    found: format!("{text:?}"),
+                    accepted: format!(
+                        "what site {:?} in line {} does not have",
+                        other.name, other.place.0
+                    ),
+                });
+            }
+        }
+        all.push(own);
+    }
+    Ok(all)
+}
+
+/// A zone is in one region, and no address at two sites.
+fn check(file: &str, sites: &[Site]) -> Result<Vec<Vec<Range>>, String> {
+    let ranges = zones_in_one_region(sites).and_then(|()| apart(sites));
+    ranges.map_err(|misfit| misfit.message(file))
+}
+
+/// Where the dispatcher of this address is among all sites; `None`: the file names none. The message tells what does not
+/// fit: a zone in two regions, a dispatcher at two sites or at none.
+pub fn topology(file: &str, sites: &[Site], own: Address) -> Result<Option<Topology>, String> {
+    let Some(first) = sites.first() else {
+        return Ok(None);
+    };
+    let ranges = check(file, sites)?;
+    let mut known = sites.iter().zip(&ranges);
+    let here = known.find(|(_, ranges)| ranges.iter().any(|range| range.contains(own)));
+    let Some((site, _)) = here else {
+        let [a, b, c, d] = own.ip;
+        let misfit = Misfit {
+            site: first,
+            field: "members",
+            found: format!(
+                "no site with {a}.{b}.{c}.{d}:{}, which this dispatcher is written to",
+                own.port
+            ),
+            accepted: "a site for each dispatcher, or no section site at all".into(),
+        };
+        return Err(misfit.message(file));
+    };
+    let locality = Locality::of_names(&site.name, &site.zone, &site.region);
+    let zones = sites.iter().map(|site| NearId::of_name(&site.zone));
+    Ok(Some(Topology::new(locality, zones)))
+}
+
+/// The name of the site of this address.
+pub fn site_of(sites: &[Site], own: Address) -> Option<&Site> {
+    let has = |site: &&Site| {
+        let ranges = site.members.iter().filter_map(|text| Range::read(text));
+        ranges.into_iter().any(|range| range.contains(own))
+    };
+    sites.iter().find(has)
+}
--- a/crates/trailproxy-cli/src/peers.rs
+++ b/crates/trailproxy-cli/src/peers.rs
@@ -52,7 +52,12 @@
         let sheet =
             peers_sheet(&script).ok_or(format!("{file} has no section peers that is on"))?;
         // One that says where it listens by its environment is asked by its seeds.
-        sheet.addresses(sheet.listen.is_empty().then_some("127.0.0.1:1"))?;
+        let addresses = sheet.addresses(sheet.listen.is_empty().then_some("127.0.0.1:1"))?;
+        let own = match sheet.listen.is_empty() {
+            true => addresses.seeds.first().copied(),
+            false => Some(addresses.advertise),
+        };
+        own.map(|own| sheet.topology(own)).transpose()?;
         let seal = Seal::new(&sheet.fleet, &sheet.secret()?);
         let socket = UdpSocket::bind("0.0.0.0:0").map_err(|e| e.to_string())?;
         Ok(Way {
--- a/crates/trailproxy-cli/src/sections.rs
+++ b/crates/trailproxy-cli/src/sections.rs
@@ -3,6 +3,7 @@
 use trailproxy_budgets::sheet::Sheet as BudgetsSheet;
 use trailproxy_operator::decide::{Absent, Kind, Shape, Sheet as Script, may, must};
 use trailproxy_peers::config::{Config as PeersConfig, Unsure};
+use trailproxy_peers::sites::Site;
 use trailproxy_shared_store::sheet::Sheet as StoreSheet;
 
 /// Sections of the operator's own file.
@@ -12,6 +13,7 @@
     trailproxy_zones_tools::sections::KINDS[1],
     STORE,
     PEERS,
+    SITE,
     BUDGETS,
 ];
 
@@ -115,9 +117,37 @@
         purges: of.flag("purges"),
         hosts: of.flag("hosts"),
         hints: of.flag("hints"),
+        sites: sites(script),
     })
 }
 
+/// The section `site`, one for each place that has dispatchers.
+pub const SITE: Kind = Kind {
+    name: "site",
+    most: MOST_SITES,
+    needed: false,
+    fields: &[
+        must("name", Shape::Name),
+        must("zone", Shape::Name),
+        must("region", Shape::Name),
+        must("members", Shape::AddressRanges),
+    ],
+};
+
+/// A bound on the sites of one file.
+const MOST_SITES: usize = 1_000;
+
+fn sites(script: &Script) -> Vec<Site> {
+    let site = script.all(SITE.name).map(|of| Site {
+        place: (of.place.line, of.place.column),
+        name: of.text("name").into(),
+        zone: of.text("zone").into(),
+        region: of.text("region").into(),
+        members: of.names("members").into_iter().map(str::to_owned).collect(),
+    });
+    site.collect()
+}
+
 /// The section `budgets`.
 pub const BUDGETS: Kind = Kind {
     name: "budgets",
--- a/crates/trailproxy-cli/tests/peers.rs
+++ b/crates/trailproxy-cli/tests/peers.rs
@@ -135,6 +135,48 @@
     }
 }
 
+#[test]
+fn sites_that_do_not_fit_are_named_with_line_and_field() {
+    const PEERS: &str = "peers(fleet = \"f\", listen = \"10.0.0.1:7\", seeds = [\"10.0.0.1:7\"])\n";
+    let site = |name: &str, zone: &str, region: &str, members: &str| {
+        format!(
+            "site(name = {name:?}, zone = {zone:?}, region = {region:?}, members = [{members:?}])\n"
+        )
+    };
+    let twice = [
+        site("a", "z", "r", "10.0.0.0/24"),
+        site("b", "z", "r", "10.0.0.1:7"),
+    ]
+    .concat();
+    let regions = [
+        site("a", "z", "r", "10.0.0.1"),
+        site("b", "z", "q", "10.0.1.1"),
+    ]
+    .concat();
+    let none = site("a", "z", "r", "10.0.1.0/24");
+    let garbled = site("a", "z", "r", "10.0.0.300");
+    for (sites, wanted) in [
+        (
+            twice,
+            ":3:1: section site, field members: found \"10.0.0.1:7\", accepted: what site \"a\" in line 2 does not have",
+        ),
+        (
+            regions,
+            ":3:1: section site, field region: found \"q\", accepted: \"r\", where line 2 has zone \"z\"",
+        ),
+        (
+            none,
+            ":2:1: section site, field members: found no site with 10.0.0.1:7",
+        ),
+        (garbled, "field members"),
+    ] {
+        let path = file("sites", &format!("{PEERS}{sites}"));
+        let (code, words) = peers("check", &path, &[]);
+        assert!(code == 1 && words.contains(wanted), "{sites}: {words}");
+        let _ = std::fs::remove_file(path);
+    }
+}
+
 #[test]
 fn budgets_are_shown_and_one_of_them_is_explained() {
     let at = stand_in("f");
--- a/crates/trailproxyd/src/dispatch.rs
+++ b/crates/trailproxyd/src/dispatch.rs
@@ -24,6 +24,7 @@
 use trailproxy_peers::decide::members::Own;
 use trailproxy_peers::decide::messages::PeerId;
 use trailproxy_peers::decide::{Peers, life};
+use trailproxy_peers::sites;
 use trailproxy_peers::wire::Seal;
 use trailproxy_shared_store::decide::Sharing;
 use trailproxy_shared_store::sheet::Sheet as StoreSheet;
@@ -273,9 +274,10 @@
             address: told.addresses.advertise,
             life: life(now, drawn),
             seeds: told.addresses.seeds.clone(),
-            topology: None,
+            topology: told.topology.clone(),
         };
-        info!(log, "peers are on"; "file" => &sheet.file, "fleet" => &sheet.fleet, "seeds" => told.addresses.seeds.len());
+        info!(log, "peers are on"; "file" => &sheet.file, "fleet" => &sheet.fleet, "seeds" => told.addresses.seeds.len(),
+            "site" => sites::site_of(&sheet.sites, told.addresses.advertise).map_or("none", |site| &site.name));
         let (to, asked) = mpsc::channel();
         let seal = Seal::new(&sheet.fleet, &told.secret);
         let queue = self.pools.shared.queue.clone();
--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -12,6 +12,7 @@
 use trailproxy::units::Span;
 use trailproxy_budgets::sheet::Sheet as BudgetsSheet;
 use trailproxy_peers::config::{Addresses, Config as PeersConfig};
+use trailproxy_peers::decide::locality::Topology;
 use trailproxy_shared_store::sheet::Sheet as StoreSheet;
 use trailproxy_zones::Rules;
 use trailproxy_zones::decide::sheet::{Names, Sheet};
@@ -44,6 +45,8 @@
 pub struct PeersTold {
     pub sheet: PeersConfig,
     pub addresses: Addresses,
+    /// Where this dispatcher is, if the file has sites.
+    pub topology: Option<Topology>,
     pub secret: Vec<u8>,
 }
 
@@ -205,9 +208,11 @@
             return Err(sheet.wrong("records", "True, and True in section store", accepted));
         }
         let secret = sheet.secret()?;
+        let topology = sheet.topology(addresses.advertise)?;
         Ok(PeersTold {
             sheet,
             addresses,
+            topology,
             secret,
         })
     }
