--- a/crates/peers/src/decide/messages.rs
+++ b/crates/peers/src/decide/messages.rs
@@ -190,6 +190,15 @@
     pub hears: u64,
 }
 
+impl Relay {
+    /// About what it fills of a message, in bytes.
+    pub fn size(&self) -> usize {
+        const HEAD: usize = 36;
+        const ENTRY: usize = Entry::KEY_BYTES + 2;
+        HEAD + ENTRY * self.entries.len()
+    }
+}
+
 /// A claim in a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/peers/src/decide/relaying.rs
+++ b/crates/peers/src/decide/relaying.rs
@@ -16,6 +16,24 @@
     binding.map(|claim| Moment(claim.at)).max()
 }
 
+/// Relays to one member in as few messages as hold them, each no longer than a usual network carries in one piece.
+fn messages_of(relays: Vec<Relay>) -> Vec<Vec<Note>> {
+    let mut messages: Vec<Vec<Note>> = Vec::new();
+    let mut room = 0;
+    for relay in relays {
+        let size = relay.size();
+        if size > room {
+            messages.push(Vec::new());
+            room = PIECE;
+        }
+        room = room.saturating_sub(size);
+        if let Some(message) = messages.last_mut() {
+            message.push(Note::Relay(relay));
+        }
+    }
+    messages
+}
+
 /// A claim of another zone as others are told of it: it may have run there, whatever became of it.
 fn told(key: u128, far: FarClaim) -> Claim {
     let folded = mix(key as u64 ^ mix(u64::from(far.zone.0)));
@@ -107,8 +125,14 @@
         if self.island {
             return;
         }
+        let mut by_partner: BTreeMap<PeerId, Vec<Relay>> = BTreeMap::new();
         for (to, relay) in due {
-            self.send_to(now, to, vec![Note::Relay(relay)]);
+            by_partner.entry(to).or_default().push(relay);
+        }
+        for (to, relays) in by_partner {
+            for notes in messages_of(relays) {
+                self.send_to(now, to, notes);
+            }
         }
     }
 
--- a/crates/trials/src/decide/script.rs
+++ b/crates/trials/src/decide/script.rs
@@ -164,6 +164,13 @@
     pub keep_s: f64,
     /// All is up for so much longer before the day begins: records are whole only when they have been kept for once.
     pub lead_s: f64,
+    /// Zones that the dispatchers are spread over, by turns; 0: all are near each other. And how long a message is on its
+    /// way between two zones at the most, two of a region and two of different ones.
+    pub zones: usize,
+    /// Whether dispatchers say where they are; else only the distances are there.
+    pub sites: bool,
+    pub zone_ms: f64,
+    pub region_ms: f64,
     pub patience_ms: f64,
     /// Requests that are sent again to everybody at the end.
     pub again: usize,
@@ -187,6 +194,10 @@
             may("wait_ms", Shape::Number(0.5, 100.0), Absent::Number(5.0)),
             may("keep_s", Shape::Number(1.0, 600.0), Absent::Number(5.0)),
             may("lead_s", Shape::Number(0.0, 600.0), Absent::Number(7.0)),
+            may("zones", Shape::Whole(0, 6), Absent::Whole(0)),
+            may("sites", Shape::Flag, Absent::Flag(true)),
+            may("zone_ms", Shape::Number(0.0, 100.0), Absent::Number(10.0)),
+            may("region_ms", Shape::Number(0.0, 200.0), Absent::Number(40.0)),
             may(
                 "patience_ms",
                 Shape::Number(50.0, 60_000.0),
@@ -240,6 +251,10 @@
             wait_ms: head.number("wait_ms"),
             keep_s: head.number("keep_s"),
             lead_s: head.number("lead_s"),
+            zones: head.whole("zones") as usize,
+            sites: head.flag("sites"),
+            zone_ms: head.number("zone_ms"),
+            region_ms: head.number("region_ms"),
             patience_ms: head.number("patience_ms"),
             again: head.whole("again") as usize,
             drawn: head.whole("drawn") as usize,
@@ -247,6 +262,25 @@
         })
     }
 
+    /// The zone of a seat, where dispatchers say where they are.
+    pub fn zone(&self, seat: usize) -> Option<usize> {
+        seat.checked_rem(self.zones)
+    }
+
+    /// Two zones to a region.
+    pub fn region(zone: usize) -> usize {
+        zone / 2
+    }
+
+    /// How long a message is on its way between two seats at the most, in milliseconds.
+    pub fn distance_ms(&self, from: usize, to: usize) -> f64 {
+        match self.zone(from).zip(self.zone(to)) {
+            Some((from, to)) if Trial::region(from) != Trial::region(to) => self.region_ms,
+            Some((from, to)) if from != to => self.zone_ms,
+            _ => 0.0,
+        }
+    }
+
     /// Adds what is drawn: kinds, times, seats, of a run of so many seconds with so many dispatchers.
     pub fn draw(&mut self, seconds: f64, seats: usize, seed: u64) {
         let mut chance = fastrand::Rng::with_seed(seed);
--- a/crates/trials/src/play.rs
+++ b/crates/trials/src/play.rs
@@ -150,10 +150,38 @@
         "file": "trial", "place": [1, 1], "fleet": "trial", "secret_file": "",
         "listen": listen.to_string(), "advertise": own.to_string(), "seeds": seeds,
         "unsure": if trial.refuse { "refuse" } else { "send" }, "wait_ms": trial.wait_ms, "keep_s": trial.keep_s,
-        "records": true, "purges": true, "hosts": true, "hints": true,
+        "records": true, "purges": true, "hosts": true, "hints": true, "sites": sites(trial, all),
     }})
 }
 
+/// One site for each zone that dispatchers are spread over.
+fn sites(trial: &Trial, all: &[SocketAddr]) -> Value {
+    let members = |zone: usize| -> Vec<String> {
+        let seats = all.iter().enumerate();
+        let of_zone = seats.filter(|&(seat, _)| trial.zone(seat) == Some(zone));
+        of_zone.map(|(_, address)| address.to_string()).collect()
+    };
+    let site = |zone: usize| {
+        json!({
+            "place": [1, 1], "name": format!("site{zone}"), "zone": format!("zone{zone}"),
+            "region": format!("region{}", Trial::region(zone)), "members": members(zone),
+        })
+    };
+    let zones = if trial.sites { trial.zones } else { 0 };
+    (0..zones).map(site).collect()
+}
+
+/// Messages take as long as the distances of the script say.
+fn keep_apart(trial: &Trial, relays: &Relays, seats: usize) {
+    let change = relays.change();
+    for from in 0..seats {
+        for to in 0..seats {
+            let distance = Duration::from_secs_f64(trial.distance_ms(from, to) / 1e3);
+            change(&|a, b| (a, b) == (from, to), &|way| way.distance = distance);
+        }
+    }
+}
+
 /// What a strike does to a way, and what undoes it.
 struct Done {
     begins: fn(&mut Way, f64),
@@ -267,6 +295,7 @@
     let seats: usize = scenario.seats.iter().map(|&n| n as usize).sum();
     let behind = free_datagrams(seats)?;
     let relays = Relays::start(behind.clone(), seed)?;
+    keep_apart(trial, &relays, seats);
     let store = match trial.store {
         true => Some(Rc::new(RedisServer::start(Redis::new(seed), seed)?)),
         false => None,
--- a/crates/trials/src/relay.rs
+++ b/crates/trials/src/relay.rs
@@ -21,6 +21,8 @@
     pub lose: f64,
     pub double: f64,
     pub garbage: f64,
+    /// The longest that a message is on its way without faults; the shortest is half of it.
+    pub distance: Duration,
     /// Further delay, at the mean.
     pub slow: Duration,
     /// Bytes in a second; zero: no bound.
@@ -160,7 +162,8 @@
                         let at = (drawn() * size as f64) as usize;
                         letter[at.min(size.saturating_sub(1))] ^= 1 << (drawn() * 8.0) as u8;
                     }
-                    let mut at = Instant::now() + way.slow.mul_f64(-(1.0 - drawn()).ln());
+                    let usual = way.distance.mul_f64(0.5 + 0.5 * drawn());
+                    let mut at = Instant::now() + usual + way.slow.mul_f64(-(1.0 - drawn()).ln());
                     if way.trickle > 0.0 {
                         if free[from] > Instant::now() + LONGEST_QUEUE {
                             continue;
