--- /dev/null
+++ b/crates/capacity/src/fleet/member.rs
@@ -0,0 +1,124 @@
+//! One member: its real cores, the requests open at it, and what it sent.
+
+use super::budgets;
+use super::requests::Origin;
+use super::traffic::MemberTraffic;
+use crate::description::Demand;
+use crate::layout::Location;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use trailproxy::units::{Moment, RequestId};
+use trailproxy_budgets::decide::shares::Shares;
+use trailproxy_budgets::decide::{HolderId, LifeId};
+use trailproxy_peers::decide::members::Own;
+use trailproxy_peers::decide::messages::{Address, PeerId};
+use trailproxy_peers::decide::{Peers, Rules, life};
+
+const PORT: u16 = 7_946;
+
+/// Where the replicas of a record are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// Anywhere in the fleet.
+    #[default]
+    FleetWide,
+    /// In the zones of the member that claims the key. Until members know their locality this is as [`Placement::FleetWide`].
+    ByZone,
+}
+
+/// A request that is open at a member.
+#[derive(Clone, Copy, Debug)]
+pub struct Open {
+    pub key: usize,
+    pub origin: Origin,
+    pub arrived: Moment,
+    pub attempted: bool,
+}
+
+/// A member; without `peers` it is down.
+#[derive(Clone)]
+pub struct Member {
+    pub peers: Option<Peers>,
+    pub shares: Option<Shares>,
+    pub open: BTreeMap<RequestId, Open>,
+    pub traffic: MemberTraffic,
+    /// Time that the cores took.
+    pub core_time: Duration,
+    /// The earliest timer event that is queued.
+    pub wakes_at: Option<Moment>,
+}
+
+impl Member {
+    pub fn down() -> Member {
+        Member {
+            peers: None,
+            shares: None,
+            open: BTreeMap::new(),
+            traffic: MemberTraffic::default(),
+            core_time: Duration::ZERO,
+            wakes_at: None,
+        }
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.peers.is_some()
+    }
+
+    /// When its cores want to be woken.
+    pub fn next(&self) -> Option<Moment> {
+        let peers = self.peers.as_ref()?.next();
+        let shares = self.shares.as_ref().and_then(Shares::next);
+        Some(shares.map_or(peers, |shares| shares.min(peers)))
+    }
+
+    /// Its side of the budgets, as the process that it is now.
+    pub fn start_budgets(&mut self, now: Moment, voters: &[String], seats: usize, seed: u64) {
+        let Some(peers) = &self.peers else { return };
+        let own = peers.members().own();
+        let own = (HolderId(own.id.0), LifeId(own.life.0));
+        self.shares = Some(budgets::shares(now, own, voters, seats, seed));
+    }
+}
+
+pub fn name(member: usize) -> String {
+    format!("d{member}")
+}
+
+pub fn peer_id(member: usize) -> PeerId {
+    PeerId::of_name(&name(member))
+}
+
+pub fn address(member: usize) -> Address {
+    let ip = [127, 1, (member >> 8) as u8, (member & 255) as u8];
+    Address { ip, port: PORT }
+}
+
+/// Who a member is when it starts.
+pub fn own(
+    member: usize,
+    now: Moment,
+    seed: u64,
+    seeds: Vec<Address>,
+    _location: &Location,
+    _placement: Placement,
+) -> Own {
+    Own {
+        id: peer_id(member),
+        address: address(member),
+        life: life(now, seed),
+        seeds,
+    }
+}
+
+pub fn rules(demand: &Demand) -> Rules {
+    Rules {
+        records: true,
+        purges: true,
+        hosts: true,
+        hints: true,
+        refuse: demand.refuse,
+        wait: demand.wait,
+        keep: demand.keep,
+        purges_last: demand.purges_last,
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/fleet/planted.rs
@@ -0,0 +1,29 @@
+//! Mistakes put in on purpose around the cores, to show that the rig finds such.
+
+use trailproxy_peers::decide::messages::{Message, Note};
+
+/// One mistake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// Every message of a member that spreads purges goes to all members.
+    SpreadToAll,
+    /// Purges bear a moment so far ahead that no member forgets them.
+    NeverForgotten,
+}
+
+impl Planted {
+    pub const ALL: [Planted; 2] = [Planted::SpreadToAll, Planted::NeverForgotten];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Planted::SpreadToAll => "spread_to_all",
+            Planted::NeverForgotten => "never_forgotten",
+        }
+    }
+}
+
+/// Whether a message spreads purges.
+pub fn spreads(message: &Message) -> bool {
+    let rumours = |note: &Note| matches!(note, Note::Rumours(_));
+    message.notes.iter().any(rumours)
+}
