--- a/crates/capacity/src/checks.rs
+++ b/crates/capacity/src/checks.rs
@@ -20,7 +20,7 @@
 /// What is held may grow by this part of itself while a steady load is counted.
 pub const ALLOWED_STATE_GROWTH: f64 = 0.25;
 const KEEP: Span = Span::from_secs(8);
-const COUNTED: Span = Span::from_secs(20);
+const COUNTED: Span = Span::from_secs(15);
 
 /// A kind of message whose rate at some member grows with the fleet.
 #[derive(Clone, Debug, PartialEq, Serialize)]
--- a/crates/capacity/src/figures.rs
+++ b/crates/capacity/src/figures.rs
@@ -118,8 +118,7 @@
     /// the zone.
     pub certain_ratio_near: f64,
     pub forbidden_repeats: u64,
-    /// For each keyed request: all messages and bytes sent meanwhile less those at rest are taken by the fits; these are
-    /// the messages of the kinds that only keyed requests cause.
+    /// Of the kinds that only keyed requests cause: claims, their answers, and facts owed to replicas with theirs.
     pub messages_per_request: f64,
     pub bytes_per_request: f64,
 }
