--- a/crates/capacity/src/fleet/member.rs
+++ b/crates/capacity/src/fleet/member.rs
@@ -10,6 +10,7 @@
 use trailproxy::units::{Moment, RequestId};
 use trailproxy_budgets::decide::shares::Shares;
 use trailproxy_budgets::decide::{HolderId, LifeId};
+use trailproxy_peers::decide::locality::{Locality, NearId, RegionId, SiteId, Topology};
 use trailproxy_peers::decide::members::Own;
 use trailproxy_peers::decide::messages::{Address, PeerId};
 use trailproxy_peers::decide::{Peers, Rules, life};
@@ -22,10 +23,40 @@
     /// Anywhere in the fleet.
     #[default]
     FleetWide,
-    /// In the zones of the member that claims the key. Until members know their locality this is as [`Placement::FleetWide`].
+    /// In each zone, with relays between zones.
     ByZone,
 }
 
+impl Placement {
+    pub const ALL: [Placement; 2] = [Placement::FleetWide, Placement::ByZone];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Placement::FleetWide => "fleet-wide",
+            Placement::ByZone => "by-zone",
+        }
+    }
+
+    pub fn of_name(name: &str) -> Option<Placement> {
+        let mut all = Placement::ALL.into_iter();
+        all.find(|placement| placement.name() == name)
+    }
+
+    /// What a member at this place is told of the fleet's zones.
+    fn topology(self, location: &Location, zones: &[usize]) -> Option<Topology> {
+        if self == Placement::FleetWide {
+            return None;
+        }
+        let own = Locality {
+            site: SiteId(location.site as u32),
+            zone: NearId(location.zone as u32),
+            region: RegionId(location.region as u32),
+        };
+        let zones = zones.iter().map(|&zone| NearId(zone as u32));
+        Some(Topology::new(own, zones))
+    }
+}
+
 /// A request that is open at a member.
 #[derive(Clone, Copy, Debug)]
 pub struct Open {
@@ -99,14 +130,16 @@
     now: Moment,
     seed: u64,
     seeds: Vec<Address>,
-    _location: &Location,
-    _placement: Placement,
+    location: &Location,
+    zones: &[usize],
+    placement: Placement,
 ) -> Own {
     Own {
         id: peer_id(member),
         address: address(member),
         life: life(now, seed),
         seeds,
+        topology: placement.topology(location, zones),
     }
 }
 
--- a/crates/capacity/src/fleet/mod.rs
+++ b/crates/capacity/src/fleet/mod.rs
@@ -162,7 +162,8 @@
         let location = &self.layout.members[member];
         let placement = self.settings.placement;
         let seeds = self.seeds.clone();
-        let own = member::own(member, self.now, seed, seeds, location, placement);
+        let zones = self.layout.zones();
+        let own = member::own(member, self.now, seed, seeds, location, &zones, placement);
         let rules = member::rules(&self.settings.demand);
         self.members[member].peers = Some(Peers::new(self.now, own, rules, seed));
         if self.budgets_on {
--- a/crates/capacity/src/layout.rs
+++ b/crates/capacity/src/layout.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Zones that have a member.
+    pub fn zones(&self) -> Vec<usize> {
+        let mut zones: Vec<usize> = self.members.iter().map(|member| member.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
     /// Sites that have a member.
     pub fn sites(&self) -> usize {
         let mut sites: Vec<usize> = self.members.iter().map(|member| member.site).collect();
--- a/crates/trailproxy-cli/src/capacity.rs
+++ b/crates/trailproxy-cli/src/capacity.rs
@@ -33,6 +33,9 @@
     /// Shorter phases, and records and purges that are forgotten sooner.
     #[arg(long)]
     quick: bool,
+    /// Where replicas of records are: anywhere in the fleet, or in each zone.
+    #[arg(long, default_value = "by-zone", value_parser = ["fleet-wide", "by-zone"])]
+    placement: String,
     /// Regions lose each other for an hour of virtual time.
     #[arg(long, conflicts_with = "quick")]
     hour: bool,
@@ -91,7 +94,7 @@
         sizes: sizes(task, members)?,
         phases: phases(&task.only)?,
         lengths: lengths(task),
-        placement: Placement::FleetWide,
+        placement: Placement::of_name(&task.placement).unwrap_or_default(),
         seed: task.seed,
         description,
     })
