A client that speaks late and ends its side at once is answered

Cause: the end of a client's side that came with its first request counted as of the time of its accept, for any client: meant is one that waited in the backlog for a place. One that had its place at once, was silent for 50 ms and then sent a request with the end behind it had that request dropped as if it had left long before.

Change: the time of the accept counts only where the place came more than 50 ms after it. A story in `endings` stops the program over the request and the end, so that both are found in one reading.

--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -141,8 +141,9 @@
     spoken: bool,
     /// The latest outer limit of all that was asked for.
     last_limit: Instant,
-    /// It came no earlier, and may have waited since.
+    /// It came no earlier, and had a place from then on; it may have waited between.
     came_after: Instant,
+    admitted: Instant,
     /// Since when it sends nothing more, and whether that was told.
     eof: Option<Instant>,
     shut: bool,
@@ -184,6 +185,7 @@
             spoken: false,
             last_limit: now,
             came_after,
+            admitted: now,
             eof: None,
             shut: false,
             finishing: false,
@@ -302,10 +304,15 @@
             }
             match self.stream.try_read(self.incoming.room()) {
                 Ok(0) => {
-                    // One that waited for its place asked long ago, and left as long ago as that for all one knows.
-                    let waited = first && self.came_after.elapsed() > GONE_AFTER;
-                    let at = Some(Instant::now());
-                    self.eof = if waited { Some(self.came_after) } else { at };
+                    // One that waited for its place asked long ago, and left as long ago as that for all one knows. One
+                    // that had its place at once and was silent has left just now.
+                    let waited = self.admitted.duration_since(self.came_after) > GONE_AFTER;
+                    let left_at = if first && waited {
+                        self.came_after
+                    } else {
+                        Instant::now()
+                    };
+                    self.eof = Some(left_at);
                 }
                 Ok(n) => {
                     if self.spoken && self.incoming.is_empty() {
--- a/crates/trailproxyd/tests/endings.rs
+++ b/crates/trailproxyd/tests/endings.rs
@@ -144,6 +144,23 @@
     assert!(closing.is_closed());
 }
 
+#[test]
+fn a_client_that_speaks_late_and_ends_its_side_at_once_is_answered() {
+    let stage = Stage::new();
+    let (mut late, mut other) = (stage.client(), stage.client());
+    // Clients get their places in the order in which they come: the silent one has had its own for a while.
+    settled(&mut other);
+    gone(&mut other);
+    // The program finds the request and the end behind it in one reading.
+    stage.program.signal("-STOP");
+    late.ask("image", 7, 3000);
+    late.stream.shutdown(Shutdown::Write).expect("a half-close");
+    stage.program.signal("-CONT");
+    stage.pull().hit(b"x");
+    assert_eq!(late.answer().1, Final::done(b"x"));
+    assert!(late.is_closed());
+}
+
 /// A stage with so few descriptors that its places are all taken, by clients that wait for answers.
 fn full() -> (Stage, Vec<Client>, Vec<Heard>) {
     let stage = Stage::with(|config, _| config["limits"]["sockets"] = json!(64));
