Tests of sockets give the same verdict on a busy machine

The story now hears all that c2 is the first cache of before it tells the event, and an image counts in full for longer than anything waits. - Memory of answers not taken (11,392 of 11,264 kB seen before): idle was measured as the socket listened, while the program still started, so that up to 2 MB of its start counted as answers. It is idle now once it has answered; the clients have small buffers and all 32 answers each, the peak is that of the whole life, and the figures must say that reading paused.

A failed test prints what its program said, on its standard error as well. No bound is widened.

--- a/crates/trailproxyd/tests/endings.rs
+++ b/crates/trailproxyd/tests/endings.rs
@@ -15,20 +15,6 @@
 /// A client that has left has gone after this: nothing may begin for it any more.
 const GONE: Duration = Duration::from_millis(100);
 
-/// Objects whose first cache is this: the hash of the names decides, so that it is the same on every stage.
-fn homes(cache: &str) -> Vec<u64> {
-    let stage = Stage::new();
-    let mut client = stage.client();
-    let mut is_home = |object: &u64| {
-        client.ask("image", *object, 3000);
-        let pull = stage.pull();
-        pull.hit(b"x");
-        assert!(client.answer().1.is_done());
-        pull.host == cache
-    };
-    (0..64).filter(|object| is_home(object)).collect()
-}
-
 /// A stage whose c1 is behind a gate: what goes there waits until its connections come up.
 fn gated(change: impl FnOnce(&mut Value)) -> (Stage, Gate) {
     let gate = Gate::shut();
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -92,16 +92,25 @@
 fn a_binding_access_that_hangs_is_given_up_and_aborted_at_its_limit() {
     let stage = Stage::new();
     let mut client = stage.client();
-    let asked = Instant::now();
-    client.ask_with("order", fields(7, 300), b"change");
-    let pull = stage.pull();
+    let allowed = Duration::from_millis(300);
+    let (mut object, mut answer, mut asked) = (0, Final::done(b""), Instant::now());
+    // One that could not be sent within its time is turned away, and another is asked; had the host heard of it all the
+    // same, its name would come first below.
+    wait_for("one is sent and hangs", || {
+        (object, asked) = (object + 1, Instant::now());
+        client.ask_with("order", fields(object, 300), b"change");
+        answer = client.answer().1;
+        !answer.is_error("Throttled")
+    });
+    let took = asked.elapsed();
+    assert!(answer.is_error("Broken"), "{answer:?}");
+    assert!(took >= allowed, "{took:?}");
+    let pull = stage.hear();
     assert_eq!(
-        (pull.body.as_slice(), pull.field("lane")),
-        (&b"change"[..], Some("order"))
+        (pull.word.as_str(), pull.body.as_slice(), pull.field("lane")),
+        ("PULL", &b"change"[..], Some("order"))
     );
-    assert!(client.answer().1.is_error("Broken"));
-    let took = asked.elapsed();
-    assert!(took >= Duration::from_millis(300), "{took:?}");
+    assert_eq!(pull.field("name"), Some(format!("{object:016x}").as_str()));
     let kill = stage.hear();
     assert_eq!((kill.word.as_str(), kill.id), ("KILL", pull.id));
 }
@@ -225,12 +234,19 @@
     writing.join().expect("written");
 }
 
-/// A stage on which connections to the cache c1 never come up within the dial time.
+/// So long an image counts in full where c1 can't be reached. An attempt there is overdue, and goes elsewhere by itself,
+/// after six tenths of it: later than anything that a story waits for, on a busy machine as well.
+const PATIENT_MS: u64 = 20_000;
+
+/// A stage on which connections to the cache c1 never come up within the dial time, and images have long to
+/// go elsewhere.
 fn without_c1(dial_ms: u64) -> (Stage, impl Sized) {
     let gate = Gate::shut();
     let address = gate.address;
     let stage = Stage::with(|config, _| {
         config["settings"]["ceilings"]["dial_timeout_us"] = json!(dial_ms * 1000);
+        config["settings"]["classes"][0]["on_time_us"] = json!(PATIENT_MS * 1000);
+        config["settings"]["classes"][0]["hard_limit_us"] = json!(2 * PATIENT_MS * 1000);
         let members = config["known"]["entries"][0]["hosts"]["members"].as_array_mut();
         let members = members.expect("members").iter_mut();
         let c1 = members.filter(|member| member["id"] == "c1");
@@ -246,7 +262,7 @@
     let mut slow = 0;
     for object in 0..12 {
         let asked = Instant::now();
-        client.ask("image", object, 3000);
+        client.ask("image", object, 2 * PATIENT_MS);
         let pull = stage.pull();
         assert_eq!(pull.host, "c2");
         slow += u32::from(asked.elapsed() >= Duration::from_millis(390));
@@ -283,22 +299,26 @@
 /// Asks for some objects, of which those of c1 wait for a dial, tells an event, and gives the requests
 /// that c2 hears; all of them come long before the dial time is over.
 fn told_while_waiting(event: impl FnOnce(&Stage) -> serde_json::Value) -> Vec<Heard> {
+    const OBJECTS: u64 = 12;
+    let at_c2 = homes("c2").into_iter().filter(|&object| object < OBJECTS);
+    let at_c2 = at_c2.count() as u64;
+    assert!((1..OBJECTS).contains(&at_c2), "{at_c2}");
     let (mut stage, _silent) = without_c1(60_000);
     let mut client = stage.client();
     let mut journal = stage.journal();
-    for object in 0..12 {
-        client.ask("image", object, 3000);
+    for object in 0..OBJECTS {
+        client.ask("image", object, 2 * PATIENT_MS);
     }
-    let first = stage.pull();
+    // The event finds those of c1 alone without a connection: all others have gone out.
+    let mut pulls: Vec<Heard> = (0..at_c2).map(|_| stage.pull()).collect();
     let event = event(&stage);
-    // The events of a client come in order: once this is heard, all twelve were taken.
+    // The events of a client come in order: once this is heard, all were taken.
     client.ask_with("heartbeat", vec![], &[]);
     assert_eq!(client.answer().1, Final::done(&[1]));
     journal.tell(&event);
-    let mut pulls = vec![first];
-    pulls.extend((1..12).map(|_| stage.pull()));
+    pulls.extend((at_c2..OBJECTS).map(|_| stage.pull()));
     pulls.iter().for_each(|pull| pull.hit(b"x"));
-    for _ in 0..12 {
+    for _ in 0..OBJECTS {
         assert_eq!(client.answer().1, Final::done(b"x"));
     }
     stage.program.signal("-TERM");
@@ -921,29 +941,51 @@
 
 #[test]
 fn answers_to_a_client_that_takes_nothing_stay_within_memory() {
-    let mut stage = Stage::with(|config, _| config["limits"]["memory_mb"] = json!(16));
-    // The program's own pages are as many as its build has them.
+    const ALLOWED_MS: u64 = 4000;
+    let mut stage = Stage::with(|config, _| {
+        config["limits"]["memory_mb"] = json!(16);
+        config["settings"]["classes"][0]["on_time_us"] = json!(ALLOWED_MS * 1000);
+        config["settings"]["classes"][0]["hard_limit_us"] = json!(ALLOWED_MS * 1000);
+    });
+    // The program's own pages are as many as its build has them: they are there once it has answered, not yet when its
+    // socket listens.
+    let _journal = stage.journal();
+    let mut usual = stage.client();
+    usual.ask("image", 1000, 3000);
+    stage.pull().hit(b"x");
+    assert_eq!(usual.answer().1, Final::done(b"x"));
     let idle_kb = resident_kb(&stage, "VmRSS:");
-    let mut slow: Vec<Client> = (0..6).map(|_| stage.client()).collect();
-    let bytes = vec![7; 240_000];
+    // As many as a client may ask for at once: the system holds some 4 MB of the 7.7 MB for each, the program is left
+    // with far more than it may hold.
+    let mut slow: Vec<Client> = (0..4).map(|_| stage.client()).collect();
+    for client in &slow {
+        let socket = socket2::SockRef::from(&client.stream);
+        socket.set_recv_buffer_size(4096).expect("a small buffer");
+    }
     for object in 0..32 {
         for (n, client) in (0..).zip(&mut slow) {
-            client.ask("image", object * 6 + n, 3000);
+            client.ask("image", object * 4 + n, ALLOWED_MS);
         }
     }
-    let answering = bytes.clone();
-    let pulls: Vec<Heard> = (0..100).map(|_| stage.pull()).collect();
-    let writing = std::thread::spawn(move || pulls.iter().for_each(|pull| pull.hit(&answering)));
-    std::thread::sleep(Duration::from_millis(500));
-    let peak_kb = resident_kb(&stage, "VmHWM:") - idle_kb;
+    let bytes = vec![7; 240_000];
+    let pulls: Vec<Heard> = (0..128).map(|_| stage.pull()).collect();
+    let writing = std::thread::spawn(move || pulls.iter().for_each(|pull| pull.hit(&bytes)));
+    // Asked to end, it waits for its clients for as long as they may wait; its last figures tell the peak of it all.
+    stage.program.signal("-TERM");
+    assert!(stage.program.ended().success());
+    writing.join().expect("written");
+    let figures = stage.program.figures();
+    let peak_kb = figures.split_once("peak_kb=").expect("a peak").1;
+    let peak_kb = peak_kb.split(' ').next().and_then(|kb| kb.parse().ok());
+    let peak_kb = peak_kb.unwrap_or(u64::MAX) - idle_kb;
     assert!(
         peak_kb < 11 * 1024,
-        "{peak_kb} kB more than idle for 24 MB of answers"
+        "{peak_kb} kB more than idle for 30 MB of answers"
+    );
+    assert!(
+        figures.contains(" reading_paused="),
+        "the limit was met: {figures}"
     );
-    slow.clear();
-    writing.join().expect("written");
-    stage.program.signal("-TERM");
-    assert!(stage.program.ended().success());
 }
 
 #[test]
@@ -984,11 +1026,20 @@
     let mut client = stage.client();
     client.ask("image", 7, 3000);
     let pull = stage.pull();
-    for bad in ["{\"half\": ", "{\"journal\": \"nowhere\"}"] {
+    let refused = |stage: &Stage| {
+        stage
+            .program
+            .log()
+            .matches("new configuration refused")
+            .count()
+    };
+    for (before, bad) in ["{\"half\": ", "{\"journal\": \"nowhere\"}"]
+        .iter()
+        .enumerate()
+    {
         stage.program.configure(bad);
-        wait_for("it says so", || {
-            stage.program.logged("new configuration refused")
-        });
+        // One that is still to be read would be found replaced by the sound one, and that followed twice.
+        wait_for("it says so", || refused(&stage) > before);
     }
     let (lines_in, lines) = std::sync::mpsc::channel();
     let mut config = stage.config.clone();
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -282,7 +282,10 @@
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        let status = self.child.wait();
+        if std::thread::panicking() {
+            println!("The program, {status:?}, said:\n{}", self.log());
+        }
         let _ = std::fs::remove_file(&self.log);
         let _ = std::fs::remove_file(&self.path);
     }
@@ -316,12 +319,13 @@
 
     fn begin(config: &Json, address: SocketAddr, path: PathBuf) -> Program {
         let log = path.with_extension("log");
+        let written = File::create(&log).expect("a log");
         let child = Command::new(env!("CARGO_BIN_EXE_trailproxyd"))
             .env("RELAY_NAME", config["name"].as_str().unwrap_or("n1"))
             .env("RELAY_LISTEN", address.to_string())
             .env("RELAY_CONFIG", &path)
-            .stdout(File::create(&log).expect("a log"))
-            .stderr(Stdio::null())
+            .stderr(written.try_clone().expect("a clone"))
+            .stdout(written)
             .spawn()
             .expect("the program starts");
         Program {
@@ -344,8 +348,12 @@
     }
 
     pub fn logged(&self, words: &str) -> bool {
-        let log = std::fs::read_to_string(&self.log);
-        log.is_ok_and(|log| log.contains(words))
+        self.log().contains(words)
+    }
+
+    /// All that it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
     pub fn signal(&self, name: &str) {
@@ -365,8 +373,8 @@
 
     /// The last figures that it logged; they come at its end, too.
     pub fn figures(&self) -> String {
-        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines()
+        self.log()
+            .lines()
             .rfind(|line| line.contains("figures"))
             .unwrap_or("")
             .into()
@@ -381,10 +389,21 @@
     }
 }
 
-/// A port that nothing listens on.
+/// An address that no other socket has, now or later: one of this process alone, as `127/8` has room for all of them, and
+/// of a port that is handed out once. A port that the system gave and took back could be anyone's before its use, another
+/// test's program among them, which would then be asked in the place of the own one.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+    const FIRST_PORT: u16 = 10_000;
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let [high, middle, low] = [16, 8, 0].map(|shift| (std::process::id() >> shift) as u8);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        // Process numbers have 22 bits.
+        let address = SocketAddr::from(([127, 64 + high, middle, low], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Two caches, a parent, the origin, the journal service and a program that knows them.
@@ -627,3 +646,17 @@
         Final::Error(word, fields) => panic!("{word} {fields:?}"),
     }
 }
+
+/// Objects whose first cache is this: the hash of the names decides, so that it is the same on every stage.
+pub fn homes(cache: &str) -> Vec<u64> {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    let mut is_home = |object: &u64| {
+        client.ask("image", *object, 3000);
+        let pull = stage.pull();
+        pull.hit(b"x");
+        assert!(client.answer().1.is_done());
+        pull.host == cache
+    };
+    (0..64).filter(|object| is_home(object)).collect()
+}
