--- /dev/null
+++ b/crates/trailproxyd/src/dispatch/attempts.rs
@@ -0,0 +1,157 @@
+//! The actions of the decisions: attempts go out, and their endings come back.
+
+use super::{AttemptState, Dispatch};
+use crate::checks::{count, must};
+use crate::messages::{Answer, AttemptId, LineId, Reply, Sending};
+use slog::{debug, info};
+use trailproxy::interface::{Action, Attempt, Effect, Ending, Event, Outcome};
+use trailproxy::units::{AttemptNo, Moment};
+
+impl Dispatch {
+    pub(super) fn settle(&mut self, now: Moment) {
+        self.share(now);
+        if !std::mem::take(&mut self.state.told) {
+            return;
+        }
+        for action in self.decisions.settle(now) {
+            match action {
+                Action::Attempt(hand_off) => self.hand_off(now, hand_off),
+                Action::Refuse { id, come_back } => {
+                    self.answer(now, id, Reply::Refused { come_back });
+                    self.forget(now, id);
+                }
+                Action::Fail { id } => {
+                    self.answer(now, id, Reply::Failed);
+                    self.forget(now, id);
+                }
+                Action::Withdraw { id, hand_off } => {
+                    let (access, no) = (id, hand_off);
+                    self.pools.kill(AttemptId { access, no });
+                }
+                Action::Wake { at, wake } => {
+                    self.state.wakes.insert((at, wake));
+                }
+                Action::Probe { host } => self.pools.probe(host),
+                // The list comes by itself.
+                Action::FollowList => {}
+                Action::Log { text } => info!(self.log, "decided"; "what" => text),
+            }
+        }
+    }
+
+    pub(super) fn hand_off(&mut self, now: Moment, hand_off: Attempt) {
+        let Attempt { id, host, fill } = hand_off;
+        let access = self.state.accesses.get_mut(&id);
+        let access = access.filter(|access| !access.closed);
+        must(access.is_some(), &self.counts.broken_sent_after_end);
+        let Some(access) = access else {
+            return;
+        };
+        let bounds = &self.pools.shared.bounds;
+        let track = usize::from(access.call.track.0);
+        let source = fill
+            .map(|fill| fill.source)
+            .filter(|&source| source != host);
+        let name = source.and_then(|source| self.pools.name(source));
+        let named = name.is_some() == source.is_some();
+        must(named, &self.counts.broken_unknown_host);
+        // A repeat is known for a while only; a wait for a connection may outlast that.
+        let earlier = access.hand_offs.iter();
+        let ran = earlier
+            .clone()
+            .filter(|earlier| earlier.ran)
+            .map(|earlier| earlier.sent);
+        let begin_by = match self.effects[track] {
+            Effect::Keyed { window, .. } => ran.min().map(|first| first + window),
+            _ => None,
+        };
+        let sending = Sending {
+            id: AttemptId {
+                access: id,
+                no: AttemptNo(access.hand_offs.len() as u8),
+            },
+            host,
+            call: access.call.clone(),
+            track: bounds.track_names[track].as_str().into(),
+            fill,
+            source: name,
+            limit: self.clock.instant(access.limit),
+            begin_by: begin_by.map(|by| self.clock.instant(by)),
+            avoid: earlier.filter_map(|earlier| earlier.line).collect(),
+        };
+        access.hand_offs.push(AttemptState {
+            host,
+            source,
+            sent: now,
+            line: None,
+            over: false,
+            ran: true,
+        });
+        self.decisions.crossings.went(now, id, host);
+        self.pools.submit(sending);
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        line: Option<LineId>,
+        answer: Answer,
+    ) {
+        let ending = answer.ending;
+        let access = self.state.accesses.get_mut(&id.access);
+        let hand_off = access.and_then(|access| access.hand_offs.get_mut(usize::from(id.no.0)));
+        let Some(hand_off) = hand_off.filter(|hand_off| !hand_off.over) else {
+            return;
+        };
+        hand_off.over = true;
+        hand_off.ran = !ending.never_ran();
+        hand_off.line = line;
+        let took = now.since(hand_off.sent);
+        match ending {
+            Ending::Lost => count(&self.counts.lost),
+            Ending::NotSent => count(&self.counts.not_sent),
+            Ending::NoConnection => count(&self.counts.no_connection),
+            Ending::Withdrawn => count(&self.counts.withdrawn),
+            Ending::TimedOut => count(&self.counts.timed_out),
+            _ => {}
+        }
+        debug!(self.log, "ended"; "access" => id.access.0, "host" => format!("{:x}", hand_off.host.0),
+            "ending" => ?ending, "note" => ?answer.note, "took" => took.0);
+        let came_kb = answer.body.as_ref();
+        let came_kb = came_kb.map(|body| body.bytes().len() as f64 / 1024.0);
+        if ending == Ending::Done {
+            self.answer(
+                now,
+                id.access,
+                answer.body.map_or(Reply::Same, Reply::Served),
+            );
+        }
+        if self.client_of(id.access).is_some_and(|client| client.shut) {
+            // Nothing more begins for it.
+            self.answer(now, id.access, Reply::Failed);
+        }
+        let access = self.state.accesses.get(&id.access);
+        let closed = access.is_none_or(|access| access.closed);
+        let proven = self
+            .client_of(id.access)
+            .is_some_and(|client| client.proven);
+        let load = self.reports.load(&answer.report);
+        self.tell(
+            now,
+            Event::Outcome(Outcome {
+                id: id.access,
+                hand_off: id.no,
+                ending,
+                took,
+                closed,
+                note: answer.note,
+                waited: answer.waited,
+                load,
+                proven,
+                came_kb,
+            }),
+        );
+        self.forget(now, id.access);
+    }
+}
--- /dev/null
+++ b/crates/trailproxyd/src/dispatch/figures.rs
@@ -0,0 +1,72 @@
+//! What is logged now and then: counts, sizes and the account of traffic between zones.
+
+use super::Dispatch;
+use slog::info;
+use tokio::time::Instant;
+
+impl Dispatch {
+    pub(super) fn account(&mut self, instant: Instant) {
+        let now = self.clock.moment(instant);
+        if let (Some((accounts, ..)), Some(zones)) =
+            (&mut self.accounts, &mut self.decisions.crossings.zones)
+        {
+            accounts.advance(zones, now, instant);
+        }
+    }
+
+    pub(super) fn last_account(&mut self) {
+        let now = self.clock.moment(Instant::now());
+        if let (Some((accounts, ..)), Some(zones)) =
+            (&mut self.accounts, &mut self.decisions.crossings.zones)
+        {
+            accounts.tell(zones, now);
+        }
+    }
+
+    pub(super) fn report(&self) {
+        let (out, lines, pools) = self.pools.sizes();
+        let state = &self.state;
+        info!(self.log, "figures"; "counts" => self.counts.words(), "open" => state.accesses.len(),
+            "calls" => state.calls.len(), "clients" => state.clients.len(), "out" => out,
+            "lines" => lines, "pools" => pools, "ids" => state.references.len(), "timers" => state.limits.len() + state.wakes.len(),
+            "held" => self.pools.shared.held.bytes(), "process" => process_figures());
+        if let Some(shared) = &self.decisions.crossings.shared {
+            info!(self.log, "store counts"; "what" => shared.figures());
+        }
+        let now = self.clock.moment(Instant::now());
+        if let Some(peers) = &self.decisions.crossings.peers {
+            info!(self.log, "peers counts"; "what" => peers.figures(now));
+        }
+        if let Some(divided) = &self.decisions.crossings.divided {
+            for line in divided
+                .following
+                .show(now)
+                .lines()
+                .filter(|line| line.starts_with("budget"))
+            {
+                info!(self.log, "budgets"; "is" => line);
+            }
+        }
+    }
+}
+
+/// Resident memory with its peak, descriptors and processor time, as the system tells them.
+fn process_figures() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let field = |name: &str| {
+        let line = status.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.split_whitespace().nth(1))
+            .unwrap_or("?")
+            .to_owned()
+    };
+    let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, |dir| dir.count());
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let ticks = stat.rsplit(')').next().unwrap_or("").split_whitespace();
+    let ticks: u64 = ticks
+        .skip(11)
+        .take(2)
+        .filter_map(|n| n.parse::<u64>().ok())
+        .sum();
+    let (now, peak) = (field("VmRSS:"), field("VmHWM:"));
+    format!("rss_kb={now} peak_kb={peak} descriptors={descriptors} cpu_ticks={ticks}")
+}
--- /dev/null
+++ b/crates/trailproxyd/src/dispatch/sharing.rs
@@ -0,0 +1,59 @@
+//! What the subsystems hand back: accesses that go on, answers that others have, hosts that others know.
+
+use super::Dispatch;
+use crate::buffered::Parcel;
+use crate::messages::Reply;
+use crate::waiting::Due;
+use slog::info;
+use trailproxy::interface::{Arrival, Event, HostState, ListForm};
+use trailproxy::units::{HostId, Moment};
+
+impl Dispatch {
+    /// An access goes to the decisions, with the time that is left of it.
+    pub(super) fn go(&mut self, now: Moment, mut arrival: Arrival) {
+        let access = self.state.accesses.get(&arrival.id);
+        if let Some(access) = access.filter(|access| !access.closed) {
+            arrival.left = access.limit.since(now);
+            self.tell(now, Event::Arrived(arrival));
+        }
+    }
+
+    /// What others' answers, or their absence, lead to.
+    pub(super) fn share(&mut self, now: Moment) {
+        self.decisions.crossings.advance(now);
+        if let Some((caches, parents)) = self.decisions.crossings.cold() {
+            self.decisions.divide(now, caches, parents);
+        }
+        while let Some(due) = self.decisions.crossings.take() {
+            match due {
+                Due::Arrived(arrival) => self.go(now, arrival),
+                Due::Answered(id, body) => {
+                    let body = Parcel::new(&body, &self.pools.shared.held);
+                    self.answer(now, id, Reply::Served(body));
+                    self.forget(now, id);
+                }
+                Due::Tell(event) => self.tell(now, event),
+                Due::Restricted(host, told) => self.restricted(now, host, told),
+            }
+        }
+    }
+
+    /// A host counts as others know it, or again as the own list has it.
+    pub(super) fn restricted(
+        &mut self,
+        now: Moment,
+        host: HostId,
+        told: Option<(HostState, Option<Moment>)>,
+    ) {
+        let entries = self.pools.entries();
+        let Some(mut entry) = entries.into_iter().find(|entry| entry.host == host) else {
+            return;
+        };
+        if let Some((state, started)) = told {
+            (entry.state, entry.started) = (state, started);
+        }
+        info!(self.log, "host restricted"; "host" => format!("{:x}", host.0), "by_others" => told.is_some());
+        let (form, entries) = (ListForm::Changes, vec![entry]);
+        self.tell(now, Event::Hosts { form, entries });
+    }
+}
