trailproxyd says request for what it called access

Change: fields, locals and comments; the counter `accesses`, the log field `access` and the metrics' words stay.

--- a/crates/trailproxyd/src/accounts.rs
+++ b/crates/trailproxyd/src/accounts.rs
@@ -1,7 +1,7 @@
 //! What is told of traffic between zones: a log line a window, rises as they come, and a file of Prometheus text.
 //!
 //! The file is written by a thread of its own, which is there only where a file is named: a slow disk holds up no
-//! access, and a report that finds the one before still being written is left out.
+//! request, and a report that finds the one before still being written is left out.
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
--- a/crates/trailproxyd/src/dispatch/attempts.rs
+++ b/crates/trailproxyd/src/dispatch/attempts.rs
@@ -25,8 +25,8 @@
                     self.forget(now, id);
                 }
                 Action::Withdraw { id, hand_off } => {
-                    let (access, no) = (id, hand_off);
-                    self.pools.kill(AttemptId { access, no });
+                    let (request, no) = (id, hand_off);
+                    self.pools.kill(AttemptId { request, no });
                 }
                 Action::Wake { at, wake } => {
                     self.state.wakes.insert((at, wake));
@@ -41,14 +41,14 @@
 
     pub(super) fn hand_off(&mut self, now: Moment, hand_off: Attempt) {
         let Attempt { id, host, fill } = hand_off;
-        let access = self.state.accesses.get_mut(&id);
-        let access = access.filter(|access| !access.closed);
-        must(access.is_some(), &self.counts.broken_sent_after_end);
-        let Some(access) = access else {
+        let request = self.state.requests.get_mut(&id);
+        let request = request.filter(|request| !request.closed);
+        must(request.is_some(), &self.counts.broken_sent_after_end);
+        let Some(request) = request else {
             return;
         };
         let bounds = &self.pools.shared.bounds;
-        let track = usize::from(access.call.track.0);
+        let track = usize::from(request.call.track.0);
         let source = fill
             .map(|fill| fill.source)
             .filter(|&source| source != host);
@@ -56,7 +56,7 @@
         let named = name.is_some() == source.is_some();
         must(named, &self.counts.broken_unknown_host);
         // A repeat is known for a while only; a wait for a connection may outlast that.
-        let earlier = access.hand_offs.iter();
+        let earlier = request.hand_offs.iter();
         let ran = earlier
             .clone()
             .filter(|earlier| earlier.ran)
@@ -67,19 +67,19 @@
         };
         let sending = Sending {
             id: AttemptId {
-                access: id,
-                no: AttemptNo(access.hand_offs.len() as u8),
+                request: id,
+                no: AttemptNo(request.hand_offs.len() as u8),
             },
             host,
-            call: access.call.clone(),
+            call: request.call.clone(),
             track: bounds.track_names[track].as_str().into(),
             fill,
             source: name,
-            limit: self.clock.instant(access.limit),
+            limit: self.clock.instant(request.limit),
             begin_by: begin_by.map(|by| self.clock.instant(by)),
             avoid: earlier.filter_map(|earlier| earlier.line).collect(),
         };
-        access.hand_offs.push(AttemptState {
+        request.hand_offs.push(AttemptState {
             host,
             source,
             sent: now,
@@ -99,8 +99,8 @@
         answer: Answer,
     ) {
         let ending = answer.ending;
-        let access = self.state.accesses.get_mut(&id.access);
-        let hand_off = access.and_then(|access| access.hand_offs.get_mut(usize::from(id.no.0)));
+        let request = self.state.requests.get_mut(&id.request);
+        let hand_off = request.and_then(|request| request.hand_offs.get_mut(usize::from(id.no.0)));
         let Some(hand_off) = hand_off.filter(|hand_off| !hand_off.over) else {
             return;
         };
@@ -116,31 +116,31 @@
             Ending::TimedOut => count(&self.counts.timed_out),
             _ => {}
         }
-        debug!(self.log, "ended"; "access" => id.access.0, "host" => format!("{:x}", hand_off.host.0),
+        debug!(self.log, "ended"; "access" => id.request.0, "host" => format!("{:x}", hand_off.host.0),
             "ending" => ?ending, "note" => ?answer.note, "took" => took.0);
         let came_kb = answer.body.as_ref();
         let came_kb = came_kb.map(|body| body.bytes().len() as f64 / 1024.0);
         if ending == Ending::Done {
             self.answer(
                 now,
-                id.access,
+                id.request,
                 answer.body.map_or(Reply::Same, Reply::Served),
             );
         }
-        if self.client_of(id.access).is_some_and(|client| client.shut) {
+        if self.client_of(id.request).is_some_and(|client| client.shut) {
             // Nothing more begins for it.
-            self.answer(now, id.access, Reply::Failed);
+            self.answer(now, id.request, Reply::Failed);
         }
-        let access = self.state.accesses.get(&id.access);
-        let closed = access.is_none_or(|access| access.closed);
+        let request = self.state.requests.get(&id.request);
+        let closed = request.is_none_or(|request| request.closed);
         let proven = self
-            .client_of(id.access)
+            .client_of(id.request)
             .is_some_and(|client| client.proven);
         let load = self.reports.load(&answer.report);
         self.tell(
             now,
             Event::Outcome(Outcome {
-                id: id.access,
+                id: id.request,
                 hand_off: id.no,
                 ending,
                 took,
@@ -152,6 +152,6 @@
                 came_kb,
             }),
         );
-        self.forget(now, id.access);
+        self.forget(now, id.request);
     }
 }
--- a/crates/trailproxyd/src/dispatch/clients.rs
+++ b/crates/trailproxyd/src/dispatch/clients.rs
@@ -55,8 +55,8 @@
     }
 
     pub(super) fn client_of(&self, id: RequestId) -> Option<&Client> {
-        let access = self.state.accesses.get(&id)?;
-        self.state.clients.get(&access.call.id.client)
+        let request = self.state.requests.get(&id)?;
+        self.state.clients.get(&request.call.id.client)
     }
 
     pub(super) fn reply(&mut self, call: CallId, reply: Reply) {
--- a/crates/trailproxyd/src/dispatch/figures.rs
+++ b/crates/trailproxyd/src/dispatch/figures.rs
@@ -26,7 +26,7 @@
     pub(super) fn report(&self) {
         let (out, lines, pools) = self.pools.sizes();
         let state = &self.state;
-        info!(self.log, "figures"; "counts" => self.counts.words(), "open" => state.accesses.len(),
+        info!(self.log, "figures"; "counts" => self.counts.words(), "open" => state.requests.len(),
             "calls" => state.calls.len(), "clients" => state.clients.len(), "out" => out,
             "lines" => lines, "pools" => pools, "ids" => state.references.len(), "timers" => state.limits.len() + state.wakes.len(),
             "held" => self.pools.shared.held.bytes(), "process" => process_figures());
--- a/crates/trailproxyd/src/dispatch/journal.rs
+++ b/crates/trailproxyd/src/dispatch/journal.rs
@@ -41,7 +41,7 @@
             }
         }
         // What waits for a dial or for room is dropped; what has begun to go out runs on.
-        for (&access, open) in &self.state.accesses {
+        for (&request, open) in &self.state.requests {
             let purged = match purged {
                 Some((Some(object), _)) => open.call.object == object,
                 Some((None, group)) => open.call.group == group,
@@ -56,7 +56,7 @@
                         .any(|&host| !self.pools.is_ready(host))
                 };
                 if !hand_off.over && (purged || listed && unready()) {
-                    recalls.push(AttemptId { access, no });
+                    recalls.push(AttemptId { request, no });
                 }
             }
         }
--- a/crates/trailproxyd/src/dispatch/mod.rs
+++ b/crates/trailproxyd/src/dispatch/mod.rs
@@ -1,5 +1,5 @@
 //! The one task that owns the decisions: it takes all queued events, settles once and carries out the
-//! actions. It keeps the open accesses and the timers.
+//! actions. It keeps the open requests and the timers.
 
 mod attempts;
 mod clients;
@@ -86,9 +86,9 @@
 
 #[derive(Default)]
 struct State {
-    accesses: BTreeMap<RequestId, Request>,
+    requests: BTreeMap<RequestId, Request>,
     calls: BTreeMap<CallId, RequestId>,
-    /// The ids of open accesses, which hosts tell their answers by, and of those that were open as
+    /// The ids of open requests, which hosts tell their answers by, and of those that were open as
     /// lately as a host may still have them: for it a second request under one would be a second copy.
     references: BTreeSet<Rc<str>>,
     fading: VecDeque<(Moment, Rc<str>)>,
@@ -232,7 +232,7 @@
                 }
             }
             Inbound::Terminate => {
-                info!(self.log, "asked to end"; "open" => self.state.accesses.len());
+                info!(self.log, "asked to end"; "open" => self.state.requests.len());
                 self.state.ending.get_or_insert_with(Instant::now);
             }
             Inbound::AllIn => self.state.all_in = true,
--- a/crates/trailproxyd/src/dispatch/requests.rs
+++ b/crates/trailproxyd/src/dispatch/requests.rs
@@ -11,11 +11,11 @@
 impl Dispatch {
     /// Drops what of a request is not begun, also where the settings allow no withdrawal of what is. Whether any
     /// attempt of it had not ended.
-    pub(super) fn recall(&mut self, access: RequestId) -> bool {
-        let open = self.state.accesses.get(&access);
+    pub(super) fn recall(&mut self, request: RequestId) -> bool {
+        let open = self.state.requests.get(&request);
         let mut any = false;
         for no in open.into_iter().flat_map(Request::out) {
-            self.pools.recall(AttemptId { access, no });
+            self.pools.recall(AttemptId { request, no });
             any = true;
         }
         any
@@ -23,7 +23,7 @@
 
     pub(super) fn arrived(&mut self, now: Moment, call: Call) {
         count(&self.counts.accesses);
-        if self.state.accesses.len() >= self.pools.shared.bounds.max_open {
+        if self.state.requests.len() >= self.pools.shared.bounds.max_open {
             count(&self.counts.rejected);
             return self.reply(call.id, Reply::Refused { come_back: None });
         }
@@ -49,7 +49,7 @@
         let keyed = self.effects[usize::from(call.track.0)] != Effect::Idempotent;
         let mark = call.mark.clone().filter(|_| keyed);
         let (closed, hand_offs) = (false, Vec::new());
-        self.state.accesses.insert(
+        self.state.requests.insert(
             id,
             Request {
                 call: Rc::new(call),
@@ -77,25 +77,25 @@
 
     /// No answer is owed any more; what is out may still end.
     pub(super) fn close(&mut self, id: RequestId) {
-        if let Some(access) = self.state.accesses.get_mut(&id) {
-            must(!access.closed, &self.counts.broken_two_finals);
-            access.closed = true;
-            access.call.over.set(true);
-            self.state.calls.remove(&access.call.id);
-            self.state.limits.remove(&(access.limit, id));
+        if let Some(request) = self.state.requests.get_mut(&id) {
+            must(!request.closed, &self.counts.broken_two_finals);
+            request.closed = true;
+            request.call.over.set(true);
+            self.state.calls.remove(&request.call.id);
+            self.state.limits.remove(&(request.limit, id));
         }
     }
 
     pub(super) fn forget(&mut self, now: Moment, id: RequestId) {
         let longest = self.pools.shared.bounds.longest_limit;
-        let over = |access: &Request| access.closed && access.out().next().is_none();
-        if self.state.accesses.get(&id).is_some_and(over)
-            && let Some(access) = self.state.accesses.remove(&id)
+        let over = |request: &Request| request.closed && request.out().next().is_none();
+        if self.state.requests.get(&id).is_some_and(over)
+            && let Some(request) = self.state.requests.remove(&id)
         {
-            let reference = access.call.reference.clone();
+            let reference = request.call.reference.clone();
             // No host has it longer than its time or the longest one; a client that says it waits for an hour must
             // not make all that ends behind it be remembered as long.
-            let until = access.limit.min(now + longest) + longest;
+            let until = request.limit.min(now + longest) + longest;
             self.state.fading.push_back((until, reference));
             let most = self.pools.shared.bounds.max_open;
             if self.state.fading.len() > most
@@ -109,24 +109,29 @@
     /// Others are to know what came of it.
     pub(super) fn came(&mut self, now: Moment, id: RequestId, done: Option<&[u8]>) {
         let beside = &mut self.decisions.crossings;
-        if let Some(access) = self.state.accesses.get(&id)
-            && access.call.mark.is_some()
+        if let Some(request) = self.state.requests.get(&id)
+            && request.call.mark.is_some()
             && beside.knows_keys()
         {
-            let ran = access.hand_offs.iter().any(|hand_off| hand_off.ran);
+            let ran = request.hand_offs.iter().any(|hand_off| hand_off.ran);
             beside.ended(now, id, &came(done, ran));
         }
     }
 
-    /// The one final answer of an access.
+    /// The one final answer of a request.
     pub(super) fn answer(&mut self, now: Moment, id: RequestId, reply: Reply) {
-        let Some(access) = self.state.accesses.get(&id).filter(|access| !access.closed) else {
+        let Some(request) = self
+            .state
+            .requests
+            .get(&id)
+            .filter(|request| !request.closed)
+        else {
             return;
         };
-        if now.since(access.limit) > Span::from_millis(50) {
+        if now.since(request.limit) > Span::from_millis(50) {
             count(&self.counts.late_finals);
         }
-        let call = access.call.id;
+        let call = request.call.id;
         self.came(
             now,
             id,
--- a/crates/trailproxyd/src/dispatch/sections.rs
+++ b/crates/trailproxyd/src/dispatch/sections.rs
@@ -26,7 +26,7 @@
     /// between zones start afresh, when the operator's file is read again behind this.
     pub(super) fn follow(&mut self, now: Moment, (terms, reports): (Terms, Reports)) {
         info!(self.log, "settings followed"; "probes" => terms.probes, "sizes_told" => terms.sizes_tell,
-            "link_told" => terms.link_told, "straight" => terms.straight, "open" => self.state.accesses.len());
+            "link_told" => terms.link_told, "straight" => terms.straight, "open" => self.state.requests.len());
         self.reports = reports;
         if let Some((_, known, _)) = &mut self.accounts {
             *known = terms.clone();
--- a/crates/trailproxyd/src/dispatch/sharing.rs
+++ b/crates/trailproxyd/src/dispatch/sharing.rs
@@ -1,4 +1,4 @@
-//! What the subsystems hand back: accesses that go on, answers that others have, hosts that others know.
+//! What the subsystems hand back: requests that go on, answers that others have, hosts that others know.
 
 use super::Dispatch;
 use crate::buffered::Parcel;
@@ -9,11 +9,11 @@
 use trailproxy::units::{HostId, Moment};
 
 impl Dispatch {
-    /// An access goes to the decisions, with the time that is left of it.
+    /// A request goes to the decisions, with the time that is left of it.
     pub(super) fn go(&mut self, now: Moment, mut arrival: Arrival) {
-        let access = self.state.accesses.get(&arrival.id);
-        if let Some(access) = access.filter(|access| !access.closed) {
-            arrival.left = access.limit.since(now);
+        let request = self.state.requests.get(&arrival.id);
+        if let Some(request) = request.filter(|request| !request.closed) {
+            arrival.left = request.limit.since(now);
             self.tell(now, Event::Arrived(arrival));
         }
     }
--- a/crates/trailproxyd/src/dispatch/timers.rs
+++ b/crates/trailproxyd/src/dispatch/timers.rs
@@ -40,13 +40,13 @@
             due.map(|&(_, id)| id).collect()
         };
         for id in due {
-            let Some(access) = self.state.accesses.get(&id) else {
+            let Some(request) = self.state.requests.get(&id) else {
                 continue;
             };
-            let out: Vec<AttemptNo> = access.out().collect();
-            self.state.limits.remove(&(access.limit, id));
+            let out: Vec<AttemptNo> = request.out().collect();
+            self.state.limits.remove(&(request.limit, id));
             for no in out {
-                let hand_off = AttemptId { access: id, no };
+                let hand_off = AttemptId { request: id, no };
                 self.pools.kill(hand_off);
                 self.ended(now, hand_off, None, Answer::bare(Ending::TimedOut));
             }
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -285,7 +285,7 @@
 }
 
 impl Running {
-    /// Why other settings can't be followed without a new start: accesses that are open, and host entries that
+    /// Why other settings can't be followed without a new start: requests that are open, and host entries that
     /// are known, name tracks, zones and kinds by their places, and sockets keep their bounds.
     fn differs(&self, start: &startup::Start) -> Option<&'static str> {
         let effects = |terms: &Terms| terms.tracks.iter().map(|t| t.effect).collect::<Vec<_>>();
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -103,7 +103,7 @@
 /// One hand-off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptId {
-    pub access: RequestId,
+    pub request: RequestId,
     pub no: AttemptNo,
 }
 
--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -1,5 +1,5 @@
 //! The operator's own file. The script is run by `trailproxy`, a process beside this one, which hands its checked
-//! sections on as JSON: a script that runs long or grows large costs that process, and no access waits for it.
+//! sections on as JSON: a script that runs long or grows large costs that process, and no request waits for it.
 
 use serde_json::Value;
 use std::path::{Path, PathBuf};
@@ -58,7 +58,7 @@
     pub peers: Option<String>,
 }
 
-/// How long a record of a keyed access has to be kept at least.
+/// How long a record of a keyed request has to be kept at least.
 pub fn longest_window(terms: &Terms, longest_limit: Span) -> Span {
     let windows = terms.tracks.iter().map(|track| match track.effect {
         Effect::Keyed { window, .. } => window,
--- a/crates/trailproxyd/src/peered.rs
+++ b/crates/trailproxyd/src/peered.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// An access with a key comes: it waits for the others for as long as that may take.
+    /// A request with a key comes: it waits for the others for as long as that may take.
     pub fn come(&mut self, now: Moment, arrival: Arrival, mark: &str) {
         let due = self.waiting.hold(now, arrival);
         let key = self.folding.key(arrival.track, mark);
--- a/crates/trailproxyd/src/subsystems.rs
+++ b/crates/trailproxyd/src/subsystems.rs
@@ -30,7 +30,7 @@
 }
 
 impl Subsystems {
-    /// An access with a key comes; `false`: nobody is asked about it. Where both know records, the store is asked: one
+    /// A request with a key comes; `false`: nobody is asked about it. Where both know records, the store is asked: one
     /// record has one truth.
     pub fn come(&mut self, now: Moment, arrival: Arrival, mark: &str) -> bool {
         match (&mut self.shared, &mut self.peers) {
@@ -41,7 +41,7 @@
         true
     }
 
-    /// Whether anybody is told what came of accesses with keys.
+    /// Whether anybody is told what came of requests with keys.
     pub fn knows_keys(&self) -> bool {
         self.shared.is_some() || self.peers.is_some()
     }
@@ -56,7 +56,7 @@
             .for_each(|peers| peers.sent(now, id, host));
     }
 
-    /// An access with a key has its final answer, or its client left; the decisions may never have heard of it.
+    /// A request with a key has its final answer, or its client left; the decisions may never have heard of it.
     pub fn ended(&mut self, now: Moment, id: RequestId, came: &Came) {
         self.shared
             .iter_mut()
@@ -255,7 +255,7 @@
         self.act();
     }
 
-    /// An access comes: one with a key waits for the store for as long as that may take.
+    /// A request comes: one with a key waits for the store for as long as that may take.
     pub fn come(&mut self, now: Moment, arrival: Arrival, mark: &str) {
         let due = self.waiting.hold(now, arrival);
         let key = self.folding.key(arrival.track, mark);
@@ -360,7 +360,7 @@
     }
 }
 
-/// What came of an access, by what became of its hand-offs.
+/// What came of a request, by what became of its hand-offs.
 pub fn came(done: Option<&[u8]>, ran: bool) -> Came {
     match done {
         Some(body) => Came::Done(Some(body.to_vec()).filter(|body| body.len() <= MOST_BODY)),
--- a/crates/trailproxyd/src/waiting.rs
+++ b/crates/trailproxyd/src/waiting.rs
@@ -1,4 +1,4 @@
-//! Accesses that are held back for what others know of them, and what they are known by.
+//! Requests that are held back for what others know of them, and what they are known by.
 
 use std::collections::{BTreeMap, VecDeque};
 use trailproxy::interface::*;
@@ -7,9 +7,9 @@
 
 /// What the one task has to do for the parts beside the decisions.
 pub enum Due {
-    /// An access goes to the decisions now.
+    /// A request goes to the decisions now.
     Arrived(Arrival),
-    /// An access is answered from a record.
+    /// A request is answered from a record.
     Answered(RequestId, Vec<u8>),
     Tell(Event),
     /// A host is restricted by what others know of it: it counts as in this state, and as started then; `None`: the own
