trailproxyd says attempt for what it called hand-off

Change: fields, locals, a function and comments; the counter `hand_offs`, the metrics' words and the names of other crates stay.

--- a/crates/trailproxyd/src/dispatch/attempts.rs
+++ b/crates/trailproxyd/src/dispatch/attempts.rs
@@ -15,7 +15,7 @@
         }
         for action in self.decisions.settle(now) {
             match action {
-                Action::Attempt(hand_off) => self.hand_off(now, hand_off),
+                Action::Attempt(attempt) => self.attempt(now, attempt),
                 Action::Refuse { id, come_back } => {
                     self.answer(now, id, Reply::Refused { come_back });
                     self.forget(now, id);
@@ -24,9 +24,8 @@
                     self.answer(now, id, Reply::Failed);
                     self.forget(now, id);
                 }
-                Action::Withdraw { id, hand_off } => {
-                    let (request, no) = (id, hand_off);
-                    self.pools.kill(AttemptId { request, no });
+                Action::Withdraw { id, hand_off: no } => {
+                    self.pools.kill(AttemptId { request: id, no });
                 }
                 Action::Wake { at, wake } => {
                     self.state.wakes.insert((at, wake));
@@ -39,8 +38,8 @@
         }
     }
 
-    pub(super) fn hand_off(&mut self, now: Moment, hand_off: Attempt) {
-        let Attempt { id, host, fill } = hand_off;
+    pub(super) fn attempt(&mut self, now: Moment, attempt: Attempt) {
+        let Attempt { id, host, fill } = attempt;
         let request = self.state.requests.get_mut(&id);
         let request = request.filter(|request| !request.closed);
         must(request.is_some(), &self.counts.broken_sent_after_end);
@@ -56,7 +55,7 @@
         let named = name.is_some() == source.is_some();
         must(named, &self.counts.broken_unknown_host);
         // A repeat is known for a while only; a wait for a connection may outlast that.
-        let earlier = request.hand_offs.iter();
+        let earlier = request.attempts.iter();
         let ran = earlier
             .clone()
             .filter(|earlier| earlier.ran)
@@ -68,7 +67,7 @@
         let sending = Sending {
             id: AttemptId {
                 request: id,
-                no: AttemptNo(request.hand_offs.len() as u8),
+                no: AttemptNo(request.attempts.len() as u8),
             },
             host,
             call: request.call.clone(),
@@ -79,7 +78,7 @@
             begin_by: begin_by.map(|by| self.clock.instant(by)),
             avoid: earlier.filter_map(|earlier| earlier.line).collect(),
         };
-        request.hand_offs.push(AttemptState {
+        request.attempts.push(AttemptState {
             host,
             source,
             sent: now,
@@ -100,14 +99,14 @@
     ) {
         let ending = answer.ending;
         let request = self.state.requests.get_mut(&id.request);
-        let hand_off = request.and_then(|request| request.hand_offs.get_mut(usize::from(id.no.0)));
-        let Some(hand_off) = hand_off.filter(|hand_off| !hand_off.over) else {
+        let attempt = request.and_then(|request| request.attempts.get_mut(usize::from(id.no.0)));
+        let Some(attempt) = attempt.filter(|attempt| !attempt.over) else {
             return;
         };
-        hand_off.over = true;
-        hand_off.ran = !ending.never_ran();
-        hand_off.line = line;
-        let took = now.since(hand_off.sent);
+        attempt.over = true;
+        attempt.ran = !ending.never_ran();
+        attempt.line = line;
+        let took = now.since(attempt.sent);
         match ending {
             Ending::Lost => count(&self.counts.lost),
             Ending::NotSent => count(&self.counts.not_sent),
@@ -116,7 +115,7 @@
             Ending::TimedOut => count(&self.counts.timed_out),
             _ => {}
         }
-        debug!(self.log, "ended"; "access" => id.request.0, "host" => format!("{:x}", hand_off.host.0),
+        debug!(self.log, "ended"; "access" => id.request.0, "host" => format!("{:x}", attempt.host.0),
             "ending" => ?ending, "note" => ?answer.note, "took" => took.0);
         let came_kb = answer.body.as_ref();
         let came_kb = came_kb.map(|body| body.bytes().len() as f64 / 1024.0);
--- a/crates/trailproxyd/src/dispatch/clients.rs
+++ b/crates/trailproxyd/src/dispatch/clients.rs
@@ -40,7 +40,7 @@
     }
 
     /// A client that ends its side may have gone or may still listen; nobody can tell. What is under way may end and is
-    /// answered, and nothing begins: what has not begun is recalled, and what was between two hand-offs ends.
+    /// answered, and nothing begins: what has not begun is recalled, and what was between two attempts ends.
     pub(super) fn shut(&mut self, now: Moment, client: ClientId) {
         if let Some(known) = self.state.clients.get_mut(&client) {
             known.shut = true;
--- a/crates/trailproxyd/src/dispatch/journal.rs
+++ b/crates/trailproxyd/src/dispatch/journal.rs
@@ -47,15 +47,15 @@
                 Some((None, group)) => open.call.group == group,
                 None => false,
             };
-            for (no, hand_off) in (0..).map(AttemptNo).zip(&open.hand_offs) {
-                let hosts = [Some(hand_off.host), hand_off.source];
+            for (no, attempt) in (0..).map(AttemptNo).zip(&open.attempts) {
+                let hosts = [Some(attempt.host), attempt.source];
                 let unready = || {
                     hosts
                         .iter()
                         .flatten()
                         .any(|&host| !self.pools.is_ready(host))
                 };
-                if !hand_off.over && (purged || listed && unready()) {
+                if !attempt.over && (purged || listed && unready()) {
                     recalls.push(AttemptId { request, no });
                 }
             }
--- a/crates/trailproxyd/src/dispatch/mod.rs
+++ b/crates/trailproxyd/src/dispatch/mod.rs
@@ -49,13 +49,13 @@
     limit: Moment,
     /// It has its final answer, or needs none.
     closed: bool,
-    hand_offs: Vec<AttemptState>,
+    attempts: Vec<AttemptState>,
 }
 
 impl Request {
     /// Its attempts that have not ended.
     fn out(&self) -> impl Iterator<Item = AttemptNo> {
-        let all = (0..).map(AttemptNo).zip(&self.hand_offs);
+        let all = (0..).map(AttemptNo).zip(&self.attempts);
         all.filter(|(_, attempt)| !attempt.over).map(|(no, _)| no)
     }
 }
--- a/crates/trailproxyd/src/dispatch/requests.rs
+++ b/crates/trailproxyd/src/dispatch/requests.rs
@@ -48,14 +48,14 @@
         self.state.calls.insert(call.id, id);
         let keyed = self.effects[usize::from(call.track.0)] != Effect::Idempotent;
         let mark = call.mark.clone().filter(|_| keyed);
-        let (closed, hand_offs) = (false, Vec::new());
+        let (closed, attempts) = (false, Vec::new());
         self.state.requests.insert(
             id,
             Request {
                 call: Rc::new(call),
                 limit,
                 closed,
-                hand_offs,
+                attempts,
             },
         );
         let held = mark.is_some_and(|mark| self.decisions.crossings.come(now, arrival, &mark));
@@ -113,7 +113,7 @@
             && request.call.mark.is_some()
             && beside.knows_keys()
         {
-            let ran = request.hand_offs.iter().any(|hand_off| hand_off.ran);
+            let ran = request.attempts.iter().any(|attempt| attempt.ran);
             beside.ended(now, id, &came(done, ran));
         }
     }
--- a/crates/trailproxyd/src/dispatch/timers.rs
+++ b/crates/trailproxyd/src/dispatch/timers.rs
@@ -46,9 +46,9 @@
             let out: Vec<AttemptNo> = request.out().collect();
             self.state.limits.remove(&(request.limit, id));
             for no in out {
-                let hand_off = AttemptId { request: id, no };
-                self.pools.kill(hand_off);
-                self.ended(now, hand_off, None, Answer::bare(Ending::TimedOut));
+                let attempt = AttemptId { request: id, no };
+                self.pools.kill(attempt);
+                self.ended(now, attempt, None, Answer::bare(Ending::TimedOut));
             }
             // The decisions give the final answer, woken by their own timer or by this.
             self.tell(now, Event::Woken { wake: WakeId(0) });
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -100,7 +100,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ProbeId(pub u64);
 
-/// One hand-off.
+/// One attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptId {
     pub request: RequestId,
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -14,7 +14,7 @@
 use trailproxy::interface::*;
 use trailproxy::units::*;
 
-/// So many hand-offs share a connection before another is dialled, as descriptors allow. More are lost
+/// So many attempts share a connection before another is dialled, as descriptors allow. More are lost
 /// with one spoilt answer; fewer leave connections idle, which hosts close, and new ones are less sure.
 const TOGETHER: usize = 2;
 
@@ -68,7 +68,7 @@
 pub struct Pools {
     pub shared: Rc<Shared>,
     pools: BTreeMap<HostId, Pool>,
-    /// Where each open hand-off is.
+    /// Where each open attempt is.
     places: BTreeMap<AttemptId, (HostId, Option<LineId>)>,
     lines: usize,
     next: u64,
@@ -85,13 +85,13 @@
         }
     }
 
-    /// Open hand-offs and connections, for the log.
+    /// Open attempts and connections, for the log.
     pub fn sizes(&self) -> (usize, usize, usize) {
         (self.places.len(), self.lines, self.pools.len())
     }
 
     /// Takes a change of the host list. Pools go by host: another host may come to a gone one's address.
-    /// What waits for a host that is not ready any more is recalled by the one who handed it off.
+    /// What waits for a host that is not ready any more is recalled by the one who sent it.
     pub fn list(&mut self, form: ListForm, members: &[Member]) {
         if form == ListForm::Whole {
             let gone = |pool: &mut Pool| pool.member.entry.state = HostState::Gone;
@@ -170,7 +170,7 @@
     }
 
     /// Asks a host for its load, one at a time: while one is out, another is not wanted. It takes a connection
-    /// that is up, else one is dialled for it, within the descriptors that hand-offs leave.
+    /// that is up, else one is dialled for it, within the descriptors that attempts leave.
     pub fn probe(&mut self, host: HostId) {
         let until = Instant::now() + self.shared.dial_within();
         self.next += 1;
@@ -186,7 +186,7 @@
     }
 
     /// Gives what waits to connections, and dials for the rest. An answer that can't be read ends all
-    /// that is open on its connection, so each hand-off has one to itself as far as descriptors go.
+    /// that is open on its connection, so each attempt has one to itself as far as descriptors go.
     fn assign(&mut self, host: HostId) {
         let within = self.shared.dial_within();
         let share = (self.shared.most_lines / self.pools.len().max(1)).max(1);
@@ -247,7 +247,7 @@
         }
     }
 
-    /// Ends the wait of hand-offs that no connection came up for in time.
+    /// Ends the wait of attempts that no connection came up for in time.
     pub fn expire(&mut self, now: Instant) {
         let shared = &self.shared;
         for (&host, pool) in &mut self.pools {
@@ -280,12 +280,12 @@
             .min()
     }
 
-    /// Gives a hand-off up; its ending comes by the queue.
+    /// Gives an attempt up; its ending comes by the queue.
     pub fn kill(&mut self, id: AttemptId) {
         self.order(id, ToServer::Kill(id));
     }
 
-    /// Drops a hand-off of which nothing is written yet.
+    /// Drops an attempt of which nothing is written yet.
     pub fn recall(&mut self, id: AttemptId) {
         self.order(id, ToServer::Recall(id));
     }
@@ -322,7 +322,7 @@
             .is_some()
     }
 
-    /// What a connection or a dial tells; an answer is handed back, once for each hand-off.
+    /// What a connection or a dial tells; an answer is handed back, once for each attempt.
     pub fn told(&mut self, told: FromServer) -> Option<(AttemptId, Option<LineId>, Answer)> {
         match told {
             FromServer::Dialled {
--- a/crates/trailproxyd/src/subsystems.rs
+++ b/crates/trailproxyd/src/subsystems.rs
@@ -46,7 +46,7 @@
         self.shared.is_some() || self.peers.is_some()
     }
 
-    /// A hand-off goes out.
+    /// An attempt goes out.
     pub fn went(&mut self, now: Moment, id: RequestId, host: HostId) {
         self.shared
             .iter_mut()
@@ -360,7 +360,7 @@
     }
 }
 
-/// What came of a request, by what became of its hand-offs.
+/// What came of a request, by what became of its attempts.
 pub fn came(done: Option<&[u8]>, ran: bool) -> Came {
     match done {
         Some(body) => Came::Done(Some(body.to_vec()).filter(|body| body.len() <= MOST_BODY)),
