--- a/crates/trailproxyd/src/accounts.rs
+++ b/crates/trailproxyd/src/accounts.rs
@@ -51,10 +51,11 @@
     }
 
     /// Follows what the operator's file says now.
-    pub fn follow(&mut self, sheet: &Sheet) {
-        self.report_every = Duration::from_secs_f64(sheet.report_s.clamp(0.5, 3_600.0));
+    pub fn follow(&mut self, config: &Sheet) {
+        self.report_every = Duration::from_secs_f64(config.report_s.clamp(0.5, 3_600.0));
         self.report_at = self.report_at.min(Instant::now() + self.report_every);
-        let named = Some(PathBuf::from(&sheet.metrics)).filter(|path| !path.as_os_str().is_empty());
+        let named =
+            Some(PathBuf::from(&config.metrics)).filter(|path| !path.as_os_str().is_empty());
         self.metrics = match (named, self.metrics.take()) {
             (Some(path), Some((_, to))) => Some((path, to)),
             (Some(path), None) => writer(self.log.clone()).map(|to| (path, to)),
--- a/crates/trailproxyd/src/dispatch/sections.rs
+++ b/crates/trailproxyd/src/dispatch/sections.rs
@@ -80,16 +80,16 @@
             info!(log, "peers are off");
             return Ok(());
         };
-        let sheet = &told.sheet;
+        let config = &told.config;
         let longest = longest_window(terms, self.pools.shared.bounds.longest_limit);
-        let rules = sheet.rules(longest, terms.purge_done)?;
+        let rules = config.rules(longest, terms.purge_done)?;
         let listen = told.addresses.listen;
         let socket = socket
             .map_or_else(|| peers::bind(listen), Ok)
             .map_err(|e| {
                 let [a, b, c, d] = listen.ip;
                 let found = format!("{a}.{b}.{c}.{d}:{} ({e})", listen.port);
-                sheet.wrong("listen", &found, "an address of this machine that is free")
+                config.wrong("listen", &found, "an address of this machine that is free")
             })?;
         // Never the same for two processes.
         let drawn = *seed ^ now.0.rotate_left(20) ^ u64::from(std::process::id());
@@ -99,9 +99,9 @@
             life: life(now, drawn),
             seeds: told.addresses.seeds.clone(),
         };
-        info!(log, "peers are on"; "file" => &sheet.file, "fleet" => &sheet.fleet, "seeds" => told.addresses.seeds.len());
+        info!(log, "peers are on"; "file" => &config.file, "fleet" => &config.fleet, "seeds" => told.addresses.seeds.len());
         let (to, asked) = mpsc::channel();
-        let seal = Seal::new(&sheet.fleet, &told.secret);
+        let seal = Seal::new(&config.fleet, &told.secret);
         let queue = self.pools.shared.queue.clone();
         tokio::task::spawn_local(peers::carry(
             socket.clone(),
@@ -127,28 +127,28 @@
             return;
         };
         let shared = &mut self.decisions.crossings.shared;
-        if shared.as_ref().map(|shared| &shared.sheet) == told.as_deref() {
+        if shared.as_ref().map(|shared| &shared.config) == told.as_deref() {
             return;
         }
         let ended = shared.take();
-        if let Some(sheet) = told {
+        if let Some(config) = told {
             let longest = longest_window(terms, self.pools.shared.bounds.longest_limit);
-            match sheet.rules(longest, terms.purge_done) {
+            match config.rules(longest, terms.purge_done) {
                 Ok(rules) => {
                     // Never the same for two processes, or one would take another's records for its own.
                     let life = *seed ^ now.0.rotate_left(20) ^ u64::from(std::process::id());
                     let (to, asked) = mpsc::channel();
                     let (queue, log) = (self.pools.shared.queue.clone(), self.log.clone());
                     tokio::task::spawn_local(store::carry(
-                        *sheet.clone(),
+                        *config.clone(),
                         queue,
                         asked,
                         log.clone(),
                     ));
-                    info!(log, "store is on"; "file" => &sheet.file, "host" => &sheet.host, "port" => sheet.port);
+                    info!(log, "store is on"; "file" => &config.file, "host" => &config.host, "port" => config.port);
                     let dues = terms.tracks.iter().map(|track| track.due).collect();
                     let mut begun =
-                        Shared::new(*sheet, Sharing::new(now, rules, life), to, dues, log);
+                        Shared::new(*config, Sharing::new(now, rules, life), to, dues, log);
                     let (form, entries) = (ListForm::Whole, self.pools.entries());
                     begun.heard(now, &Event::Hosts { form, entries });
                     *shared = Some(begun);
@@ -176,9 +176,9 @@
             }
             return;
         };
-        let (sheet, rules) = *told;
-        accounts.follow(&sheet);
-        info!(self.log, "zones are on"; "file" => &sheet.file, "limits" => rules.limits.len());
+        let (config, rules) = *told;
+        accounts.follow(&config);
+        info!(self.log, "zones are on"; "file" => &config.file, "limits" => rules.limits.len());
         match crossings {
             Some(zones) => zones.change(now, rules),
             None => {
--- a/crates/trailproxyd/src/divided.rs
+++ b/crates/trailproxyd/src/divided.rs
@@ -17,15 +17,15 @@
 impl Divided {
     pub fn new(
         now: Moment,
-        sheet: Sheet,
+        config: Sheet,
         own: (PeerId, Life),
         terms: &Terms,
         seed: u64,
         log: Logger,
     ) -> Divided {
-        info!(log, "budgets are on"; "file" => &sheet.file, "voters" => sheet.voters.len());
+        info!(log, "budgets are on"; "file" => &config.file, "voters" => config.voters.len());
         let own = (HolderId(own.0.0), LifeId(own.1.0));
-        let following = Following::new(now, sheet, own, terms, seed);
+        let following = Following::new(now, config, own, terms, seed);
         Divided { following, log }
     }
 
@@ -35,8 +35,8 @@
     }
 
     /// Whether it is of this section and this member.
-    pub fn is(&self, sheet: &Sheet, own: (PeerId, Life)) -> bool {
-        self.following.sheet == *sheet && self.own() == own
+    pub fn is(&self, config: &Sheet, own: (PeerId, Life)) -> bool {
+        self.following.sheet == *config && self.own() == own
     }
 
     pub fn heard(&mut self, now: Moment, from: PeerId, bytes: &[u8]) {
--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -42,7 +42,7 @@
 /// The section `peers`, with what it comes to here.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeersTold {
-    pub sheet: PeersConfig,
+    pub config: PeersConfig,
     pub addresses: Addresses,
     pub secret: Vec<u8>,
 }
@@ -109,7 +109,7 @@
             None => None,
         };
         let peers = match peers {
-            Some(sheet) => Some(Box::new(PeersTold::of(sheet, store.as_deref(), against)?)),
+            Some(config) => Some(Box::new(PeersTold::of(config, store.as_deref(), against)?)),
             None => None,
         };
         let budgets = all.as_object_mut().and_then(|all| all.remove("budgets"));
@@ -126,14 +126,17 @@
             }
         }
         let empty = all.as_object().is_some_and(|all| all.is_empty());
-        let sheet: Option<Sheet> = match empty {
+        let config: Option<Sheet> = match empty {
             true => None,
             false => serde_json::from_value(all).map_err(unread)?,
         };
-        let zones = match sheet.filter(|sheet| sheet.on) {
-            Some(sheet) => {
-                let rules = sheet.resolve(&against.names);
-                Some(Box::new((sheet, rules.map_err(|unfit| unfit.to_string())?)))
+        let zones = match config.filter(|config| config.on) {
+            Some(config) => {
+                let rules = config.resolve(&against.names);
+                Some(Box::new((
+                    config,
+                    rules.map_err(|unfit| unfit.to_string())?,
+                )))
             }
             None => None,
         };
@@ -194,19 +197,19 @@
 
 impl PeersTold {
     fn of(
-        sheet: PeersConfig,
+        config: PeersConfig,
         store: Option<&StoreSheet>,
         against: &Against,
     ) -> Result<PeersTold, String> {
-        sheet.rules(against.longest_window, against.purges_last)?;
-        let addresses = sheet.addresses(against.peers.as_deref())?;
-        if sheet.records && store.is_some_and(|store| store.records) {
+        config.rules(against.longest_window, against.purges_last)?;
+        let addresses = config.addresses(against.peers.as_deref())?;
+        if config.records && store.is_some_and(|store| store.records) {
             let accepted = "records in one of the sections store and peers";
-            return Err(sheet.wrong("records", "True, and True in section store", accepted));
+            return Err(config.wrong("records", "True, and True in section store", accepted));
         }
-        let secret = sheet.secret()?;
+        let secret = config.secret()?;
         Ok(PeersTold {
-            sheet,
+            config,
             addresses,
             secret,
         })
--- a/crates/trailproxyd/src/peered.rs
+++ b/crates/trailproxyd/src/peered.rs
@@ -37,7 +37,7 @@
         log: Logger,
     ) -> Peered {
         Peered {
-            folding: Folding::new(&told.sheet.fleet),
+            folding: Folding::new(&told.config.fleet),
             told,
             peers,
             socket,
--- a/crates/trailproxyd/src/store.rs
+++ b/crates/trailproxyd/src/store.rs
@@ -26,7 +26,7 @@
 }
 
 /// Carries until nobody asks any more.
-pub async fn carry(sheet: Sheet, queue: Queue, mut asked: mpsc::Receiver<ToStore>, log: Logger) {
+pub async fn carry(config: Sheet, queue: Queue, mut asked: mpsc::Receiver<ToStore>, log: Logger) {
     // A connection that was left must not tell of its end as if it were the present one's.
     let present = Rc::new(Cell::new(0u64));
     let mut line: Option<Rc<Line>> = None;
@@ -35,7 +35,7 @@
         match order {
             ToStore::Connect => {
                 present.set(present.get() + 1);
-                line = match connect(&sheet).await {
+                line = match connect(&config).await {
                     Ok((connected, run)) => {
                         told.clear();
                         let _ = queue.send(Inbound::Store(FromStore::Connected { run }));
@@ -44,8 +44,8 @@
                     Err(why) => {
                         // Told once for each cause: an outage of hours is one line.
                         if why != told {
-                            warn!(log, "store not reached"; "file" => &sheet.file, "host" => &sheet.host,
-                                "port" => sheet.port, "why" => &why);
+                            warn!(log, "store not reached"; "file" => &config.file, "host" => &config.host,
+                                "port" => config.port, "why" => &why);
                             told = why;
                         }
                         let _ = queue.send(Inbound::Store(FromStore::Broken));
@@ -79,8 +79,8 @@
     }
 }
 
-async fn connect(sheet: &Sheet) -> Result<(Line, String), String> {
-    let password = match sheet.password_file.as_str() {
+async fn connect(config: &Sheet) -> Result<(Line, String), String> {
+    let password = match config.password_file.as_str() {
         "" => None,
         path => {
             let text = std::fs::read_to_string(path);
@@ -90,7 +90,7 @@
         }
     };
     let info = redis::ConnectionInfo {
-        addr: redis::ConnectionAddr::Tcp(sheet.host.clone(), sheet.port),
+        addr: redis::ConnectionAddr::Tcp(config.host.clone(), config.port),
         redis: redis::RedisConnectionInfo {
             password,
             ..Default::default()
--- a/crates/trailproxyd/src/subsystems.rs
+++ b/crates/trailproxyd/src/subsystems.rs
@@ -34,8 +34,8 @@
     /// record has one truth.
     pub fn come(&mut self, now: Moment, arrival: Arrival, mark: &str) -> bool {
         match (&mut self.shared, &mut self.peers) {
-            (Some(shared), _) if shared.sheet.records => shared.come(now, arrival, mark),
-            (_, Some(peers)) if peers.told.sheet.records => peers.come(now, arrival, mark),
+            (Some(shared), _) if shared.config.records => shared.come(now, arrival, mark),
+            (_, Some(peers)) if peers.told.config.records => peers.come(now, arrival, mark),
             _ => return false,
         }
         true
@@ -146,7 +146,7 @@
         let by_store = self
             .shared
             .as_ref()
-            .is_some_and(|shared| shared.sheet.words);
+            .is_some_and(|shared| shared.config.words);
         let id = PeerId::of_name(name);
         let known = self
             .divided
@@ -160,13 +160,13 @@
     pub fn budgets(
         &mut self,
         now: Moment,
-        sheet: Option<&BudgetsSheet>,
+        config: Option<&BudgetsSheet>,
         (name, fresh): (&str, Life),
         (terms, seed): (&Terms, u64),
         log: &Logger,
     ) {
         let own = self.own(name, fresh);
-        let Some((sheet, own)) = sheet.zip(own) else {
+        let Some((config, own)) = config.zip(own) else {
             if self.divided.take().is_some() {
                 info!(log, "budgets are off");
                 self.cold = Some((None, None));
@@ -180,9 +180,9 @@
         if !self
             .divided
             .as_ref()
-            .is_some_and(|divided| divided.is(sheet, own))
+            .is_some_and(|divided| divided.is(config, own))
         {
-            let fresh = Divided::new(now, sheet.clone(), own, terms, seed, log.clone());
+            let fresh = Divided::new(now, config.clone(), own, terms, seed, log.clone());
             self.divided = Some(fresh);
         }
         if let Some(divided) = &mut self.divided {
@@ -217,7 +217,7 @@
 
 /// Sharing as long as it is on, with the way to the store and what is held back for it.
 pub struct Shared {
-    pub sheet: Sheet,
+    pub config: Sheet,
     folding: Folding,
     sharing: Sharing,
     to: mpsc::Sender<ToStore>,
@@ -230,15 +230,15 @@
 
 impl Shared {
     pub fn new(
-        sheet: Sheet,
+        config: Sheet,
         sharing: Sharing,
         to: mpsc::Sender<ToStore>,
         dues: Vec<Span>,
         log: Logger,
     ) -> Shared {
         Shared {
-            folding: Folding::new(&sheet.prefix),
-            sheet,
+            folding: Folding::new(&config.prefix),
+            config,
             sharing,
             to,
             run: String::new(),
@@ -327,7 +327,7 @@
                     epoch,
                     not_after_ms,
                 } => {
-                    let (prefix, run) = (self.sheet.prefix.as_str(), self.run.as_str());
+                    let (prefix, run) = (self.config.prefix.as_str(), self.run.as_str());
                     let under = Under {
                         prefix,
                         run,
