capacity-live: real dispatchers among hollow members, measured from outside at rest

What one dispatcher costs in a fleet of hundreds was not known from real processes. Members that are only the core of peers on a real socket, many to a process, now make up the fleet around a few trailproxyd; processor time, memory, descriptors and traffic are read through /proc and counted by the hollow members.

--- /dev/null
+++ b/crates/capacity-live/src/run.rs
@@ -0,0 +1,71 @@
+//! A whole run by its plan: each part after the other, so that none disturbs another.
+
+use crate::dispatcher::Place;
+use crate::figures::{HollowStep, LiveFigures};
+use crate::hollow;
+use crate::plan::Plan;
+use crate::slope::{Point, Slope};
+use crate::surroundings::Surroundings;
+use std::io;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+
+/// Measures all that the plan names. `told` hears a line about each part that is done. A signal to end stops it, and all
+/// that it started ends with it.
+pub fn run(plan: &Plan, place: &Place, told: &dyn Fn(&str)) -> io::Result<LiveFigures> {
+    std::fs::create_dir_all(&place.folder)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let measured = async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            figures = measure(plan, place, told) => figures,
+            _ = tokio::signal::ctrl_c() => Err(io::ErrorKind::Interrupted.into()),
+            _ = terminate.recv() => Err(io::ErrorKind::Interrupted.into()),
+        }
+    };
+    let measured = LocalSet::new().block_on(&runtime, measured);
+    let _ = std::fs::remove_dir_all(&place.folder);
+    measured
+}
+
+async fn measure(plan: &Plan, place: &Place, told: &dyn Fn(&str)) -> io::Result<LiveFigures> {
+    let surroundings = Surroundings::open(plan.seed).await?;
+    let mut figures = LiveFigures::default();
+    for &size in &plan.members {
+        let step = hollow::step(place, &surroundings, plan, size).await?;
+        told(&format!("{} members measured", step.members));
+        figures.hollow.push(step);
+    }
+    figures.slopes.extend(by_member(&figures.hollow));
+    Ok(figures)
+}
+
+/// How what a real one uses grows with the members of the fleet; each real one at each size is a point.
+fn by_member(steps: &[HollowStep]) -> Vec<Slope> {
+    let points = |value: &dyn Fn(&crate::figures::ProcessFigures) -> f64| -> Vec<Point> {
+        let of_step = |step: &HollowStep| -> Vec<Point> {
+            let x = step.members as f64;
+            let points = step.processes.iter().map(|of| Point { x, y: value(of) });
+            points.collect()
+        };
+        steps.iter().flat_map(of_step).collect()
+    };
+    let wire = |of: &crate::figures::ProcessFigures| of.wire.unwrap_or_default();
+    let fits = [
+        Slope::fit(
+            "core %",
+            "member",
+            &points(&|of| of.processor_share() * 100.0),
+        ),
+        Slope::fit("RSS KB", "member", &points(&|of| of.resident_kb as f64)),
+        Slope::fit(
+            "messages/s",
+            "member",
+            &points(&|of| wire(of).messages_per_s()),
+        ),
+        Slope::fit("bytes/s", "member", &points(&|of| wire(of).bytes_per_s())),
+    ];
+    fits.into_iter().flatten().collect()
+}
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -836,7 +836,7 @@
 }
 
 /// The start settings of a dispatcher in a zone, as its configuration has them.
-pub(crate) fn settings(scenario: &Scenario, zone: ZoneId) -> serde_json::Value {
+pub fn settings(scenario: &Scenario, zone: ZoneId) -> serde_json::Value {
     let terms = &scenario.terms;
     let tracks = scenario.shape.tracks.iter().enumerate();
     let classes: Vec<_> = tracks
--- /dev/null
+++ b/crates/trailproxy-cli/src/capacity_live.rs
@@ -0,0 +1,131 @@
+//! What a real dispatcher costs in a large fleet, measured from outside.
+
+use crate::End;
+use crate::lab::place;
+use crate::out;
+use clap::Args;
+use std::path::PathBuf;
+use trailproxy_capacity_live::dispatcher::Place;
+use trailproxy_capacity_live::plan::Plan;
+use trailproxy_capacity_live::run::run as measure;
+
+#[derive(Args)]
+pub struct Task {
+    /// Sizes of the fleet in which a few dispatchers are real and the others are cores on sockets; `none` leaves it out.
+    #[arg(long, default_value = "60,120,240,490")]
+    members: String,
+    /// Real dispatchers in each of these.
+    #[arg(long, default_value_t = 8)]
+    real: usize,
+    /// Processes that the other members are spread over.
+    #[arg(long, default_value_t = 4)]
+    workers: usize,
+    /// Real dispatchers at rest, without others; 0 leaves it out.
+    #[arg(long, default_value_t = 100)]
+    processes: usize,
+    /// Real dispatchers under load.
+    #[arg(long, default_value_t = 16)]
+    loaded: usize,
+    /// Requests a second to each loaded one, plain and keyed, step by step; `none` leaves it out.
+    #[arg(long, default_value = "10,20,40,80")]
+    rates: String,
+    /// Purges a second to all loaded ones, step by step; `none` leaves it out.
+    #[arg(long, default_value = "2,5,10,20")]
+    purges: String,
+    /// Length of each window.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// The longest that a fleet is given to settle before its window.
+    #[arg(long, default_value_t = 60)]
+    settle: u64,
+    /// How long a record of a keyed request is kept.
+    #[arg(long, default_value_t = 10.0)]
+    keep: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Folder for live.json.
+    #[arg(long)]
+    out: Option<String>,
+    /// The dispatcher's program; else `trailproxyd` beside this one.
+    #[arg(long)]
+    daemon: Option<String>,
+    /// The program of members without a dispatcher; else `hollow-members` beside this one.
+    #[arg(long)]
+    hollow: Option<PathBuf>,
+}
+
+pub fn run(task: Task) -> End {
+    match measured(&task) {
+        Ok(()) => End::Well,
+        Err(why) => End::Refused(why),
+    }
+}
+
+fn measured(task: &Task) -> Result<(), String> {
+    let plan = plan(task)?;
+    plan.check().map_err(|unfit| unfit.to_string())?;
+    let place = programs(task)?;
+    let parts = plan.parts() as u64;
+    let bar = out::progress(parts, "capacity-live");
+    let figures = measure(&plan, &place, &|_| bar.inc(1)).map_err(|e| e.to_string())?;
+    bar.finish_and_clear();
+    print!("{figures}");
+    if let Some(folder) = &task.out {
+        let text = serde_json::to_string_pretty(&figures).map_err(|e| e.to_string())?;
+        out::write(folder, "live.json", &text)?;
+    }
+    Ok(())
+}
+
+fn plan(task: &Task) -> Result<Plan, String> {
+    Ok(Plan {
+        members: list("members", &task.members)?,
+        real: task.real,
+        workers: task.workers,
+        processes: task.processes,
+        loaded: task.loaded,
+        rates: list("rates", &task.rates)?,
+        purges: list("purges", &task.purges)?,
+        seconds: task.seconds,
+        settle_s: task.settle,
+        keep_s: task.keep,
+        seed: task.seed,
+    })
+}
+
+/// Whole numbers with commas between them, or the word `none`.
+fn list<T: std::str::FromStr>(argument: &str, text: &str) -> Result<Vec<T>, String> {
+    if text == "none" {
+        return Ok(Vec::new());
+    }
+    let unfit = format!(
+        "--{argument}: found {text:?}, accepted: whole numbers with commas between them, or none"
+    );
+    let numbers = text.split(',').map(|number| number.parse().ok());
+    numbers.collect::<Option<_>>().ok_or(unfit)
+}
+
+fn programs(task: &Task) -> Result<Place, String> {
+    let lab = place(task.daemon.clone())?;
+    let beside = || {
+        Some(
+            std::env::current_exe()
+                .ok()?
+                .parent()?
+                .join("hollow-members"),
+        )
+    };
+    let hollow = task.hollow.clone().or_else(beside);
+    let hollow = hollow.ok_or("no program of hollow members is named")?;
+    if !hollow.is_file() {
+        let path = hollow.display();
+        return Err(format!(
+            "{path} is not there; --hollow names the program of hollow members"
+        ));
+    }
+    Ok(Place {
+        daemon: lab.daemon,
+        hollow,
+        folder: lab.folder,
+    })
+}
--- a/crates/trailproxy-cli/src/main.rs
+++ b/crates/trailproxy-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `trailproxy`: checks of an operator's file, and the laboratory.
 
 mod budgets;
+mod capacity_live;
 mod lab;
 mod out;
 mod peers;
@@ -43,6 +44,8 @@
     Budgets(budgets::Task),
     /// Several real dispatchers, faults between them by a script, and somebody outside who counts: 3 where a rule broke.
     Trial(trial::Task),
+    /// What a real dispatcher costs in a large fleet, measured from outside.
+    CapacityLive(capacity_live::Task),
 }
 
 /// How a task ended; the numbers are the exit codes.
@@ -63,6 +66,7 @@
         Task::Peers(task) => peers::run(task),
         Task::Budgets(task) => budgets::run(task),
         Task::Trial(task) => trial::run(task),
+        Task::CapacityLive(task) => capacity_live::run(task),
     };
     match end {
         End::Well => ExitCode::SUCCESS,
