capacity-live: cost of a message by part, processes, loads, tests

Cause: what a message costs and where was not known. Change: a core in virtual time whose parts are timed (examples/message-cost), real processes at rest and under stepped load, slopes with intervals; hollow members know each other from the start, because hundreds of cores that join in one process hold each other up; tests of a small fleet, of the parts and of refused arguments. The loads and processes were not run yet.

--- /dev/null
+++ b/crates/capacity-live/src/cost.rs
@@ -0,0 +1,323 @@
+//! Where the time of one message goes: decisions, encoding with its keyed sum, and the socket, each by itself.
+//!
+//! One real core runs in virtual time among members that only answer: each acknowledges its pings and has the same facts.
+//! What the core is told and what it says are what a fleet at rest says, so that each part is timed over real messages.
+
+use crate::member::from_socket;
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::time::{Duration, Instant};
+use trailproxy::units::{Moment, Span};
+use trailproxy_peers::decide::facts::Slot;
+use trailproxy_peers::decide::members::Own;
+use trailproxy_peers::decide::messages::{
+    Address, AskNo, Has, Life, MemberUpdate, Message, Note, PeerId, Standing, State,
+};
+use trailproxy_peers::decide::{Action, Peers, Rules};
+use trailproxy_peers::wire::{MOST_BYTES, Seal};
+
+/// When the virtual clock begins: any moment far from zero does.
+const BEGIN: Moment = Moment(1_000_000_000_000);
+/// After so long nothing is lacking any more, by [`rules`].
+const SETTLE: Span = Span::from_secs(40);
+/// The virtual window that is timed.
+const WINDOW: Span = Span::from_secs(120);
+/// The others ping the core, and compare sums with it, this often altogether, as in a fleet at rest.
+const PINGED_EVERY: Span = Span::from_millis(400);
+const COMPARED_EVERY: Span = Span::from_millis(500);
+/// Slots of records that the core compares with others in one message.
+const COMPARED_SLOTS: u16 = 8;
+/// Datagrams that are sent and read to time the socket.
+const DATAGRAMS: u32 = 20_000;
+
+/// Mean time of each part at one size of the fleet, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MessageCost {
+    pub members: usize,
+    /// Messages of the window, both ways, and calls of `advance`.
+    pub messages: u64,
+    pub advances: u64,
+    /// A message that came is decided upon.
+    pub heard_us: f64,
+    /// What is due is done.
+    pub advance_us: f64,
+    /// The next moment is asked for, which a dispatcher does some times after each event.
+    pub next_us: f64,
+    /// A change of one member: who keeps what is reckoned anew.
+    pub member_change_us: f64,
+    /// A message is encoded or read, without its sum.
+    pub encode_us: f64,
+    pub decode_us: f64,
+    /// The keyed sum over one message.
+    pub sum_us: f64,
+    /// One datagram is sent, and one is read, on loopback.
+    pub send_us: f64,
+    pub receive_us: f64,
+}
+
+/// The sum of some times, with their number.
+#[derive(Clone, Copy, Debug, Default)]
+struct Timed {
+    total: Duration,
+    number: u64,
+}
+
+impl Timed {
+    fn time<T>(&mut self, what: impl FnOnce() -> T) -> T {
+        let began = Instant::now();
+        let done = what();
+        self.total += began.elapsed();
+        self.number += 1;
+        done
+    }
+
+    fn mean_us(&self) -> f64 {
+        self.total.as_secs_f64() * 1e6 / self.number.max(1) as f64
+    }
+}
+
+#[derive(Default)]
+struct Timers {
+    heard: Timed,
+    advance: Timed,
+    next: Timed,
+    change: Timed,
+    encode: Timed,
+    decode: Timed,
+    sum: Timed,
+    messages: u64,
+}
+
+/// One core and the members that answer it.
+struct Bench {
+    core: Peers,
+    others: Vec<MemberUpdate>,
+    seal: Seal,
+    sum_key: [u8; 32],
+    chance: fastrand::Rng,
+    timers: Timers,
+    answers: Vec<(PeerId, Vec<Note>)>,
+}
+
+/// Times each part in a fleet of that size.
+pub fn measure(members: usize, seed: u64) -> io::Result<MessageCost> {
+    let mut bench = Bench::new(members, seed);
+    let began = bench.run(BEGIN, SETTLE);
+    bench.timers = Timers::default();
+    let ended = bench.run(began, WINDOW);
+    bench.change_members(ended);
+    let (send_us, receive_us) = socket_times()?;
+    let timers = &bench.timers;
+    Ok(MessageCost {
+        members,
+        messages: timers.messages,
+        advances: timers.advance.number,
+        heard_us: timers.heard.mean_us(),
+        advance_us: timers.advance.mean_us(),
+        next_us: timers.next.mean_us(),
+        member_change_us: timers.change.mean_us(),
+        encode_us: timers.encode.mean_us() - timers.sum.mean_us(),
+        decode_us: timers.decode.mean_us() - timers.sum.mean_us(),
+        sum_us: timers.sum.mean_us(),
+        send_us,
+        receive_us,
+    })
+}
+
+fn rules() -> Rules {
+    Rules {
+        records: true,
+        purges: true,
+        hosts: true,
+        hints: true,
+        refuse: false,
+        wait: Span::from_millis(5),
+        keep: Span::from_secs(10),
+        purges_last: Span::from_secs(3),
+    }
+}
+
+fn other(nth: u16) -> MemberUpdate {
+    let [high, low] = nth.to_be_bytes();
+    let address = SocketAddrV4::new(Ipv4Addr::new(127, 1, high, low), 7_946);
+    MemberUpdate {
+        id: PeerId::of_name(&format!("other{nth}")),
+        address: from_socket(address),
+        life: Life(1),
+        incarnation: 0,
+        standing: Standing::Alive,
+    }
+}
+
+impl Bench {
+    fn new(members: usize, seed: u64) -> Bench {
+        let own = Own {
+            id: PeerId::of_name("own"),
+            address: from_socket(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7_946)),
+            life: Life(1),
+            seeds: Vec::new(),
+        };
+        let others = (1..members).map(|nth| other(nth as u16));
+        Bench {
+            core: Peers::new(BEGIN, own, rules(), seed),
+            others: others.collect(),
+            seal: Seal::new("cost", b""),
+            sum_key: [7; 32],
+            chance: fastrand::Rng::with_seed(seed),
+            timers: Timers::default(),
+            answers: Vec::new(),
+        }
+    }
+
+    /// Lets virtual time pass, and hands back where it ends.
+    fn run(&mut self, from: Moment, lasts: Span) -> Moment {
+        let (mut ping_at, mut compare_at) = (from, from);
+        let (mut now, end) = (from, from + lasts);
+        if from == BEGIN {
+            let updates = vec![Note::Updates(self.others.clone())];
+            self.tell(now, self.others[0].id, updates);
+        }
+        while now < end {
+            let (core, timers) = (&mut self.core, &mut self.timers);
+            let due = timers.next.time(|| core.next());
+            now = due.min(ping_at).min(compare_at).max(now + Span(1));
+            if due <= now {
+                timers.advance.time(|| core.advance(now));
+            }
+            self.collect();
+            if ping_at <= now {
+                ping_at = now + PINGED_EVERY;
+                let ping = Note::Ping(AskNo(now.0), self.state());
+                self.tell_by_anybody(now, ping);
+            }
+            if compare_at <= now {
+                compare_at = now + COMPARED_EVERY;
+                let sums = self.core.sums().into_iter();
+                let sums = sums.take(usize::from(COMPARED_SLOTS)).collect();
+                self.tell_by_anybody(now, Note::Sums(sums));
+            }
+            self.answer(now);
+        }
+        now
+    }
+
+    fn state(&self) -> State {
+        State {
+            whole: true,
+            records: 0,
+            place: 0,
+            roster: self.core.members().roster(),
+        }
+    }
+
+    fn tell_by_anybody(&mut self, now: Moment, note: Note) {
+        let nth = self.chance.usize(0..self.others.len());
+        self.tell(now, self.others[nth].id, vec![note]);
+    }
+
+    /// The core hears a message, by way of its datagram.
+    fn tell(&mut self, now: Moment, from: PeerId, notes: Vec<Note>) {
+        let Some(of) = self.others.iter().find(|other| other.id == from).copied() else {
+            return;
+        };
+        let message = Message {
+            from,
+            life: of.life,
+            incarnation: of.incarnation,
+            stamp: now.0,
+            notes,
+        };
+        if let Some(bytes) = self.seal.write(&message) {
+            let (seal, timers) = (&self.seal, &mut self.timers);
+            let _ = timers.decode.time(|| seal.read(&bytes));
+            self.time_sum(&bytes);
+        }
+        let (core, timers) = (&mut self.core, &mut self.timers);
+        timers.messages += 1;
+        timers.heard.time(|| core.heard(now, of.address, message));
+        self.collect();
+    }
+
+    /// Takes what the core says, and notes what is answered to it.
+    fn collect(&mut self) {
+        for action in self.core.take() {
+            if let Action::Send(to, message) = action {
+                self.timers.messages += 1;
+                let (seal, timers) = (&self.seal, &mut self.timers);
+                let bytes = timers.encode.time(|| seal.write(&message));
+                bytes.iter().for_each(|bytes| self.time_sum(bytes));
+                self.note_answers(to, &message);
+            }
+        }
+    }
+
+    fn time_sum(&mut self, bytes: &[u8]) {
+        let (key, timers) = (&self.sum_key, &mut self.timers);
+        let sum = timers.sum.time(|| blake3::keyed_hash(key, bytes));
+        std::hint::black_box(sum);
+    }
+
+    fn note_answers(&mut self, to: Address, message: &Message) {
+        let Some(of) = self.others.iter().find(|other| other.address == to) else {
+            return;
+        };
+        let (id, state) = (of.id, self.state());
+        let answers = message.notes.iter().filter_map(|note| match note {
+            Note::Ping(no, _) => Some(Note::Ack(*no, state)),
+            Note::Sums(sums) => Some(Note::Same {
+                slots: sums.iter().map(|&(slot, _)| slot).collect::<Vec<Slot>>(),
+                has: Has::All,
+            }),
+            _ => None,
+        });
+        let answers: Vec<Note> = answers.collect();
+        if !answers.is_empty() {
+            self.answers.push((id, answers));
+        }
+    }
+
+    fn answer(&mut self, now: Moment) {
+        for (from, notes) in std::mem::take(&mut self.answers) {
+            self.tell(now, from, notes);
+        }
+    }
+
+    /// One after the other leaves: each time the core reckons anew who keeps what.
+    fn change_members(&mut self, mut now: Moment) {
+        const CHANGES: usize = 16;
+        for nth in 1..CHANGES.min(self.others.len()) {
+            now = now + Span::from_millis(200);
+            let mut update = self.others[nth];
+            update.standing = Standing::Left;
+            let first = self.others[0];
+            let message = Message {
+                from: first.id,
+                life: first.life,
+                incarnation: first.incarnation,
+                stamp: now.0,
+                notes: vec![Note::Updates(vec![update])],
+            };
+            let (core, timers) = (&mut self.core, &mut self.timers);
+            timers
+                .change
+                .time(|| core.heard(now, first.address, message));
+            self.core.take();
+        }
+    }
+}
+
+/// One datagram sent and one read, on loopback, of the length of a usual message.
+fn socket_times() -> io::Result<(f64, f64)> {
+    const BYTES: usize = 70;
+    let near = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let far = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let to = far.local_addr()?;
+    let (mut sending, mut receiving) = (Timed::default(), Timed::default());
+    let mut buffer = vec![0; MOST_BYTES];
+    for _ in 0..DATAGRAMS {
+        sending.time(|| near.send_to(&[0; BYTES], to))?;
+        receiving.time(|| far.recv_from(&mut buffer))?;
+    }
+    Ok((sending.mean_us(), receiving.mean_us()))
+}
--- a/crates/capacity-live/src/dispatcher.rs
+++ b/crates/capacity-live/src/dispatcher.rs
@@ -37,7 +37,8 @@
     /// Where the others write to it.
     pub listen: SocketAddrV4,
     pub seeds: &'a [SocketAddrV4],
-    pub terms: PeersTerms,
+    /// `None`: it stays alone, with peers off.
+    pub terms: Option<PeersTerms>,
 }
 
 /// A running dispatcher.
@@ -66,12 +67,14 @@
         start: Start,
     ) -> io::Result<Dispatcher> {
         let clients = free_stream_address()?;
-        let operator = place.folder.join(format!("{}-operator.json", start.name));
-        let section = peers_section(start.terms, start.listen, start.seeds);
-        std::fs::write(&operator, section.to_string())?;
         let mut config = surroundings.config(start.name, start.seed, start.fleet_size)?;
         config["listen"] = json!(clients.to_string());
-        config["operator"] = json!(operator);
+        if let Some(terms) = start.terms {
+            let operator = place.folder.join(format!("{}-operator.json", start.name));
+            let section = peers_section(terms, start.listen, start.seeds);
+            std::fs::write(&operator, section.to_string())?;
+            config["operator"] = json!(operator);
+        }
         let path = place.folder.join(format!("{}.json", start.name));
         std::fs::write(&path, config.to_string())?;
         let log = std::fs::File::create(place.folder.join(format!("{}.log", start.name)))?;
--- a/crates/capacity-live/src/figures.rs
+++ b/crates/capacity-live/src/figures.rs
@@ -1,5 +1,6 @@
 //! What a run measured, as it is written to `live.json`.
 
+use crate::cost::MessageCost;
 use crate::slope::Slope;
 use crate::usage::Usage;
 use serde::{Deserialize, Serialize};
@@ -15,10 +16,12 @@
 pub struct LiveFigures {
     /// Real dispatchers among hollow members, at rest, by size of the fleet.
     pub hollow: Vec<HollowStep>,
-    /// Many real dispatchers at rest.
-    pub processes: Option<ProcessesAtRest>,
+    /// Real dispatchers at rest: many with peers, and a few without.
+    pub processes: Vec<ProcessesAtRest>,
     /// Some real dispatchers under load, step by step.
     pub loads: Vec<LoadStep>,
+    /// Where the time of one message goes, by size of the fleet.
+    pub costs: Vec<MessageCost>,
     pub slopes: Vec<Slope>,
 }
 
@@ -123,6 +126,8 @@
 /// Real dispatchers only, at rest.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ProcessesAtRest {
+    /// Whether they know of each other.
+    pub peers: bool,
     pub seconds: f64,
     pub settled_after_s: Option<f64>,
     pub least_alive: usize,
@@ -183,12 +188,15 @@
         for step in &self.hollow {
             writeln!(f, "{}", hollow_line(step))?;
         }
-        if let Some(processes) = &self.processes {
+        for processes in &self.processes {
             writeln!(f, "{}", processes_line(processes))?;
         }
         for step in &self.loads {
             writeln!(f, "{}", load_line(step))?;
         }
+        for cost in &self.costs {
+            writeln!(f, "{}", cost_line(cost))?;
+        }
         for slope in &self.slopes {
             writeln!(f, "{}", slope_line(slope))?;
         }
@@ -235,8 +243,9 @@
 fn processes_line(of: &ProcessesAtRest) -> String {
     let descriptors = Spread::of(of.processes.iter().map(|of| of.descriptors as f64));
     format!(
-        "{} real processes at rest for {:.0} s: core % {}, RSS MB {}, fds {}, settled s {}, whole {}, least alive {}, load {:.1}",
+        "{} real processes, peers {}, at rest for {:.0} s: core % {}, RSS MB {}, fds {}, settled s {}, whole {}, least alive {}, load {:.1}",
         of.processes.len(),
+        if of.peers { "on" } else { "off" },
         of.seconds,
         pair(share(&of.processes), 2),
         pair(resident_mb(&of.processes), 1),
@@ -262,6 +271,25 @@
     )
 }
 
+fn cost_line(cost: &MessageCost) -> String {
+    format!(
+        "one message at {} members, us: heard {:.1}, advance {:.1}, next {:.1}, encode {:.1}, decode {:.1}, sum {:.1}, \
+         send {:.1}, receive {:.1}; a change of one member {:.1}; {} messages, {} advances in the window",
+        cost.members,
+        cost.heard_us,
+        cost.advance_us,
+        cost.next_us,
+        cost.encode_us,
+        cost.decode_us,
+        cost.sum_us,
+        cost.send_us,
+        cost.receive_us,
+        cost.member_change_us,
+        cost.messages,
+        cost.advances,
+    )
+}
+
 fn slope_line(slope: &Slope) -> String {
     format!(
         "{} by {}: {:.4} ({:.4} to {:.4} at 95%), {:.4} at zero, {} points",
--- a/crates/capacity-live/src/hollow.rs
+++ b/crates/capacity-live/src/hollow.rs
@@ -2,21 +2,22 @@
 
 use crate::dispatcher::{Dispatcher, Place, Start, free_datagram_addresses};
 use crate::figures::{HollowStep, ProcessFigures, WireFigures};
-use crate::member::Traffic;
+use crate::member::{Traffic, UnixClock};
 use crate::plan::Plan;
 use crate::question::{Standing, ask};
 use crate::surroundings::{PeersTerms, Surroundings};
 use crate::usage::{Usage, load_average};
-use crate::worker::{Counts, Order, Worker};
+use crate::worker::{Counts, Hollow, Order, Worker};
 use std::io;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use trailproxy_peers::decide::life;
 
 /// How long a keyed request waits for the others, as is usual.
 pub const WAIT_MS: f64 = 5.0;
 /// Addresses that each member is told to look for others at.
-const SEEDS: usize = 3;
+pub const SEEDS: usize = 3;
 const LOOK_AGAIN: Duration = Duration::from_millis(500);
 
 /// Readings of all processes and counts at one moment.
@@ -43,9 +44,10 @@
         plan: &Plan,
         size: usize,
     ) -> io::Result<HollowFleet> {
-        let addresses = free_datagram_addresses(plan.real)?;
+        let addresses = free_datagram_addresses(size)?;
+        let (addresses, hollow) = addresses.split_at(plan.real);
         let seeds = &addresses[..addresses.len().min(SEEDS)];
-        let real = start_real(place, surroundings, plan, size, &addresses, seeds)?;
+        let real = start_real(place, surroundings, plan, size, addresses, seeds)?;
         let mut fleet = HollowFleet {
             size,
             real,
@@ -54,20 +56,19 @@
         for dispatcher in &fleet.real {
             dispatcher.ready().await?;
         }
-        let hollow = size - plan.real;
-        let names: Vec<String> = (0..hollow).map(|nth| format!("hollow{nth}")).collect();
-        for names in names.chunks(hollow.div_ceil(plan.workers)) {
+        let known = hollow_members(hollow);
+        for own in known.chunks(known.len().div_ceil(plan.workers)) {
             let order = Order {
-                names: names.to_vec(),
+                own: own.to_vec(),
+                known: known.clone(),
                 seeds: seeds.to_vec(),
-                watched: addresses.clone(),
+                watched: addresses.to_vec(),
                 keep_s: plan.keep_s,
                 wait_ms: WAIT_MS,
                 purges_last_s: surroundings.scenario.terms.purge_done.as_secs_f64() * 3.0,
             };
-            fleet
-                .workers
-                .push(Worker::start(&place.hollow, &order).await?);
+            let worker = Worker::start(&place.hollow, &order).await?;
+            fleet.workers.push(worker);
         }
         Ok(fleet)
     }
@@ -84,6 +85,18 @@
         Ok(None)
     }
 
+    /// Waits until each real one counts all others, whatever it lacks; `false`: it did not come to it.
+    pub async fn meet(&mut self, within: Duration) -> io::Result<bool> {
+        let began = Instant::now();
+        while began.elapsed() < within {
+            if least_alive(&standings(&self.real).await?) + 1 == self.size {
+                return Ok(true);
+            }
+            sleep(LOOK_AGAIN).await;
+        }
+        Ok(false)
+    }
+
     /// Measures over one window.
     pub async fn measure(&mut self, window: Duration) -> io::Result<HollowStep> {
         let before = self.read().await?;
@@ -158,6 +171,17 @@
     }
 }
 
+fn hollow_members(addresses: &[SocketAddrV4]) -> Vec<Hollow> {
+    let now = UnixClock::start().now();
+    let numbered = (0_u64..).zip(addresses);
+    let hollow = |(nth, &address): (u64, &SocketAddrV4)| Hollow {
+        name: format!("hollow{nth}"),
+        address,
+        life: life(now, nth).0,
+    };
+    numbered.map(hollow).collect()
+}
+
 fn start_real(
     place: &Place,
     surroundings: &Surroundings,
@@ -179,7 +203,7 @@
             fleet_size: size,
             listen,
             seeds,
-            terms,
+            terms: Some(terms),
         };
         real.push(Dispatcher::start(place, surroundings, start)?);
     }
--- a/crates/capacity-live/src/lib.rs
+++ b/crates/capacity-live/src/lib.rs
@@ -5,13 +5,16 @@
 //! starts real processes only, at rest and under load. Nothing here decides anything for a dispatcher. All traffic stays
 //! on loopback, and every process that is started is ended when its handle is dropped.
 
+pub mod cost;
 pub mod dispatcher;
 pub mod figures;
 pub mod hollow;
 
+pub mod load;
 pub mod member;
 pub mod plan;
 
+pub mod processes;
 pub mod question;
 pub mod run;
 pub mod slope;
--- a/crates/capacity-live/src/member.rs
+++ b/crates/capacity-live/src/member.rs
@@ -1,6 +1,7 @@
 //! One member of the fleet without a dispatcher behind it: the real core, the real form of messages and a real socket.
 
 use crate::surroundings::FLEET;
+use crate::worker::{Hollow, Order};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -11,8 +12,10 @@
 use tokio::time::{Instant, sleep_until};
 use trailproxy::units::Moment;
 use trailproxy_peers::decide::members::Own;
-use trailproxy_peers::decide::messages::{Address, PeerId};
-use trailproxy_peers::decide::{Action, Peers, Rules, Stands, life};
+use trailproxy_peers::decide::messages::{
+    self, Address, Life, MemberUpdate, Message, Note, PeerId,
+};
+use trailproxy_peers::decide::{Action, Peers, Stands};
 use trailproxy_peers::wire::{MOST_BYTES, Seal};
 
 /// So many datagrams are read in a row before another member has its turn.
@@ -115,28 +118,19 @@
 
 impl Member {
     /// Opens its socket; it knows the seeds only.
-    pub async fn open(
-        name: &str,
-        rules: Rules,
-        seeds: &[SocketAddrV4],
-        watched: &[SocketAddrV4],
-        clock: UnixClock,
-    ) -> io::Result<Member> {
-        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let SocketAddr::V4(address) = socket.local_addr()? else {
-            return Err(io::ErrorKind::AddrNotAvailable.into());
+    pub async fn open(own: &Hollow, order: &Order, clock: UnixClock) -> io::Result<Member> {
+        let socket = UdpSocket::bind(own.address).await?;
+        let name = Own {
+            id: PeerId::of_name(&own.name),
+            address: from_socket(own.address),
+            life: Life(own.life),
+            seeds: order.seeds.iter().copied().map(from_socket).collect(),
         };
-        let (now, seed) = (clock.now(), fastrand::u64(..));
-        let own = Own {
-            id: PeerId::of_name(name),
-            address: from_socket(address),
-            life: life(now, seed),
-            seeds: seeds.iter().copied().map(from_socket).collect(),
-        };
-        let watched = watched.iter().map(|&at| (at, Traffic::default()));
+        let core = Peers::new(clock.now(), name, order.rules(), fastrand::u64(..));
+        let watched = order.watched.iter().map(|&at| (at, Traffic::default()));
         Ok(Member {
             socket: Rc::new(socket),
-            core: Peers::new(now, own, rules, seed),
+            core,
             seal: Seal::new(FLEET, b""),
             clock,
             watched: watched.collect(),
@@ -144,6 +138,26 @@
         })
     }
 
+    /// Tells its core of others, as a message of one of them would.
+    pub fn introduce(&mut self, others: &[Hollow]) {
+        let own = self.core.members().own().id;
+        let updates = others.iter().map(update);
+        let updates: Vec<MemberUpdate> = updates.filter(|update| update.id != own).collect();
+        let Some(first) = updates.first().copied() else {
+            return;
+        };
+        let now = self.clock.now();
+        let message = Message {
+            from: first.id,
+            life: first.life,
+            incarnation: first.incarnation,
+            stamp: now.0,
+            notes: vec![Note::Updates(updates)],
+        };
+        self.core.heard(now, first.address, message);
+        self.send();
+    }
+
     /// Does what is due.
     fn advance(&mut self) {
         let now = self.clock.now();
@@ -220,6 +234,16 @@
     }
 }
 
+fn update(of: &Hollow) -> MemberUpdate {
+    MemberUpdate {
+        id: PeerId::of_name(&of.name),
+        address: from_socket(of.address),
+        life: Life(of.life),
+        incarnation: 0,
+        standing: messages::Standing::Alive,
+    }
+}
+
 /// The core's form of an address.
 pub fn from_socket(address: SocketAddrV4) -> Address {
     Address {
--- a/crates/capacity-live/src/plan.rs
+++ b/crates/capacity-live/src/plan.rs
@@ -92,8 +92,7 @@
                 2..=MOST_PROCESSES as u64,
             )?;
         }
-        let stepped = !self.rates.is_empty() || !self.purges.is_empty();
-        if stepped {
+        if self.stepped() {
             within("loaded", self.loaded as u64, 2..=MOST_LOADED as u64)?;
         }
         for &rate in &self.rates {
@@ -105,6 +104,11 @@
         Ok(())
     }
 
+    /// Whether anything is loaded.
+    pub fn stepped(&self) -> bool {
+        !self.rates.is_empty() || !self.purges.is_empty()
+    }
+
     /// How many parts a run has, for its progress.
     pub fn parts(&self) -> usize {
         let steps = self.rates.len() * 2 + self.purges.len();
--- a/crates/capacity-live/src/run.rs
+++ b/crates/capacity-live/src/run.rs
@@ -1,12 +1,15 @@
 //! A whole run by its plan: each part after the other, so that none disturbs another.
 
+use crate::cost;
 use crate::dispatcher::Place;
 use crate::figures::{HollowStep, LiveFigures};
 use crate::hollow;
 use crate::plan::Plan;
+use crate::processes;
 use crate::slope::{Point, Slope};
 use crate::surroundings::Surroundings;
 use std::io;
+use std::rc::Rc;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -31,13 +34,25 @@
 }
 
 async fn measure(plan: &Plan, place: &Place, told: &dyn Fn(&str)) -> io::Result<LiveFigures> {
-    let surroundings = Surroundings::open(plan.seed).await?;
+    let surroundings = Rc::new(Surroundings::open(plan.seed).await?);
     let mut figures = LiveFigures::default();
     for &size in &plan.members {
+        figures.costs.push(cost::measure(size, plan.seed)?);
         let step = hollow::step(place, &surroundings, plan, size).await?;
         told(&format!("{} members measured", step.members));
         figures.hollow.push(step);
     }
+    if plan.processes > 0 {
+        for fleet in [(plan.real, false), (plan.processes, true)] {
+            let rest = processes::at_rest(place, &surroundings, plan, fleet).await?;
+            figures.processes.push(rest);
+        }
+        told("processes at rest measured");
+    }
+    if plan.stepped() {
+        figures.loads = processes::under_load(place, &surroundings, plan, told).await?;
+    }
+    figures.slopes.extend(processes::by_load(&figures.loads));
     figures.slopes.extend(by_member(&figures.hollow));
     Ok(figures)
 }
--- a/crates/capacity-live/src/worker.rs
+++ b/crates/capacity-live/src/worker.rs
@@ -11,23 +11,35 @@
 use std::path::Path;
 use std::process::Stdio;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines, Stdin};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use trailproxy::units::Span;
 use trailproxy_peers::decide::Rules;
 
-/// Between the starts of two members, so that the seeds are not asked for all at once.
-const START_EVERY: Duration = Duration::from_millis(10);
 /// A worker that does not answer by then is taken for dead.
 const ANSWER_WITHIN: Duration = Duration::from_secs(20);
+/// A worker that is killed is gone by then.
+const GONE_WITHIN: Duration = Duration::from_secs(2);
+
+/// One hollow member, as all workers know it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hollow {
+    pub name: String,
+    pub address: SocketAddrV4,
+    pub life: u64,
+}
 
 /// What a worker is to run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Order {
-    pub names: Vec<String>,
+    /// Those that it runs.
+    pub own: Vec<Hollow>,
+    /// All hollow members of the fleet, in this worker and in others: they know each other from the start, so that the
+    /// cores of one worker do not hold each other up while hundreds join.
+    pub known: Vec<Hollow>,
     pub seeds: Vec<SocketAddrV4>,
     /// Traffic with these is counted for each by itself.
     pub watched: Vec<SocketAddrV4>,
@@ -70,7 +82,8 @@
 }
 
 impl Order {
-    fn rules(&self) -> Rules {
+    /// By what its members run.
+    pub fn rules(&self) -> Rules {
         Rules {
             records: true,
             purges: true,
@@ -100,13 +113,16 @@
 
 async fn start(order: Order, members: Rc<RefCell<Vec<Shared>>>) -> io::Result<()> {
     let clock = UnixClock::start();
-    for name in &order.names {
-        let (seeds, watched) = (&order.seeds, &order.watched);
-        let member = Member::open(name, order.rules(), seeds, watched, clock).await?;
+    let mut opened = Vec::new();
+    for own in &order.own {
+        opened.push(Member::open(own, &order, clock).await?);
+    }
+    for mut member in opened {
+        member.introduce(&order.known);
         let member = Rc::new(RefCell::new(member));
         members.borrow_mut().push(member.clone());
         spawn_local(run(member));
-        sleep(START_EVERY).await;
+        tokio::task::yield_now().await;
     }
     Ok(())
 }
@@ -155,6 +171,17 @@
     output: Lines<BufReader<ChildStdout>>,
 }
 
+impl Drop for Worker {
+    fn drop(&mut self) {
+        // It fails only where it has ended by itself.
+        let _ = self.child.start_kill();
+        let until = Instant::now() + GONE_WITHIN;
+        while matches!(self.child.try_wait(), Ok(None)) && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
 impl Worker {
     /// Starts a worker with its order.
     pub async fn start(program: &Path, order: &Order) -> io::Result<Worker> {
