--- a/crates/capacity-live/src/run.rs
+++ b/crates/capacity-live/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::cost;
 use crate::dispatcher::Place;
-use crate::figures::{HollowStep, LiveFigures};
+use crate::figures::{HollowStep, LiveFigures, ProcessFigures};
 use crate::hollow;
 use crate::plan::Plan;
 use crate::processes;
@@ -57,17 +57,19 @@
     Ok(figures)
 }
 
-/// How what a real one uses grows with the members of the fleet; each real one at each size is a point.
+/// How what a real one uses grows with the members of the fleet; each real one at each size is a point. Sizes that did not
+/// settle are left out: they are not at rest.
 fn by_member(steps: &[HollowStep]) -> Vec<Slope> {
-    let points = |value: &dyn Fn(&crate::figures::ProcessFigures) -> f64| -> Vec<Point> {
+    let points = |value: &dyn Fn(&ProcessFigures) -> f64| -> Vec<Point> {
         let of_step = |step: &HollowStep| -> Vec<Point> {
             let x = step.members as f64;
             let points = step.processes.iter().map(|of| Point { x, y: value(of) });
             points.collect()
         };
-        steps.iter().flat_map(of_step).collect()
+        let steps = steps.iter().filter(|step| step.settled_after_s.is_some());
+        steps.flat_map(of_step).collect()
     };
-    let wire = |of: &crate::figures::ProcessFigures| of.wire.unwrap_or_default();
+    let wire = |of: &ProcessFigures| of.wire.unwrap_or_default();
     let fits = [
         Slope::fit(
             "core %",
--- a/crates/capacity-live/src/slope.rs
+++ b/crates/capacity-live/src/slope.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
-/// Fewer points say nothing of a slope.
-pub const LEAST_POINTS: usize = 4;
+/// Points at fewer places say nothing of a slope.
+pub const LEAST_PLACES: usize = 4;
 /// The interval leaves this much out on each side: 95% lie within.
 const TAIL: f64 = 0.025;
 
@@ -29,18 +29,18 @@
 }
 
 impl Slope {
-    /// `None`: fewer than [`LEAST_POINTS`], or all at one place.
+    /// `None`: points at fewer places than [`LEAST_PLACES`].
     pub fn fit(of: &str, by: &str, points: &[Point]) -> Option<Slope> {
-        if points.len() < LEAST_POINTS {
+        let mut places: Vec<f64> = points.iter().map(|point| point.x).collect();
+        places.sort_unstable_by(f64::total_cmp);
+        places.dedup();
+        if places.len() < LEAST_PLACES {
             return None;
         }
         let n = points.len() as f64;
         let mean_x = points.iter().map(|point| point.x).sum::<f64>() / n;
         let mean_y = points.iter().map(|point| point.y).sum::<f64>() / n;
         let spread: f64 = points.iter().map(|p| (p.x - mean_x).powi(2)).sum();
-        if spread <= 0.0 {
-            return None;
-        }
         let product = |p: &Point| (p.x - mean_x) * (p.y - mean_y);
         let slope = points.iter().map(product).sum::<f64>() / spread;
         let intercept = mean_y - slope * mean_x;
