capacity-live: members of the new form of peers; clippy

Cause: Own has a topology since replicas by zone. Change: the hollow members and the timed core say none.

--- a/crates/capacity-live/src/cost.rs
+++ b/crates/capacity-live/src/cost.rs
@@ -157,6 +157,7 @@
             address: from_socket(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7_946)),
             life: Life(1),
             seeds: Vec::new(),
+            topology: None,
         };
         let others = (1..members).map(|nth| other(nth as u16));
         Bench {
--- a/crates/capacity-live/src/member.rs
+++ b/crates/capacity-live/src/member.rs
@@ -125,6 +125,7 @@
             address: from_socket(own.address),
             life: Life(own.life),
             seeds: order.seeds.iter().copied().map(from_socket).collect(),
+            topology: None,
         };
         let core = Peers::new(clock.now(), name, order.rules(), fastrand::u64(..));
         let watched = order.watched.iter().map(|&at| (at, Traffic::default()));
--- a/crates/capacity-live/tests/parts.rs
+++ b/crates/capacity-live/tests/parts.rs
@@ -81,6 +81,7 @@
         address,
         life: Life(1),
         seeds: Vec::new(),
+        topology: None,
     };
     let now = Moment(1_000_000_000);
     let core = Peers::new(now, own, rules(), 1);
@@ -158,7 +159,8 @@
         seed: 1,
     };
     assert_eq!(fits.check(), Ok(()));
-    let cases: [(&str, fn(&mut Plan)); 8] = [
+    type Change = fn(&mut Plan);
+    let cases: [(&str, Change); 8] = [
         ("members", |plan| plan.members = vec![60, 8]),
         ("members", |plan| plan.members = vec![1_025]),
         ("real", |plan| plan.real = 17),
