--- a/crates/capacity-live/src/cost.rs
+++ b/crates/capacity-live/src/cost.rs
@@ -31,7 +31,7 @@
 /// Datagrams that are sent and read to time the socket.
 const DATAGRAMS: u32 = 20_000;
 
-/// Mean time of each part at one size of the fleet, in microseconds.
+/// Mean time of each part, without its longest hundredth, at one size of the fleet, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MessageCost {
     pub members: usize,
@@ -56,24 +56,33 @@
     pub receive_us: f64,
 }
 
-/// The sum of some times, with their number.
-#[derive(Clone, Copy, Debug, Default)]
-struct Timed {
-    total: Duration,
-    number: u64,
-}
+/// Of the times of one part, the longest are left out by this: there the thread was not run, on a busy machine.
+const LONGEST: f64 = 0.01;
+
+/// The times that one part took.
+#[derive(Clone, Debug, Default)]
+struct Timed(Vec<Duration>);
 
 impl Timed {
     fn time<T>(&mut self, what: impl FnOnce() -> T) -> T {
         let began = Instant::now();
         let done = what();
-        self.total += began.elapsed();
-        self.number += 1;
+        self.0.push(began.elapsed());
         done
     }
 
+    fn number(&self) -> u64 {
+        self.0.len() as u64
+    }
+
+    /// The mean without the longest, by [`LONGEST`].
     fn mean_us(&self) -> f64 {
-        self.total.as_secs_f64() * 1e6 / self.number.max(1) as f64
+        let mut times = self.0.clone();
+        times.sort_unstable();
+        let left_out = (times.len() as f64 * LONGEST).ceil() as usize;
+        times.truncate((times.len() - left_out.min(times.len())).max(1));
+        let total: Duration = times.iter().sum();
+        total.as_secs_f64() * 1e6 / times.len().max(1) as f64
     }
 }
 
@@ -112,7 +121,7 @@
     Ok(MessageCost {
         members,
         messages: timers.messages,
-        advances: timers.advance.number,
+        advances: timers.advance.number(),
         heard_us: timers.heard.mean_us(),
         advance_us: timers.advance.mean_us(),
         next_us: timers.next.mean_us(),
--- a/crates/capacity-live/src/processes.rs
+++ b/crates/capacity-live/src/processes.rs
@@ -123,10 +123,11 @@
 ) -> io::Result<Vec<LoadStep>> {
     let fleet = Fleet::start(place, surroundings, plan, (plan.loaded, true)).await?;
     fleet.settle(Duration::from_secs(plan.settle_s)).await?;
+    // Keyed requests come last: what is kept of them costs something for a while after their load.
     let kinds = [
+        (LoadKind::Purges, &plan.purges),
         (LoadKind::Plain, &plan.rates),
         (LoadKind::Keyed, &plan.rates),
-        (LoadKind::Purges, &plan.purges),
     ];
     let mut steps = Vec::new();
     for (kind, rates) in kinds {
