--- a/crates/trailproxy-cli/src/main.rs
+++ b/crates/trailproxy-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod capacity;
+mod capacity_live;
 mod lab;
 mod out;
 mod peers;
@@ -46,6 +47,8 @@
     Trial(trial::Task),
     /// What a large fleet costs and achieves, by size, in virtual time: 3 where a promise is missed.
     Capacity(capacity::Task),
+    /// What a real dispatcher costs in a large fleet, measured from outside.
+    CapacityLive(capacity_live::Task),
 }
 
 /// How a task ended; the numbers are the exit codes.
@@ -67,6 +70,7 @@
         Task::Budgets(task) => budgets::run(task),
         Task::Trial(task) => trial::run(task),
         Task::Capacity(task) => capacity::run(task),
+        Task::CapacityLive(task) => capacity_live::run(task),
     };
     match end {
         End::Well => ExitCode::SUCCESS,
