Replicas of a zone compare what has settled; the rig counts relays and early repeats

Change: sums between replicas that lack nothing cover what was claimed between keep_s and two seconds ago; whoever lacks something compares all as before.

--- a/crates/capacity/src/figures.rs
+++ b/crates/capacity/src/figures.rs
@@ -118,7 +118,9 @@
     /// the zone.
     pub certain_ratio_near: f64,
     pub forbidden_repeats: u64,
-    /// Of the kinds that only keyed requests cause: claims, their answers, and facts owed to replicas with theirs.
+    /// Of them, those less than [`SETTLE`](trailproxy_peers::decide::relay::SETTLE) after the attempt before: replicas by zone do not promise to know that.
+    pub early_repeats: u64,
+    /// Of the kinds that only keyed requests cause: claims, their answers, facts told to replicas, and relays between zones.
     pub messages_per_request: f64,
     pub bytes_per_request: f64,
 }
@@ -279,6 +281,7 @@
             outcomes: figures.collect(),
             certain_ratio_near: certain_ratio_near(outcomes),
             forbidden_repeats: self.fleet.requests.forbidden_repeats,
+            early_repeats: self.fleet.requests.early_repeats,
             messages_per_request: per_request(messages),
             bytes_per_request: per_request(bytes),
         }
@@ -313,7 +316,7 @@
 
 /// A purge that is older than this and not everywhere is called unfinished.
 const LATE_PURGE: trailproxy::units::Span = trailproxy::units::Span::from_secs(3);
-const KEYED_KINDS: [&str; 4] = ["claim", "stood", "put", "taken"];
+const KEYED_KINDS: [&str; 6] = ["claim", "stood", "put", "taken", "record_told", "relay"];
 
 /// What one member holds.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/capacity/src/fleet/requests.rs
+++ b/crates/capacity/src/fleet/requests.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use trailproxy::units::{Moment, Span};
+use trailproxy_peers::decide::relay::SETTLE;
 
 /// Upstreams of one zone drop a second attempt under one key that comes within this from the first.
 pub const DROP_WITHIN: Span = Span::from_secs(4);
@@ -110,6 +111,8 @@
     attempts: Vec<Vec<Attempt>>,
     pub outcomes: BTreeMap<Origin, Outcomes>,
     pub forbidden_repeats: u64,
+    /// Of them, those less than [`SETTLE`] after the earlier attempt.
+    pub early_repeats: u64,
 }
 
 impl RequestLedger {
@@ -127,7 +130,12 @@
     pub fn attempted(&mut self, key: usize, attempt: Attempt) {
         let earlier = &mut self.attempts[key];
         let forbidden = earlier.iter().filter(|of| attempt.forbidden_with(of));
-        self.forbidden_repeats += forbidden.count() as u64;
+        let forbidden: Vec<Moment> = forbidden.map(|of| of.at).collect();
+        let early = forbidden
+            .iter()
+            .filter(|&&at| attempt.at.since(at) < SETTLE);
+        self.early_repeats += early.count() as u64;
+        self.forbidden_repeats += forbidden.len() as u64;
         earlier.push(attempt);
     }
 
--- a/crates/capacity/src/fleet/traffic.rs
+++ b/crates/capacity/src/fleet/traffic.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 use trailproxy::units::{Moment, Span};
+use trailproxy_peers::decide::facts::Fact;
 use trailproxy_peers::decide::messages::{Message, Note};
 use trailproxy_peers::wire::Seal;
 
@@ -12,11 +13,37 @@
 const ONE_SECOND: Span = Span::from_secs(1);
 
 /// The kinds of notes, in the order of their names here.
-pub const NOTE_KINDS: [&str; 20] = [
-    "ping", "ack", "ping_for", "ack_for", "join", "updates", "opened", "rumours", "claim", "stood",
-    "put", "taken", "sums", "same", "differ", "pull", "page", "beside", "other", "none",
+pub const NOTE_KINDS: [&str; 24] = [
+    "ping",
+    "ack",
+    "ping_for",
+    "ack_for",
+    "join",
+    "updates",
+    "opened",
+    "rumours",
+    "claim",
+    "stood",
+    "put",
+    "taken",
+    "sums",
+    "same",
+    "differ",
+    "pull",
+    "page",
+    "beside",
+    "record_told",
+    "relay",
+    "located",
+    "sums_within",
+    "other",
+    "none",
 ];
-const NO_NOTE: usize = 19;
+const NO_NOTE: usize = 23;
+
+fn is_record(facts: &[Fact]) -> bool {
+    matches!(facts.first(), Some(Fact::Record { .. }))
+}
 
 fn kind_of(note: &Note) -> usize {
     match note {
@@ -27,8 +54,9 @@
         Note::Join => 4,
         Note::Updates(_) => 5,
         Note::Opened { .. } => 6,
+        Note::Rumours(facts) if is_record(facts) => 18,
         Note::Rumours(_) => 7,
-        Note::Claim { .. } => 8,
+        Note::Claim { .. } | Note::ClaimInZone { .. } => 8,
         Note::Stood { .. } => 9,
         Note::Put(..) => 10,
         Note::Taken(_) => 11,
@@ -38,7 +66,10 @@
         Note::Pull { .. } => 15,
         Note::Page { .. } => 16,
         Note::Beside(..) => 17,
-        _ => 18,
+        Note::Relay(_) => 19,
+        Note::Located(_) | Note::Localities(_) => 20,
+        Note::SumsWithin(..) => 21,
+        _ => 22,
     }
 }
 
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -44,9 +44,10 @@
     if let Some(keyed) = &of.keyed {
         let _ = write!(
             line,
-            " certain near {:.3}, forbidden repeats {}, {:.1} messages and {:.0} bytes each",
+            " certain near {:.3}, forbidden repeats {} ({} early), {:.1} messages and {:.0} bytes each",
             keyed.certain_ratio_near,
             keyed.forbidden_repeats,
+            keyed.early_repeats,
             keyed.messages_per_request,
             keyed.bytes_per_request
         );
--- a/crates/peers/src/decide/messages.rs
+++ b/crates/peers/src/decide/messages.rs
@@ -8,7 +8,7 @@
 use super::keepers::GroupNo;
 use super::locality::Locality;
 use serde::{Deserialize, Serialize};
-use trailproxy::units::Span;
+use trailproxy::units::{Moment, Span};
 
 /// A member of the fleet, by its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -161,6 +161,21 @@
     },
     /// What is claimed in the writer's zone.
     Relay(Relay),
+    /// As [`Note::Sums`], of what was last of use within this time only. It is answered in the same way.
+    SumsWithin(Within, Vec<(Slot, u64)>),
+}
+
+/// A range of time, from its first moment to the one before the last, by the writer's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Within {
+    pub from: u64,
+    pub until: u64,
+}
+
+impl Within {
+    pub fn contains(&self, at: Moment) -> bool {
+        (self.from..self.until).contains(&at.0)
+    }
 }
 
 /// One replica's log of claims; another one is begun with each process and whenever a member becomes a replica.
--- a/crates/peers/src/decide/receiving.rs
+++ b/crates/peers/src/decide/receiving.rs
@@ -1,7 +1,12 @@
 //! Messages from other members, note by note, and what is fetched from them.
 
+use super::messages::Within;
+use super::sync::Held;
 use super::*;
 
+/// What was claimed less long ago may still be on its way to some replica of its zone.
+const SETTLED_AFTER: Span = Span::from_secs(2);
+
 /// Who wrote a message, and when by its own clock.
 #[derive(Clone, Copy)]
 pub(super) struct Origin {
@@ -103,6 +108,12 @@
                 let facts = &mut self.facts;
                 answers.extend(self.sync.sums(from, &sums, |slot| facts.sum(slot), &who));
             }
+            Note::SumsWithin(within, sums) => {
+                who!(self, who);
+                let facts = &self.facts;
+                let own = |slot| facts.sum_within(slot, within);
+                answers.extend(self.sync.sums(from, &sums, own, &who));
+            }
             Note::Same { slots, has } => {
                 who!(self, who);
                 for slot in self.sync.same(now, from, &slots, has, &who) {
@@ -168,11 +179,21 @@
         }
         let anybody = self.members.there().map(|(id, _)| id);
         let anybody: Vec<PeerId> = anybody.filter(|&id| self.members.alive(id)).collect();
-        let held: Vec<Slot> = self.facts.slots().collect();
+        // Replicas of a zone are told most of what becomes of a claim once, and at different moments; and clocks that differ
+        // forget at different moments.
+        let settled = (self.keepers.scope() == Scope::Zone).then(|| Within {
+            from: (now - self.rules.keep).0,
+            until: (now - SETTLED_AFTER).0,
+        });
+        let slots = self.facts.slots().collect();
+        let held = Held { slots, settled };
         let asks = {
             who!(self, who);
             let facts = &mut self.facts;
-            let own = |slot| facts.sum(slot);
+            let own = |slot, within: Option<Within>| match within {
+                None => facts.sum(slot),
+                Some(within) => facts.sum_within(slot, within),
+            };
             self.sync
                 .advance(now, &held, own, &who, &anybody, &mut self.chance)
         };
--- a/crates/peers/src/decide/sync.rs
+++ b/crates/peers/src/decide/sync.rs
@@ -6,7 +6,7 @@
 //! run out. Nobody waits for any of this.
 
 use super::facts::{Fact, FactId, Slot};
-use super::messages::{Has, Note, PeerId};
+use super::messages::{Has, Note, PeerId, Within};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use trailproxy::units::{Moment, Span};
 
@@ -101,6 +101,14 @@
     pub lost: usize,
 }
 
+/// What this member holds.
+pub struct Held {
+    /// Slots that have anything in them.
+    pub slots: Vec<Slot>,
+    /// The time of which all of it can be expected to be the same at all replicas; `None`: of any time.
+    pub settled: Option<Within>,
+}
+
 impl Sync {
     pub fn new(now: Moment, over: (Span, Span)) -> Sync {
         Sync {
@@ -305,17 +313,18 @@
         timed.min().unwrap_or(self.look_at)
     }
 
-    /// What is due by now: whom to ask for what. `held`: slots that have anything in them.
+    /// What is due by now: whom to ask for what.
     pub fn advance(
         &mut self,
         now: Moment,
-        held: &[Slot],
-        mut own: impl FnMut(Slot) -> u64,
+        held: &Held,
+        mut own: impl FnMut(Slot, Option<Within>) -> u64,
         who: &Who,
         anybody: &[PeerId],
         chance: &mut fastrand::Rng,
     ) -> Vec<(PeerId, Note)> {
         let mut asks = Vec::new();
+        let (settled, held) = (held.settled, &held.slots);
         let (records, commons) = self.over;
         self.lacking.retain(|slot, lack| {
             now.since(lack.since) < if slot.is_common() { commons } else { records }
@@ -371,16 +380,23 @@
                     && !self.fetching.contains_key(&slot)
                     && let Some(&whom) = from.get(nth % from.len().max(1))
                 {
-                    by_peer.entry(whom).or_default().push((slot, own(slot)));
+                    by_peer
+                        .entry(whom)
+                        .or_default()
+                        .push((slot, own(slot, None)));
                 }
             }
         }
+        let mut settled_by_peer: BTreeMap<PeerId, Vec<(Slot, u64)>> = BTreeMap::new();
         if now >= self.look_at {
             // What is only held here goes to somebody who keeps it; and one other, with all that is kept together with it.
             for &slot in held.iter().filter(|&&slot| !(who.mine)(slot)).take(SUMS) {
                 let from = others(slot);
                 if let Some(&with) = from.get(chance.usize(0..from.len().max(1))) {
-                    by_peer.entry(with).or_default().push((slot, own(slot)));
+                    by_peer
+                        .entry(with)
+                        .or_default()
+                        .push((slot, own(slot, None)));
                 }
             }
             let whom = self.due.pop_front().or_else(|| {
@@ -398,8 +414,21 @@
                 };
                 // An empty slot of records here is compared by whoever has some.
                 let empty = !slot.is_common() && !held.contains(&slot);
+                // What is known here of a slot and lacks nothing is compared without what is still on its way to others.
+                let only = settled.filter(|_| !slot.is_common() && self.whole(slot));
+                let asked = match only {
+                    Some(_) => &mut settled_by_peer,
+                    None => &mut by_peer,
+                };
                 if let Some(with) = with.filter(|_| !empty) {
-                    by_peer.entry(with).or_default().push((slot, own(slot)));
+                    asked.entry(with).or_default().push((slot, own(slot, only)));
+                }
+            }
+        }
+        if let Some(settled) = settled {
+            for (whom, sums) in settled_by_peer {
+                for piece in sums.chunks(SUMS) {
+                    asks.push((whom, Note::SumsWithin(settled, piece.to_vec())));
                 }
             }
         }
