--- a/crates/capacity-live/src/dispatcher.rs
+++ b/crates/capacity-live/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use trailproxy_peers::sites::Site;
 use trailproxy_standins::client::Caller;
 
 /// A dispatcher that does not answer a heartbeat by then has not come up.
@@ -37,6 +38,8 @@
     /// Where the others write to it.
     pub listen: SocketAddrV4,
     pub seeds: &'a [SocketAddrV4],
+    /// Where all members are; empty: they do not say.
+    pub sites: &'a [Site],
     /// `None`: it stays alone, with peers off.
     pub terms: Option<PeersTerms>,
 }
@@ -71,7 +74,7 @@
         config["listen"] = json!(clients.to_string());
         if let Some(terms) = start.terms {
             let operator = place.folder.join(format!("{}-operator.json", start.name));
-            let section = peers_section(terms, start.listen, start.seeds);
+            let section = peers_section(terms, start.listen, start.seeds, start.sites);
             std::fs::write(&operator, section.to_string())?;
             config["operator"] = json!(operator);
         }
--- a/crates/capacity-live/src/hollow.rs
+++ b/crates/capacity-live/src/hollow.rs
@@ -5,7 +5,7 @@
 use crate::member::{Traffic, UnixClock};
 use crate::plan::Plan;
 use crate::question::{Standing, ask};
-use crate::surroundings::{PeersTerms, Surroundings};
+use crate::surroundings::{PeersTerms, Surroundings, sites};
 use crate::usage::{Usage, load_average};
 use crate::worker::{Counts, Hollow, Order, Worker};
 use std::io;
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use trailproxy_peers::decide::life;
+use trailproxy_peers::sites::Site;
 
 /// How long a keyed request waits for the others, as is usual.
 pub const WAIT_MS: f64 = 5.0;
@@ -45,9 +46,10 @@
         size: usize,
     ) -> io::Result<HollowFleet> {
         let addresses = free_datagram_addresses(size)?;
+        let sites = sites(plan.zones, &addresses);
         let (addresses, hollow) = addresses.split_at(plan.real);
         let seeds = &addresses[..addresses.len().min(SEEDS)];
-        let real = start_real(place, surroundings, plan, size, addresses, seeds)?;
+        let real = start_real(place, surroundings, plan, size, (addresses, seeds), &sites)?;
         let mut fleet = HollowFleet {
             size,
             real,
@@ -62,6 +64,7 @@
                 own: own.to_vec(),
                 known: known.clone(),
                 seeds: seeds.to_vec(),
+                sites: sites.clone(),
                 watched: addresses.to_vec(),
                 keep_s: plan.keep_s,
                 wait_ms: WAIT_MS,
@@ -187,8 +190,8 @@
     surroundings: &Surroundings,
     plan: &Plan,
     size: usize,
-    addresses: &[SocketAddrV4],
-    seeds: &[SocketAddrV4],
+    (addresses, seeds): (&[SocketAddrV4], &[SocketAddrV4]),
+    sites: &[Site],
 ) -> io::Result<Vec<Dispatcher>> {
     let terms = PeersTerms {
         keep_s: plan.keep_s,
@@ -203,6 +206,7 @@
             fleet_size: size,
             listen,
             seeds,
+            sites,
             terms: Some(terms),
         };
         real.push(Dispatcher::start(place, surroundings, start)?);
--- a/crates/capacity-live/src/member.rs
+++ b/crates/capacity-live/src/member.rs
@@ -16,6 +16,7 @@
     self, Address, Life, MemberUpdate, Message, Note, PeerId,
 };
 use trailproxy_peers::decide::{Action, Peers, Stands};
+use trailproxy_peers::sites::topology;
 use trailproxy_peers::wire::{MOST_BYTES, Seal};
 
 /// So many datagrams are read in a row before another member has its turn.
@@ -125,7 +126,8 @@
             address: from_socket(own.address),
             life: Life(own.life),
             seeds: order.seeds.iter().copied().map(from_socket).collect(),
-            topology: None,
+            topology: topology("capacity", &order.sites, from_socket(own.address))
+                .map_err(io::Error::other)?,
         };
         let core = Peers::new(clock.now(), name, order.rules(), fastrand::u64(..));
         let watched = order.watched.iter().map(|&at| (at, Traffic::default()));
--- a/crates/capacity-live/src/processes.rs
+++ b/crates/capacity-live/src/processes.rs
@@ -45,6 +45,7 @@
                 fleet_size: size,
                 listen,
                 seeds,
+                sites: &[],
                 terms: Some(terms).filter(|_| peers),
             };
             let dispatcher = Dispatcher::start(place, surroundings, start)?;
--- a/crates/capacity-live/src/surroundings.rs
+++ b/crates/capacity-live/src/surroundings.rs
@@ -10,6 +10,7 @@
 use trailproxy_lab::loopback::settings;
 use trailproxy_lab::scenario::{KINDS, Scenario};
 use trailproxy_operator::{Bounds, read};
+use trailproxy_peers::sites::Site;
 use trailproxy_standins::fleet::Fleet;
 use trailproxy_standins::loopback::{Clock, Seen, Stage, Wire};
 use trailproxy_standins::shape::Trouble;
@@ -91,14 +92,34 @@
     }
 }
 
+/// One site for each of so many zones, two zones to a region; the members take turns. None where there are no zones.
+pub fn sites(zones: usize, members: &[SocketAddrV4]) -> Vec<Site> {
+    let site = |zone: usize| {
+        let of_zone = members.iter().skip(zone).step_by(zones);
+        Site {
+            place: (1, 1),
+            name: format!("site{zone}"),
+            zone: format!("zone{zone}"),
+            region: format!("region{}", zone / 2),
+            members: of_zone.map(SocketAddrV4::to_string).collect(),
+        }
+    };
+    (0..zones).map(site).collect()
+}
+
 /// The operator's section for a dispatcher that listens there.
-pub fn peers_section(terms: PeersTerms, listen: SocketAddrV4, seeds: &[SocketAddrV4]) -> Value {
+pub fn peers_section(
+    terms: PeersTerms,
+    listen: SocketAddrV4,
+    seeds: &[SocketAddrV4],
+    sites: &[Site],
+) -> Value {
     let seeds: Vec<String> = seeds.iter().map(SocketAddrV4::to_string).collect();
     json!({"peers": {
         "file": "capacity", "place": [1, 1], "fleet": FLEET, "secret_file": "",
         "listen": listen.to_string(), "advertise": "", "seeds": seeds,
         "unsure": "send", "wait_ms": terms.wait_ms, "keep_s": terms.keep_s,
-        "records": true, "purges": true, "hosts": true, "hints": true,
+        "records": true, "purges": true, "hosts": true, "hints": true, "sites": sites,
     }})
 }
 
--- a/crates/capacity-live/src/worker.rs
+++ b/crates/capacity-live/src/worker.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 use trailproxy::units::Span;
 use trailproxy_peers::decide::Rules;
+use trailproxy_peers::sites::Site;
 
 /// A worker that does not answer by then is taken for dead.
 const ANSWER_WITHIN: Duration = Duration::from_secs(20);
@@ -41,6 +42,8 @@
     /// cores of one worker do not hold each other up while hundreds join.
     pub known: Vec<Hollow>,
     pub seeds: Vec<SocketAddrV4>,
+    /// Where all members are; empty: they do not say.
+    pub sites: Vec<Site>,
     /// Traffic with these is counted for each by itself.
     pub watched: Vec<SocketAddrV4>,
     pub keep_s: f64,
--- a/crates/capacity-live/tests/parts.rs
+++ b/crates/capacity-live/tests/parts.rs
@@ -104,6 +104,7 @@
         own: known.clone(),
         known,
         seeds: addresses,
+        sites: Vec::new(),
         watched: Vec::new(),
         keep_s: 10.0,
         wait_ms: 5.0,
@@ -148,6 +149,7 @@
     let fits = Plan {
         members: vec![60],
         real: 8,
+        zones: 0,
         workers: 4,
         processes: 100,
         loaded: 16,
--- a/crates/capacity-live/tests/small.rs
+++ b/crates/capacity-live/tests/small.rs
@@ -22,6 +22,7 @@
     Plan {
         members: vec![MEMBERS],
         real: REAL,
+        zones: 0,
         workers: 2,
         processes: 0,
         loaded: 0,
--- a/crates/trailproxy-cli/src/capacity_live.rs
+++ b/crates/trailproxy-cli/src/capacity_live.rs
@@ -17,6 +17,9 @@
     /// Real dispatchers in each of these.
     #[arg(long, default_value_t = 8)]
     real: usize,
+    /// Zones that the members of such a fleet say they are in, without distances between them; 0: they do not say.
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u8).range(0..=64))]
+    zones: u8,
     /// Processes that the other members are spread over.
     #[arg(long, default_value_t = 4)]
     workers: usize,
@@ -81,6 +84,7 @@
     Ok(Plan {
         members: list("members", &task.members)?,
         real: task.real,
+        zones: task.zones.into(),
         workers: task.workers,
         processes: task.processes,
         loaded: task.loaded,
