--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 
 # What a large fleet costs and achieves, by size, in virtual time: real cores of all members, on four threads. The page and the
 # summary come into out/capacity. CAPACITY= lengthens or narrows it, as in CAPACITY="--only rest,purges".
+# With replicas by zone; CAPACITY="--quick --placement fleet-wide" plays the form without sites.
 CAPACITY ?= --quick
 capacity: build
 	target/release/trailproxy capacity --seed $(SEED) $(CAPACITY) --out out/capacity
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -156,6 +156,10 @@
     pub waited: u64,
     pub granted: u64,
     pub unsure: u64,
+    /// Questions to this replica: under keys that another zone has claimed, and while it could not prove that keys are new
+    /// in other zones.
+    pub elsewhere: u64,
+    pub unproved: u64,
     pub joined: u64,
     pub answered: u64,
     pub found_late: u64,
--- a/crates/peers/src/decide/operating.rs
+++ b/crates/peers/src/decide/operating.rs
@@ -79,6 +79,13 @@
             self.place,
             self.counts
         );
+        if let Some(relays) = &self.relays {
+            let ((groups, proving), (logged, elsewhere)) = (relays.proving(), relays.kept());
+            let partners = relays.partners();
+            text.push_str(&format!(
+                "\nzone: groups={groups} proving={proving} partners={partners} logged={logged} elsewhere={elsewhere}"
+            ));
+        }
         for line in rest {
             text.push('\n');
             text.push_str(&line);
--- a/crates/peers/src/decide/relay.rs
+++ b/crates/peers/src/decide/relay.rs
@@ -113,8 +113,10 @@
 #[derive(Clone, Debug)]
 struct Link {
     since: Moment,
-    /// The partner has all before this number; all before that one was sent, lately.
+    /// The partner has all before this number; all before the next one was sent twice, all before the last one once. What
+    /// was sent once goes again with the next relay, so that one that is lost leaves no gap.
     acked: u64,
+    sent_twice: u64,
     sent: u64,
     sent_at: Moment,
     /// The partner's log, and the next number wanted of it.
@@ -133,6 +135,7 @@
         Link {
             since: now,
             acked: 0,
+            sent_twice: 0,
             sent: 0,
             sent_at: now,
             log: None,
@@ -536,9 +539,10 @@
     /// The next relay to this partner; what the group knows is filled in by the caller.
     fn relay(&mut self, now: Moment, group: GroupNo, log: &Log) -> Relay {
         if self.sent > self.acked && now.since(self.sent_at) >= AGAIN {
-            self.sent = self.acked;
+            (self.sent, self.sent_twice) = (self.acked, self.acked);
         }
-        let first = self.sent.max(self.acked).clamp(log.base, log.end());
+        let first = self.sent_twice.max(self.acked);
+        let first = first.clamp(log.base, log.end());
         let waiting = log.entries.range((first - log.base) as usize..);
         let entries: Vec<Entry> = waiting
             .take(ENTRIES)
@@ -548,6 +552,7 @@
         if self.sent <= self.acked {
             self.sent_at = now;
         }
+        self.sent_twice = self.sent.clamp(first, end);
         self.sent = end;
         Relay {
             group,
--- a/crates/peers/src/decide/relaying.rs
+++ b/crates/peers/src/decide/relaying.rs
@@ -176,7 +176,10 @@
             return (true, Vec::new());
         };
         let far = relays.claimed(group, key).into_iter();
-        let claims = far.map(|far| told(key, far)).collect();
-        (relays.proves(now, group), claims)
+        let claims: Vec<Claim> = far.map(|far| told(key, far)).collect();
+        let proves = relays.proves(now, group);
+        self.counts.elsewhere += u64::from(!claims.is_empty());
+        self.counts.unproved += u64::from(!proves);
+        (proves, claims)
     }
 }
