--- a/crates/capacity-live/src/plan.rs
+++ b/crates/capacity-live/src/plan.rs
@@ -22,7 +22,7 @@
     pub members: Vec<usize>,
     /// Real ones in each of them.
     pub real: usize,
-    /// Zones that the members of such a fleet are spread over and say so; 0: they do not say where they are.
+    /// Zones that the members of each fleet are spread over and say so; 0: they do not say where they are.
     pub zones: usize,
     /// Worker processes that the hollow members are spread over.
     pub workers: usize,
--- a/crates/capacity-live/src/processes.rs
+++ b/crates/capacity-live/src/processes.rs
@@ -6,7 +6,7 @@
 use crate::load::Load;
 use crate::plan::Plan;
 use crate::slope::{Point, Slope};
-use crate::surroundings::{PeersTerms, Surroundings};
+use crate::surroundings::{PeersTerms, Surroundings, sites};
 use crate::usage::{Usage, load_average};
 use std::io;
 use std::rc::Rc;
@@ -32,6 +32,7 @@
     ) -> io::Result<Fleet> {
         let addresses = free_datagram_addresses(size)?;
         let seeds = &addresses[..size.min(SEEDS)];
+        let sites = sites(plan.zones, &addresses);
         let terms = PeersTerms {
             keep_s: plan.keep_s,
             wait_ms: WAIT_MS,
@@ -45,7 +46,7 @@
                 fleet_size: size,
                 listen,
                 seeds,
-                sites: &[],
+                sites: &sites,
                 terms: Some(terms).filter(|_| peers),
             };
             let dispatcher = Dispatcher::start(place, surroundings, start)?;
--- a/crates/trailproxy-cli/src/capacity_live.rs
+++ b/crates/trailproxy-cli/src/capacity_live.rs
@@ -17,7 +17,7 @@
     /// Real dispatchers in each of these.
     #[arg(long, default_value_t = 8)]
     real: usize,
-    /// Zones that the members of such a fleet say they are in, without distances between them; 0: they do not say.
+    /// Zones that the members of each fleet say they are in, without distances between them; 0: they do not say.
     #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u8).range(0..=64))]
     zones: u8,
     /// Processes that the other members are spread over.
