--- a/crates/operator/src/decide/mod.rs
+++ b/crates/operator/src/decide/mod.rs
@@ -145,15 +145,12 @@
     let Some((ip, port)) = text.split_once(':') else {
         return false;
     };
-    let octets: Vec<bool> = ip
-        .split('.')
-        .map(|octet| octet.parse::<u8>().is_ok())
-        .collect();
-    octets == [true; 4] && port.parse::<u16>().is_ok_and(|port| port > 0)
+    is_ip(ip) && port.parse::<u16>().is_ok_and(|port| port > 0)
 }
 
 fn is_ip(text: &str) -> bool {
-    text.parse::<std::net::Ipv4Addr>().is_ok()
+    let octets = text.split('.').map(|octet| octet.parse::<u8>().is_ok());
+    octets.collect::<Vec<_>>() == [true; 4]
 }
 
 fn is_address_range(text: &str) -> bool {
