--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # One target for each thing that is done with the repository.
-.PHONY: build test lint run lab lab-validate bench-relay zones replicas store-faults budgets other-sites capacity
+.PHONY: replicas-by-zone build test lint run lab lab-validate bench-relay zones replicas store-faults budgets other-sites capacity
 
 build:
 	cargo build --release --workspace --locked
@@ -44,6 +44,10 @@
 	target/release/trailproxy trial scenarios/trials/sixteen.star --refuse --seed $(SEED) --out out/replicas/sixteen
 	target/release/trailproxy trial scenarios/trials/base.star --all --refuse --seed $(SEED) --jobs 4 --out out/replicas
 
+# Twelve dispatchers in four zones that are far apart, each fault alone, with peers and without: about nine minutes.
+replicas-by-zone: build
+	target/release/trailproxy trial scenarios/trials/zones.star --all --alone --refuse --seed $(SEED) --jobs 2 --out out/replicas-by-zone
+
 # Three dispatchers and a store that fails, alone and in pairs: about seven minutes; the summary comes into out/store.
 store-faults: build
 	target/release/trailproxy trial scenarios/trials/store.star --all --store --seed $(SEED) --jobs 4 --out out/store
