One way to find a dispatcher's site by its address

Cause: on rereading, topology looked for the own site in ranges that it had read for the check, and site_of read and looked again. Change: topology checks, then asks site_of; the check returns nothing but its verdict. Result: no behaviour changed; the command line's tests of sites pass.

--- a/crates/peers/src/sites.rs
+++ b/crates/peers/src/sites.rs
@@ -108,7 +108,7 @@
     Ok(())
 }
 
-fn apart(sites: &[Site]) -> Result<Vec<Vec<Range>>, Misfit<'_>> {
+fn apart(sites: &[Site]) -> Result<(), Misfit<'_>> {
     let mut all: Vec<Vec<Range>> = Vec::new();
     for site in sites {
         let own = ranges(site)?;
@@ -130,13 +130,13 @@
         }
         all.push(own);
     }
-    Ok(all)
+    Ok(())
 }
 
 /// A zone is in one region, and no address at two sites.
-fn check(file: &str, sites: &[Site]) -> Result<Vec<Vec<Range>>, String> {
-    let ranges = zones_in_one_region(sites).and_then(|()| apart(sites));
-    ranges.map_err(|misfit| misfit.message(file))
+fn check(file: &str, sites: &[Site]) -> Result<(), String> {
+    let checked = zones_in_one_region(sites).and_then(|()| apart(sites));
+    checked.map_err(|misfit| misfit.message(file))
 }
 
 /// Where the dispatcher of this address is among all sites; `None`: the file names none. The message tells what does not
@@ -145,10 +145,8 @@
     let Some(first) = sites.first() else {
         return Ok(None);
     };
-    let ranges = check(file, sites)?;
-    let mut known = sites.iter().zip(&ranges);
-    let here = known.find(|(_, ranges)| ranges.iter().any(|range| range.contains(own)));
-    let Some((site, _)) = here else {
+    check(file, sites)?;
+    let Some(site) = site_of(sites, own) else {
         let [a, b, c, d] = own.ip;
         let misfit = Misfit {
             site: first,
