Seats of other zones are drawn only for the groups that are kept here

Change: members are kept by zone; seats of another zone are drawn where its partners are asked for. What a fleet cost for a change was not measured anew.

--- a/crates/peers/src/decide/keepers.rs
+++ b/crates/peers/src/decide/keepers.rs
@@ -59,8 +59,8 @@
     of: Vec<Vec<PeerId>>,
     former: Vec<Vec<PeerId>>,
     former_until: Moment,
-    /// By zone and group, the seats in order; of the own zone as well.
-    by_zone: BTreeMap<NearId, Vec<Vec<PeerId>>>,
+    /// The members of each zone, the own one among them; seats of other zones are drawn for the groups that are kept here.
+    by_zone: BTreeMap<NearId, Vec<PeerId>>,
 }
 
 /// What a change of the fleet did.
@@ -132,9 +132,9 @@
             (Scope::Zone, Some(topology)) => {
                 self.by_zone = by_zone(&fleet);
                 let own = self.by_zone.get(&topology.own.zone);
-                let groups = own.into_iter().flatten();
-                let slots = groups.flat_map(|seats| vec![seats.clone(); SLOTS_IN_GROUP.into()]);
-                slots.collect()
+                let own = own.map_or(&[][..], Vec::as_slice);
+                let of_group = |group| vec![seats(group, own); SLOTS_IN_GROUP.into()];
+                GroupNo::all().flat_map(of_group).collect()
             }
             _ => {
                 self.by_zone.clear();
@@ -171,19 +171,17 @@
         slot.is_common() || self.of(slot).contains(&id)
     }
 
-    fn seats(&self, zone: NearId, group: GroupNo) -> &[PeerId] {
-        let groups = self.by_zone.get(&zone);
-        let seats = groups.and_then(|groups| groups.get(usize::from(group.0)));
-        seats.map_or(&[], Vec::as_slice)
+    /// The seats of a group in the own zone, in their order.
+    fn own_seats(&self, group: GroupNo) -> &[PeerId] {
+        group.slots().next().map_or(&[], |first| self.of(first))
     }
 
     /// Groups of which this member keeps a replica, where each zone has its own.
     pub fn groups(&self, id: PeerId) -> Vec<GroupNo> {
-        let (Scope::Zone, Some(topology)) = (self.scope, &self.topology) else {
+        if self.scope == Scope::Fleet {
             return Vec::new();
-        };
-        let own = topology.own.zone;
-        let kept = GroupNo::all().filter(|&group| self.seats(own, group).contains(&id));
+        }
+        let kept = GroupNo::all().filter(|group| self.own_seats(*group).contains(&id));
         kept.collect()
     }
 
@@ -191,11 +189,9 @@
     /// zone has fewer seats, whoever has one that falls on the same. So any two seats of one zone and any majority of
     /// seats of the other have a pair in common.
     pub fn partners(&self, id: PeerId, group: GroupNo, zone: NearId) -> Vec<PeerId> {
-        let Some(topology) = &self.topology else {
-            return Vec::new();
-        };
-        let own = self.seats(topology.own.zone, group);
-        let theirs = self.seats(zone, group);
+        let own = self.own_seats(group);
+        let members = self.by_zone.get(&zone);
+        let theirs = members.map_or_else(Vec::new, |members| seats(group, members));
         let Some(seat) = own.iter().position(|&member| member == id) else {
             return Vec::new();
         };
@@ -206,17 +202,12 @@
     }
 }
 
-fn by_zone(fleet: &[Located]) -> BTreeMap<NearId, Vec<Vec<PeerId>>> {
+fn by_zone(fleet: &[Located]) -> BTreeMap<NearId, Vec<PeerId>> {
     let mut members: BTreeMap<NearId, Vec<PeerId>> = BTreeMap::new();
     for &(id, locality) in fleet {
         if let Some(locality) = locality {
             members.entry(locality.zone).or_default().push(id);
         }
     }
-    let groups =
-        |members: &Vec<PeerId>| GroupNo::all().map(|group| seats(group, members)).collect();
     members
-        .iter()
-        .map(|(&zone, members)| (zone, groups(members)))
-        .collect()
 }
