--- a/crates/capacity/src/figures.rs
+++ b/crates/capacity/src/figures.rs
@@ -58,6 +58,19 @@
     pub pending: Spread,
 }
 
+impl StateFigures {
+    /// All that a member holds, in the mean.
+    pub fn held(&self) -> f64 {
+        let all = [
+            self.members_known,
+            self.records,
+            self.common_facts,
+            self.pending,
+        ];
+        all.iter().map(|spread| spread.mean).sum()
+    }
+}
+
 /// How soon purges were everywhere.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct PurgeFigures {
@@ -146,7 +159,9 @@
     pub purges: Option<PurgeFigures>,
     pub keyed: Option<KeyedFigures>,
     pub budget_overruns: Option<u64>,
-    /// Seconds from the disturbance until all members know each other and lack nothing again.
+    /// Seconds from the end of a disturbance until all members know just each other again.
+    pub agreed_after_s: Option<f64>,
+    /// The same, until they lack nothing either.
     pub settled_after_s: Option<f64>,
     /// The disturbance was not over when the time for it was.
     pub never_settled: bool,
--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -3,8 +3,8 @@
 use serde::Serialize;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
-/// Fewer sizes make no law.
-pub const LEAST_SIZES: usize = 4;
+/// Fewer points make no law.
+pub const LEAST_POINTS: usize = 4;
 const CONFIDENCE: f64 = 0.95;
 /// A slope that adds less than this part of the figure from the smallest size to the largest is none.
 const FLAT_PART: f64 = 0.05;
@@ -18,15 +18,24 @@
     pub y: f64,
 }
 
-/// How a figure depends on the number of members, and on the rate where there is one.
+/// How a figure depends on one quantity.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Law {
+    Constant,
+    Linear,
+    /// No line fits: nothing is said beyond the largest value run.
+    Curved,
+}
+
+/// How a figure depends on the number of members and on a rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JointLaw {
     Constant,
     LinearInMembers,
     LinearInRate,
     LinearInBoth,
-    /// No line fits: nothing is said of sizes beyond the largest one run.
     Curved,
 }
 
@@ -88,58 +97,48 @@
     Some(student.inverse_cdf(0.5 + CONFIDENCE / 2.0) * error)
 }
 
-/// A figure over sizes: its points, the line through them and the law that they follow.
+/// A figure over sizes or rates: its points, the line through them and the law that they follow.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Fit {
     pub figure: String,
     pub points: Vec<Point>,
     pub line: Option<Line>,
-    /// `None`: run at too few sizes for a law.
+    /// `None`: too few points for a law.
     pub law: Option<Law>,
 }
 
 impl Fit {
-    /// Fits a figure over the number of members.
-    pub fn over_members(figure: &str, points: Vec<Point>) -> Fit {
+    pub fn over(figure: &str, points: Vec<Point>) -> Fit {
         let line = Line::fit(&points);
-        let law = line.as_ref().filter(|_| points.len() >= LEAST_SIZES);
+        let law = line.as_ref().filter(|_| points.len() >= LEAST_POINTS);
         Fit {
             figure: figure.into(),
-            law: law.map(|line| law_over_members(&points, line)),
+            law: law.map(|line| law_of(&points, line)),
             line,
             points,
         }
     }
 
-    /// What the figure would be at another size; `None` for a curve beyond the largest size run.
-    pub fn at(&self, members: f64) -> Option<f64> {
+    /// What the figure would be elsewhere; `None` for a curve beyond the largest value run.
+    pub fn at(&self, x: f64) -> Option<f64> {
         let largest = self.points.iter().map(|point| point.x).fold(0.0, f64::max);
-        if self.law == Some(Law::Curved) && members > largest {
+        if self.law == Some(Law::Curved) && x > largest {
             return None;
         }
-        Some(self.line.as_ref()?.at(members))
+        Some(self.line.as_ref()?.at(x))
     }
 }
 
-fn law_over_members(points: &[Point], line: &Line) -> Law {
+fn law_of(points: &[Point], line: &Line) -> Law {
     let mean = points.iter().map(|point| point.y.abs()).sum::<f64>() / points.len() as f64;
     let least = points.iter().map(|point| point.x).fold(f64::MAX, f64::min);
     let most = points.iter().map(|point| point.x).fold(0.0, f64::max);
     let rise = (line.slope * (most - least)).abs();
     let is_flat = !line.has_slope() || rise <= FLAT_PART * mean;
-    if line.residual > CURVED_PART * mean {
-        // Scatter around a level is no curve; a bend is.
-        return if bends(points, line) {
-            Law::Curved
-        } else {
-            Law::Constant
-        };
-    }
-    if is_flat {
-        Law::Constant
-    } else {
-        Law::LinearInMembers
+    if line.residual > CURVED_PART * mean && bends(points, line) {
+        return Law::Curved;
     }
+    if is_flat { Law::Constant } else { Law::Linear }
 }
 
 /// Whether what is left beside the line has one sign at both ends and the other between them.
@@ -158,13 +157,12 @@
 }
 
 /// The law of a figure that was run at several sizes and several rates: what it does over each alone.
-pub fn law_of_both(over_members: &Fit, over_rate: &Fit) -> Option<Law> {
-    let (members, rate) = (over_members.law?, over_rate.law?);
-    Some(match (members, rate) {
-        (Law::Curved, _) | (_, Law::Curved) => Law::Curved,
-        (Law::Constant, Law::Constant) => Law::Constant,
-        (_, Law::Constant) => Law::LinearInMembers,
-        (Law::Constant, _) => Law::LinearInRate,
-        _ => Law::LinearInBoth,
-    })
+pub fn joint_law(over_members: Law, over_rate: Law) -> JointLaw {
+    match (over_members, over_rate) {
+        (Law::Curved, _) | (_, Law::Curved) => JointLaw::Curved,
+        (Law::Constant, Law::Constant) => JointLaw::Constant,
+        (Law::Linear, Law::Constant) => JointLaw::LinearInMembers,
+        (Law::Constant, Law::Linear) => JointLaw::LinearInRate,
+        (Law::Linear, Law::Linear) => JointLaw::LinearInBoth,
+    }
 }
--- a/crates/capacity/src/fleet/events.rs
+++ b/crates/capacity/src/fleet/events.rs
@@ -3,7 +3,7 @@
 use crate::layout::Proximity;
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
-use trailproxy::units::{Moment, RequestId};
+use trailproxy::units::{Moment, ObjectId, RequestId};
 use trailproxy_peers::decide::messages::Message;
 
 /// One thing that happens at a moment.
@@ -30,6 +30,8 @@
     Finish { member: usize, request: RequestId },
     /// The next purge of the fleet is asked for.
     NextPurge,
+    /// A member's journal tells a purge that it told before.
+    PurgeAgain { member: usize, object: ObjectId },
     /// Needs of the budgets change, and all parts are summed up.
     Budgets,
 }
--- a/crates/capacity/src/fleet/load.rs
+++ b/crates/capacity/src/fleet/load.rs
@@ -13,8 +13,8 @@
 /// How long an upstream takes.
 const UPSTREAM_TAKES: Span = Span::from_millis(60);
 const ANSWER: &[u8] = b"ok";
-/// The stamp of a purge that is never forgotten is ahead by this.
-const FAR_AHEAD: Span = Span::from_secs(86_400);
+/// A purge that is never forgotten is told anew each time this part of its time is over.
+const TOLD_ANEW_PART: f64 = 0.5;
 /// How often each proximity is drawn for a client that comes again.
 const REPEAT_WEIGHTS: [(Proximity, f64); 4] = [
     (Proximity::SameSite, 0.4),
@@ -223,12 +223,19 @@
         }
         let now = self.now;
         let object = self.purges.begin(now, up - 1);
-        let stamp = match self.settings.planted {
-            Some(Planted::NeverForgotten) => now + FAR_AHEAD,
-            _ => now,
-        };
+        self.tell_purge(member, object);
+    }
+
+    /// A member hears of a purge, as its journal tells it.
+    pub(super) fn tell_purge(&mut self, member: usize, object: ObjectId) {
+        let now = self.now;
+        if self.settings.planted == Some(Planted::NeverForgotten) {
+            let after = self.settings.demand.purges_last.times(TOLD_ANEW_PART);
+            let event = Event::PurgeAgain { member, object };
+            self.queue.push(now + after, event);
+        }
         self.with_peers(member, |peers| {
-            peers.purged(now, Some(object), GroupId(0), stamp);
+            peers.purged(now, Some(object), GroupId(0), now);
         });
     }
 }
--- a/crates/capacity/src/fleet/mod.rs
+++ b/crates/capacity/src/fleet/mod.rs
@@ -25,7 +25,7 @@
 use trailproxy::units::{Moment, Span};
 use trailproxy_budgets::decide::HolderId;
 use trailproxy_budgets::decide::shares::Act;
-use trailproxy_peers::decide::messages::{Address, Message, PeerId};
+use trailproxy_peers::decide::messages::{Address, MemberUpdate, Message, Note, PeerId};
 use trailproxy_peers::decide::{Action, Peers, Stands};
 use trailproxy_peers::wire::Seal;
 use trailproxy_shared_store::decide::records::Folding;
@@ -35,6 +35,10 @@
 const SEEDS_PER_REGION: usize = 1;
 /// How often it is looked whether the fleet is settled.
 const SETTLED_EVERY: Span = Span::from_millis(100);
+/// How often it is looked whether members still tell each other who is there, and of how many members one may.
+const QUIET_EVERY: Span = Span::from_secs(2);
+const QUIET_PART: u64 = 20;
+const UPDATES_IN_MESSAGE: usize = 24;
 
 /// What does not change while a fleet runs.
 #[derive(Clone, Debug)]
@@ -44,6 +48,15 @@
     pub planted: Option<Planted>,
 }
 
+/// How long it took until a fleet was as usual again; `None`: longer than it was waited for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Settling {
+    /// All members know just each other.
+    pub agreed: Option<Span>,
+    /// They lack nothing either.
+    pub settled: Option<Span>,
+}
+
 /// All members, the network between them, and what was counted.
 #[derive(Clone)]
 pub struct Fleet {
@@ -103,6 +116,46 @@
         fleet
     }
 
+    /// Every member hears of all others at once, so that a fleet is at rest without the traffic of a common start.
+    pub fn introduce_all(&mut self) {
+        let now = self.now;
+        let updates: Vec<MemberUpdate> = self.up().map(|peers| *peers.members().own()).collect();
+        for member in 0..self.members.len() {
+            let other = (member + 1) % self.members.len();
+            let Some(own) = updates.get(other) else {
+                continue;
+            };
+            for piece in updates.chunks(UPDATES_IN_MESSAGE) {
+                let message = Message {
+                    from: own.id,
+                    life: own.life,
+                    incarnation: own.incarnation,
+                    stamp: now.0,
+                    notes: vec![Note::Updates(piece.to_vec())],
+                };
+                let address = own.address;
+                self.with_peers(member, |peers| peers.heard(now, address, message));
+            }
+        }
+    }
+
+    /// Runs until hardly any member tells others who is there, or `most` is over.
+    pub fn run_until_quiet(&mut self, most: Span) {
+        let begun = self.now;
+        while self.now.since(begun) < most {
+            let before = self.updates_sent();
+            self.run(QUIET_EVERY);
+            if self.updates_sent() - before <= self.members.len() as u64 / QUIET_PART {
+                return;
+            }
+        }
+    }
+
+    fn updates_sent(&self) -> u64 {
+        let sent = |of: &Member| of.traffic.sent_of(&Note::Updates(Vec::new())).messages;
+        self.members.iter().map(sent).sum()
+    }
+
     /// A member starts as a new process that knows the seeds only.
     pub fn start(&mut self, member: usize) {
         let seed = self.random.u64(..);
@@ -168,32 +221,44 @@
         self.now = until;
     }
 
-    /// Runs until all members know each other and lack nothing; how long that took, `None` where it takes longer than
-    /// `most`.
-    pub fn run_until_settled(&mut self, most: Span) -> Option<Span> {
+    /// Runs until all members know each other and lack nothing, or `most` is over.
+    pub fn run_until_settled(&mut self, most: Span) -> Settling {
         let begun = self.now;
-        while self.now.since(begun) < most {
-            if self.is_settled() {
-                return Some(self.now.since(begun));
+        let mut settling = Settling::default();
+        while settling.settled.is_none() && self.now.since(begun) < most {
+            let since = self.now.since(begun);
+            if settling.agreed.is_none() && self.agrees() {
+                settling.agreed = Some(since);
+            }
+            if settling.agreed.is_some() && self.is_settled() {
+                settling.settled = Some(since);
+            } else {
+                self.run(SETTLED_EVERY);
             }
-            self.run(SETTLED_EVERY);
         }
-        None
+        settling
+    }
+
+    fn up(&self) -> impl Iterator<Item = &Peers> {
+        self.members.iter().filter_map(|of| of.peers.as_ref())
     }
 
     /// Whether all that are up lack nothing and know just each other.
     pub fn is_settled(&self) -> bool {
-        let up = || self.members.iter().filter_map(|of| of.peers.as_ref());
-        if up().any(|peers| peers.stands() != Stands::Whole) {
-            return false;
-        }
-        let count = up().count();
-        let knows_all = |peers: &Peers| peers.members().there().count() + 1 == count;
-        let Some(first) = up().next() else {
+        self.up().all(|peers| peers.stands() == Stands::Whole) && self.agrees()
+    }
+
+    /// Whether all that are up know just each other.
+    pub fn agrees(&self) -> bool {
+        let count = self.up().count();
+        let Some(first) = self.up().next() else {
             return true;
         };
         let roster = first.members().roster();
-        up().all(|peers| knows_all(peers) && peers.members().roster() == roster)
+        self.up().all(|peers| {
+            let members = peers.members();
+            members.there().count() + 1 == count && members.roster() == roster
+        })
     }
 
     /// What is counted begins anew.
@@ -227,6 +292,7 @@
             } => self.repeat(key, member, proximity),
             Event::Finish { member, request } => self.finish(member, request),
             Event::NextPurge => self.next_purge(),
+            Event::PurgeAgain { member, object } => self.tell_purge(member, object),
             Event::Budgets => self.look_at_budgets(),
         }
     }
--- a/crates/capacity/src/fleet/planted.rs
+++ b/crates/capacity/src/fleet/planted.rs
@@ -7,7 +7,7 @@
 pub enum Planted {
     /// Every message of a member that spreads purges goes to all members.
     SpreadToAll,
-    /// Purges bear a moment so far ahead that no member forgets them.
+    /// Each purge is told anew before it is forgotten, so that the list of them only grows.
     NeverForgotten,
 }
 
--- a/crates/capacity/src/fleet/traffic.rs
+++ b/crates/capacity/src/fleet/traffic.rs
@@ -111,6 +111,11 @@
         self.kinds[kind_of(first)].add(left);
     }
 
+    /// Messages sent with notes of the kind of this one.
+    pub fn sent_of(&self, note: &Note) -> Volume {
+        self.kinds[kind_of(note)]
+    }
+
     /// Bytes sent and received in the worst second.
     pub fn peak_bytes(&self) -> u64 {
         self.peak.worst
--- a/crates/capacity/src/phases.rs
+++ b/crates/capacity/src/phases.rs
@@ -4,15 +4,17 @@
 use crate::figures::{PhaseFigures, Reading, mean_held};
 use crate::fleet::member::Placement;
 use crate::fleet::planted::Planted;
-use crate::fleet::{Fleet, Settings};
+use crate::fleet::{Fleet, Settings, Settling};
 use serde::Serialize;
 use std::time::Instant;
 use trailproxy::units::Span;
 
 /// A new fleet settles within this, or never.
 const SETTLES_WITHIN: Span = Span::from_secs(120);
-/// After it has settled, what its start caused runs out.
-const CALM: Span = Span::from_secs(5);
+/// After that its members tell each other who is there for a while.
+const QUIET_WITHIN: Span = Span::from_secs(400);
+/// Budgets are divided after this.
+const BUDGETS_DIVIDED: Span = Span::from_secs(5);
 /// Records and purges are forgotten a little later than their settings say.
 const FORGOTTEN_LATER: Span = Span::from_secs(3);
 /// From the loss of members until the others are sure to know of it.
@@ -77,7 +79,7 @@
         matches!(self, Phase::Purges | Phase::Target)
     }
 
-    fn has_keyed(self) -> bool {
+    pub(crate) fn has_keyed(self) -> bool {
         matches!(self, Phase::Keyed | Phase::Target)
     }
 
@@ -156,14 +158,15 @@
             planted: self.planted,
         };
         let mut fleet = Fleet::new(self.description, self.members, settings, self.seed);
-        if fleet.run_until_settled(SETTLES_WITHIN).is_none() {
+        fleet.introduce_all();
+        if fleet.run_until_settled(SETTLES_WITHIN).settled.is_none() {
             let seconds = SETTLES_WITHIN.as_secs_f64();
             return Err(format!(
                 "a fleet of {} members did not settle within {seconds} s of virtual time",
                 self.members
             ));
         }
-        fleet.run(CALM);
+        fleet.run_until_quiet(QUIET_WITHIN);
         Ok(fleet)
     }
 
@@ -174,7 +177,7 @@
         self.load(phase, &demand, &mut fleet);
         fleet.reset_counts();
         let held = mean_held(&fleet);
-        let settled = self.disturb(phase, &mut fleet);
+        let settling = self.disturb(phase, &mut fleet);
         let reading = Reading::new(&fleet);
         PhaseFigures {
             phase: phase.name(),
@@ -204,8 +207,9 @@
             purges: phase.has_purges().then(|| reading.purges()),
             keyed: phase.has_keyed().then(|| reading.keyed()),
             budget_overruns: phase.has_budgets().then_some(fleet.budget_overruns),
-            settled_after_s: settled.map(|span| span.as_secs_f64()),
-            never_settled: phase.disturbs() && settled.is_none(),
+            agreed_after_s: settling.agreed.map(Span::as_secs_f64),
+            settled_after_s: settling.settled.map(Span::as_secs_f64),
+            never_settled: phase.disturbs() && settling.settled.is_none(),
             timing: reading.timing(begun.elapsed().as_secs_f64()),
         }
     }
@@ -215,7 +219,7 @@
         let mut steady = Span::ZERO;
         if phase.has_budgets() {
             fleet.start_budgets();
-            steady = steady.max(CALM);
+            steady = steady.max(BUDGETS_DIVIDED);
         }
         if phase.has_purges() {
             fleet.set_purge_rate(demand.purges_per_s);
@@ -229,11 +233,11 @@
     }
 
     /// What happens while it is counted; for a disturbance, how long after its end all was settled.
-    fn disturb(&self, phase: Phase, fleet: &mut Fleet) -> Option<Span> {
+    fn disturb(&self, phase: Phase, fleet: &mut Fleet) -> Settling {
         match phase {
             Phase::Rest | Phase::Purges | Phase::Keyed | Phase::Budgets | Phase::Target => {
                 fleet.run(self.lengths.counted);
-                return None;
+                return Settling::default();
             }
             Phase::MachineLost => self.lose(fleet, |_, member| member == 1),
             Phase::RackLost => self.lose_rack(fleet),
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -1,9 +1,10 @@
 //! What was measured: lines for a terminal, a summary for programs and a page for people.
 
+use crate::checks::PlantedReport;
 use crate::figures::PhaseFigures;
-use crate::fit::{Fit, Point};
+use crate::fit::{Fit, JointLaw, Point, joint_law};
 use crate::phases::Phase;
-use crate::plan::Plan;
+use crate::plan::{Plan, Results};
 use serde::Serialize;
 use std::fmt::Write;
 
@@ -12,9 +13,9 @@
     "phase            members  msg/s  KB/s(worst)  peakKB  state: records common  achieved  wall";
 
 /// What a dispatcher may spend for control.
-const KB_PER_S_LIMIT: f64 = 11.0;
+pub(crate) const KB_PER_S_LIMIT: f64 = 11.0;
 /// A purge is everywhere within this.
-const PURGE_LIMIT_S: f64 = 1.5;
+pub(crate) const PURGE_LIMIT_S: f64 = 1.5;
 const NOT_RUN: &str = "not run";
 
 /// One phase of one size in a line.
@@ -54,7 +55,11 @@
         let _ = write!(line, " budget overruns {overruns}");
     }
     if let Some(settled) = of.settled_after_s {
-        let _ = write!(line, " settled after {settled:.1} s");
+        let agreed = of.agreed_after_s.unwrap_or(settled);
+        let _ = write!(
+            line,
+            " agreed after {agreed:.1} s, settled after {settled:.1} s"
+        );
     }
     if of.never_settled {
         line.push_str(" never settled");
@@ -102,15 +107,34 @@
     pub region_heal_s: Option<f64>,
     pub overruns: Option<u64>,
     pub forbidden_repeats: Option<u64>,
+    /// Mistakes put in on purpose, and how many of them the checks found.
+    pub planted: usize,
+    pub planted_found: usize,
+    pub checks: PlantedReport,
     /// The figure that is furthest beyond, or nearest to, its limit, and its ratio to that.
     pub breaks_first: Option<&'static str>,
     pub breaks_first_ratio: Option<f64>,
+    /// Over the number of members.
     pub fits: Vec<Fit>,
+    /// Keyed requests at the smallest size, over their rate.
+    pub rate_fits: Vec<Fit>,
+    /// The laws of figures that were run over both.
+    pub joint_laws: Vec<FigureLaw>,
     pub phases: Vec<PhaseFigures>,
+    pub phases_by_rate: Vec<PhaseFigures>,
+}
+
+/// The law of one figure.
+#[derive(Clone, Debug, Serialize)]
+pub struct FigureLaw {
+    pub figure: String,
+    pub law: JointLaw,
 }
 
 impl Summary {
-    pub fn new(plan: &Plan, phases: Vec<PhaseFigures>) -> Summary {
+    pub fn new(plan: &Plan, results: Results, checks: PlantedReport) -> Summary {
+        let phases = results.by_size;
+        let rate_fits = rate_fits(&results.by_rate);
         let members = plan.sizes.iter().copied().max().unwrap_or_default();
         let at = |phase: Phase| {
             let mut all = phases.iter();
@@ -145,13 +169,34 @@
             forbidden_repeats: keyed.map(|of| of.forbidden_repeats),
             breaks_first: None,
             breaks_first_ratio: None,
+            planted: checks.planted.len(),
+            planted_found: checks.found.len(),
+            checks,
             fits: fits(&phases),
+            rate_fits,
+            joint_laws: Vec::new(),
             phases,
+            phases_by_rate: results.by_rate,
         };
         summary.find_first_break();
+        summary.join_laws();
         summary
     }
 
+    fn join_laws(&mut self) {
+        for over_rate in &self.rate_fits {
+            let figure = &over_rate.figure;
+            let over_members = self.fits.iter().find(|fit| fit.figure == *figure);
+            let laws = (over_members.and_then(|fit| fit.law), over_rate.law);
+            if let (Some(members), Some(rate)) = laws {
+                self.joint_laws.push(FigureLaw {
+                    figure: figure.clone(),
+                    law: joint_law(members, rate),
+                });
+            }
+        }
+    }
+
     fn find_first_break(&mut self) {
         let limits = [
             ("kb_per_s_rest", self.kb_per_s_rest, KB_PER_S_LIMIT),
@@ -170,11 +215,13 @@
         self.breaks_first_ratio = worst.map(|(_, ratio)| ratio);
     }
 
-    /// Whether nothing is beyond its limit, no key ran twice and no budget was overrun.
+    /// Whether nothing is beyond its limit or grows without end, no key ran twice, no budget was overrun and each mistake
+    /// put in on purpose was found.
     pub fn keeps_rules(&self) -> bool {
         let within = self.breaks_first_ratio.is_none_or(|ratio| ratio <= 1.0);
         let none = |count: Option<u64>| count.is_none_or(|count| count == 0);
-        within && none(self.forbidden_repeats) && none(self.overruns)
+        let checked = self.planted_found == self.planted && !self.checks.without.found_something();
+        within && checked && none(self.forbidden_repeats) && none(self.overruns)
     }
 
     /// The main figures, one a line.
@@ -198,7 +245,12 @@
             "forbidden_repeats",
             self.forbidden_repeats.map(|count| count as f64),
         );
+        add("planted", Some(self.planted as f64));
+        add("planted_found", Some(self.planted_found as f64));
         add("breaks_first_ratio", self.breaks_first_ratio);
+        for fit in &self.fits {
+            let _ = writeln!(text, "{}", fit_line(fit));
+        }
         if let Some(name) = self.breaks_first {
             let _ = writeln!(text, "breaks_first {name}");
         }
@@ -217,6 +269,36 @@
     ("common_facts", |of| of.state.common_facts.mean),
 ];
 
+/// Of keyed requests only, over their rate as well.
+fn rate_fits(runs: &[PhaseFigures]) -> Vec<Fit> {
+    FITTED
+        .iter()
+        .filter(|_| !runs.is_empty())
+        .map(|(name, figure)| {
+            let point = |of: &PhaseFigures| Point {
+                x: of.keyed_per_s,
+                y: figure(of),
+            };
+            let name = format!("{}.{name}", Phase::Keyed.name());
+            Fit::over(&name, runs.iter().map(point).collect())
+        })
+        .collect()
+}
+
+fn fit_line(fit: &Fit) -> String {
+    let Some(line) = fit.line else {
+        return format!("{}: run at {} sizes, no line", fit.figure, fit.points.len());
+    };
+    let law = match fit.law {
+        Some(law) => format!("{law:?}").to_lowercase(),
+        None => "too few sizes for a law".into(),
+    };
+    format!(
+        "{}: {law}, {:.3} + {:.5} (95%: {:.5} to {:.5}) for each member",
+        fit.figure, line.intercept, line.slope, line.slope_low, line.slope_high
+    )
+}
+
 fn fits(phases: &[PhaseFigures]) -> Vec<Fit> {
     let mut fits = Vec::new();
     for phase in Phase::ALL {
@@ -231,10 +313,7 @@
             };
             let points: Vec<Point> = of_phase.iter().map(point).collect();
             if !points.is_empty() {
-                fits.push(Fit::over_members(
-                    &format!("{}.{name}", phase.name()),
-                    points,
-                ));
+                fits.push(Fit::over(&format!("{}.{name}", phase.name()), points));
             }
         }
     }
--- a/crates/trailproxy-cli/src/capacity.rs
+++ b/crates/trailproxy-cli/src/capacity.rs
@@ -7,7 +7,7 @@
 use trailproxy_capacity::fleet::member::Placement;
 use trailproxy_capacity::phases::{Lengths, Phase};
 use trailproxy_capacity::plan::Plan;
-use trailproxy_capacity::report;
+use trailproxy_capacity::{checks, page, report};
 
 /// Sizes as parts of the members asked for, where none are named.
 const SIZE_PARTS: [f64; 4] = [0.125, 0.25, 0.5, 1.0];
@@ -56,13 +56,16 @@
         bar.suspend(|| println!("{}", report::line(figures)));
         bar.inc(1);
     };
-    let figures = plan.run(done)?;
+    let results = plan.run(done)?;
     bar.finish_and_clear();
-    let summary = report::Summary::new(&plan, figures);
+    let planted = checks::run_planted(&plan.description, plan.seed)?;
+    let summary = report::Summary::new(&plan, results, planted);
     print!("{}", summary.text());
     if let Some(folder) = &task.out {
         let text = serde_json::to_string_pretty(&summary).map_err(|e| e.to_string())?;
         out::write(folder, "summary.json", &text)?;
+        let page = page::page(&summary).map_err(|e| format!("the page can't be drawn: {e}"))?;
+        out::write(folder, "report.html", &page)?;
     }
     Ok(if summary.keeps_rules() {
         End::Well
