--- /dev/null
+++ b/crates/fault-control/src/build.rs
@@ -0,0 +1,39 @@
+//! Where the shim's library is, built if need be.
+
+use std::io;
+use std::path::PathBuf;
+use std::process::Command;
+
+const PACKAGE: &str = "trailproxy-fault-shim";
+const LIBRARY: &str = "libtrailproxy_fault_shim.so";
+
+/// The library to preload. Under `cargo test` it is built first, in the profile of the caller; elsewhere it has to lie
+/// beside the program that asks.
+pub fn shim_library() -> io::Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let folder = program.parent().unwrap_or(&program);
+    // Tests lie one folder below the programs of their profile.
+    let folder = match folder.ends_with("deps") {
+        true => folder.parent().unwrap_or(folder),
+        false => folder,
+    };
+    let library = folder.join(LIBRARY);
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        let mut build = Command::new(cargo);
+        build.args(["build", "--quiet", "--locked", "--package", PACKAGE]);
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        let built = build.status()?;
+        if !built.success() {
+            return Err(io::Error::other(format!("{PACKAGE} can't be built")));
+        }
+    }
+    match library.exists() {
+        true => Ok(library),
+        false => Err(io::Error::other(format!(
+            "{} is missing: build {PACKAGE}",
+            library.display()
+        ))),
+    }
+}
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicU16, AtomicU32, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use trailproxy_fault_control::Control;
 
 /// No condition takes longer, also on a busy machine.
 pub const SOON: Duration = Duration::from_secs(10);
@@ -270,6 +271,39 @@
     })
 }
 
+/// Further variables of a program's environment.
+#[derive(Default)]
+pub struct Environment(Vec<(&'static str, PathBuf)>);
+
+/// Faults in the system calls and the wall clock of one program, by the preloaded shim.
+pub struct Faults {
+    pub control: Control,
+    path: PathBuf,
+}
+
+impl Faults {
+    pub fn new() -> Faults {
+        let path = Control::fresh_path();
+        let control = Control::create(&path).expect("a control page");
+        Faults { control, path }
+    }
+
+    /// What a program needs in its environment to suffer them.
+    pub fn environment(&self) -> Environment {
+        let shim = trailproxy_fault_control::shim_library().expect("the shim");
+        Environment(vec![
+            ("LD_PRELOAD", shim),
+            (trailproxy_fault_control::VARIABLE, self.path.clone()),
+        ])
+    }
+}
+
+impl Drop for Faults {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
 /// A started program, ended with the stage.
 pub struct Program {
     pub child: Child,
@@ -293,13 +327,23 @@
 
 impl Program {
     pub fn start(config: &Json, address: SocketAddr) -> Program {
-        let path = Program::stem().with_extension("json");
-        std::fs::write(&path, config.to_string()).expect("a configuration");
-        let program = Program::begin(config, address, path);
+        Program::start_in(config, address, &Environment::default())
+    }
+
+    /// The same with further variables in its environment.
+    pub fn start_in(config: &Json, address: SocketAddr, environment: &Environment) -> Program {
+        let program = Program::begin_in(config, address, environment);
         wait_for("it listens", || TcpStream::connect(address).is_ok());
         program
     }
 
+    /// The same, without a wait for it to listen.
+    pub fn begin_in(config: &Json, address: SocketAddr, environment: &Environment) -> Program {
+        let path = Program::stem().with_extension("json");
+        std::fs::write(&path, config.to_string()).expect("a configuration");
+        Program::begin(config, address, path, environment)
+    }
+
     /// A path that no other program has.
     fn stem() -> PathBuf {
         static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -312,18 +356,24 @@
         let path = Program::stem().with_extension("pipe");
         let made = Command::new("mkfifo").arg(&path).status();
         assert!(made.expect("a pipe").success());
-        let program = Program::begin(config, address, path.clone());
+        let program = Program::begin(config, address, path.clone(), &Environment::default());
         let pipe = File::options().write(true).open(path).expect("a reader");
         (program, pipe)
     }
 
-    fn begin(config: &Json, address: SocketAddr, path: PathBuf) -> Program {
+    fn begin(
+        config: &Json,
+        address: SocketAddr,
+        path: PathBuf,
+        environment: &Environment,
+    ) -> Program {
         let log = path.with_extension("log");
         let written = File::create(&log).expect("a log");
         let child = Command::new(env!("CARGO_BIN_EXE_trailproxyd"))
             .env("RELAY_NAME", config["name"].as_str().unwrap_or("n1"))
             .env("RELAY_LISTEN", address.to_string())
             .env("RELAY_CONFIG", &path)
+            .envs(environment.0.iter().cloned())
             .stderr(written.try_clone().expect("a clone"))
             .stdout(written)
             .spawn()
@@ -441,6 +491,18 @@
 
     /// Changes the configuration before the start; the addresses of the hosts are told.
     pub fn with(change: impl FnOnce(&mut Json, &BTreeMap<&'static str, SocketAddr>)) -> Stage {
+        Stage::in_environment(&Environment::default(), change)
+    }
+
+    /// A stage whose program suffers these faults.
+    pub fn under(faults: &Faults) -> Stage {
+        Stage::in_environment(&faults.environment(), |_, _| {})
+    }
+
+    fn in_environment(
+        environment: &Environment,
+        change: impl FnOnce(&mut Json, &BTreeMap<&'static str, SocketAddr>),
+    ) -> Stage {
         let (heard_in, heard) = channel();
         let (lines_in, lines) = channel();
         let names = ["c1", "c2", "p1", "o1"];
@@ -460,7 +522,7 @@
             "settings": settings()
         });
         change(&mut config, &addresses);
-        let program = Program::start(&config, free_address());
+        let program = Program::start_in(&config, free_address(), environment);
         Stage {
             program,
             config,
--- /dev/null
+++ b/crates/trailproxyd/tests/system_calls.rs
@@ -0,0 +1,103 @@
+//! System calls that fail, and wall clocks that are wrong: what clients are owed holds all the same.
+//!
+//! The faults are injected into the program alone by the preloaded shim, at the very call that each story is about.
+
+#[allow(dead_code, reason = "the other tests of sockets use the rest of it")]
+mod stage;
+
+use serde_json::json;
+use stage::*;
+use std::time::{Duration, Instant};
+use trailproxy_fault_control::Kind;
+
+const HOUR: Duration = Duration::from_secs(3600);
+/// More calls in a row than one reading or writing makes.
+const MANY_CALLS: u64 = 20;
+
+/// A purge of one object, at this place of the journal and with this stamp.
+fn purge(pos: u64, object: u64, stamp: u64) -> serde_json::Value {
+    json!({"pos": pos, "expire": {"name": format!("{object:016x}"), "stamp": stamp}})
+}
+
+/// The age in milliseconds that a copy may have, as a host is told it.
+fn oldest_allowed(pull: &Heard) -> u64 {
+    let told = pull.field("fresh").expect("an age is told after a purge");
+    told.parse().expect("a number")
+}
+
+/// Tells a purge of an object and asks for it for as long as it takes until the purge shows.
+fn first_pull_after_purge(stage: &Stage, object: u64, stamp: u64) -> (Client, Heard, Instant) {
+    let mut journal = stage.journal();
+    journal.tell(&purge(2, object, stamp));
+    let told_at = Instant::now();
+    let mut client = stage.client();
+    wait_for("the purge is heard", || {
+        client.ask("image", object, 3000);
+        let pull = stage.pull();
+        let heard = pull.field("fresh").is_some();
+        pull.hit(b"x");
+        client.answer();
+        heard
+    });
+    client.ask("image", object, 3000);
+    (client, stage.pull(), told_at)
+}
+
+#[test]
+fn a_purge_binds_where_the_wall_clock_is_ahead_at_the_start() {
+    let faults = Faults::new();
+    faults.control.set_clock_ahead(HOUR);
+    let stage = Stage::under(&faults);
+    let (_client, pull, told_at) = first_pull_after_purge(&stage, 7, unix_ms());
+    let since = told_at.elapsed().as_millis() as u64;
+    let allowed = oldest_allowed(&pull);
+    assert!(
+        allowed <= since + 1,
+        "a copy of {allowed} ms, {since} ms after the purge"
+    );
+}
+
+#[test]
+fn a_purge_ages_where_the_wall_clock_is_behind_at_the_start() {
+    let faults = Faults::new();
+    faults.control.set_clock_behind(HOUR);
+    let stage = Stage::under(&faults);
+    let (mut client, first, _) = first_pull_after_purge(&stage, 7, unix_ms());
+    first.hit(b"x");
+    client.answer();
+    std::thread::sleep(Duration::from_millis(300));
+    client.ask("image", 7, 3000);
+    let allowed = oldest_allowed(&stage.pull());
+    assert!(
+        allowed >= 300,
+        "300 ms later only copies of {allowed} ms are good"
+    );
+}
+
+#[test]
+fn interrupted_reads_and_writes_cost_no_request() {
+    let faults = Faults::new();
+    let stage = Stage::under(&faults);
+    let mut client = stage.client();
+    for kind in [Kind::Read, Kind::Write] {
+        faults.control.fail_next(kind, MANY_CALLS, &[libc::EINTR]);
+        client.ask("order", 7, 3000);
+        let pull = stage.pull();
+        faults.control.fail_next(kind, MANY_CALLS, &[libc::EINTR]);
+        pull.answer("data", "tag=aa,minted=1", b"kept");
+        assert_eq!(client.answer().1, Final::done(b"kept"), "{kind:?}");
+        assert!(faults.control.injected(kind) > 0, "{kind:?}");
+    }
+}
+
+#[test]
+fn a_start_outlasts_a_passing_lack_of_sockets() {
+    let faults = Faults::new();
+    let errors = [libc::ENFILE, libc::ENOBUFS, libc::EMFILE];
+    faults.control.fail_next(Kind::Socket, 6, &errors);
+    let stage = Stage::under(&faults);
+    let mut client = stage.client();
+    client.ask_with("heartbeat", vec![], &[]);
+    assert_eq!(client.answer().1, Final::done(&[1]));
+    assert!(stage.program.logged("can't listen yet"));
+}
