One place for what may be sent, repeated, refused and closed; reasons logged and counted

Cause: each rule stood at its place of use, once in the decisions and again in the sockets; a refusal had no reason, a close no line, and nothing checked an act behind it. RELAY_TRACE=1 logs each step of each request by its client's id. Four counters check behind the act: began late, deadline passed on, closed owing, ended owing.

--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -258,11 +258,11 @@
                 reply.u32(fill.oldest.map_or(0, wire_span)).u8(how);
             }
         }
-        Action::Refuse { id, come_back } => {
+        Action::Refuse { id, come_back, .. } => {
             let come_back = come_back.map_or(0, wire_span);
             reply.record(1010, who).u64(id.0).u32(come_back);
         }
-        Action::Fail { id } => {
+        Action::Fail { id, .. } => {
             reply.record(1020, who).u64(id.0);
         }
         Action::Withdraw { id, hand_off } => {
--- a/crates/lab/src/decide/baseline.rs
+++ b/crates/lab/src/decide/baseline.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
+use trailproxy::policy::refusals::GiveUpReason;
 use trailproxy::units::*;
 use trailproxy_budgets::decide::following::Following;
 use trailproxy_zones::{Rules, Zones};
@@ -447,9 +448,11 @@
             .longest_away
             .map(|longest| COME_BACK.min(longest));
         self.actions.push(if harmless {
-            Action::Refuse { id, come_back }
+            let why = GiveUpReason::NoHostInTime;
+            Action::Refuse { id, come_back, why }
         } else {
-            Action::Fail { id }
+            let why = GiveUpReason::NoHostInTime;
+            Action::Fail { id, why }
         });
         self.close(id);
     }
--- a/crates/lab/src/model/dispatchers.rs
+++ b/crates/lab/src/model/dispatchers.rs
@@ -121,11 +121,11 @@
         let (now, hop) = (self.now, self.scenario.hop);
         match action {
             Action::Attempt(hand_off) => self.hand_off(seat, hand_off),
-            Action::Refuse { id, come_back } => {
+            Action::Refuse { id, come_back, .. } => {
                 self.given_up(id);
                 self.file(now + hop, Ev::Final(id, Final::Rejected, come_back, None));
             }
-            Action::Fail { id } => {
+            Action::Fail { id, .. } => {
                 self.given_up(id);
                 self.file(now + hop, Ev::Final(id, Final::Aborted, None, None));
             }
--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -2,6 +2,7 @@
 //! and logged now and then.
 
 use std::cell::Cell;
+use trailproxy::policy::refusals::GiveUpReason;
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
@@ -57,9 +58,26 @@
     places_wanted,
     accepts_failed,
     reading_paused,
+    /// Requests that the decisions gave up, by reason.
+    gave_up_deadline_passed,
+    gave_up_attempts_used,
+    gave_up_nobody_holds_it,
+    gave_up_origin_shut,
+    gave_up_no_host_in_time,
+    gave_up_not_permitted,
+    gave_up_table_full,
     /// From here on: what must stay zero.
     broken_two_finals,
     broken_sent_after_end,
+    /// An attempt whose first byte went out though its request was over, its deadline had passed, or its client had
+    /// closed for longer than the operators allow.
+    broken_began_late,
+    /// A deadline went out that was written long before.
+    broken_deadline_passed_on,
+    /// A client's connection was closed from this side with an answer owed.
+    broken_closed_owing,
+    /// The process ended with requests open whose clients still waited.
+    broken_ended_owing,
     broken_sent_to_drained,
     broken_two_endings,
     broken_unknown_host,
@@ -67,6 +85,21 @@
     broken_journal_order,
 }
 
+impl Counts {
+    /// The counter of a reason for giving a request up.
+    pub fn given_up(&self, why: GiveUpReason) -> &Cell<u64> {
+        match why {
+            GiveUpReason::DeadlinePassed => &self.gave_up_deadline_passed,
+            GiveUpReason::AttemptsUsed => &self.gave_up_attempts_used,
+            GiveUpReason::NobodyHoldsIt => &self.gave_up_nobody_holds_it,
+            GiveUpReason::OriginShut => &self.gave_up_origin_shut,
+            GiveUpReason::NoHostInTime => &self.gave_up_no_host_in_time,
+            GiveUpReason::NotPermitted => &self.gave_up_not_permitted,
+            GiveUpReason::TableFull => &self.gave_up_table_full,
+        }
+    }
+}
+
 pub fn count(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
 }
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -1,12 +1,13 @@
 //! Clients: MessagePack-RPC over TCP, requests pipelined and answered in any order.
 
 use crate::buffered::Held;
-use crate::checks::{Counts, count};
+use crate::checks::{Counts, count, must};
 use crate::client_slots::{Room, Slots, Use};
 use crate::list::object_id;
 use crate::messages::*;
 use crate::msgpack::{self, Fault, Value};
 use crate::ring::Ring;
+use crate::trace::Trace;
 use local_channel::mpsc;
 use slog::{Logger, debug};
 use std::cell::{Cell, RefCell};
@@ -17,6 +18,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until};
+use trailproxy::policy::permits::{self, CloseFacts};
 use trailproxy::units::*;
 
 /// Open requests on one connection, by the protocol: one that asks for more is closed, and all that it
@@ -56,6 +58,7 @@
     pub held: Held,
     pub counts: Rc<Counts>,
     pub log: Logger,
+    pub trace: Trace,
 }
 
 /// Accepts clients, as many as the descriptors allow. Past that a newcomer waits in the backlog for as
@@ -157,7 +160,8 @@
 
 /// Why a connection ends.
 enum Over {
-    Clean,
+    /// In order, with nothing owed.
+    Clean(&'static str),
     Broken(&'static str),
 }
 
@@ -202,15 +206,35 @@
                 break over;
             }
         };
-        if let Over::Broken(why) = over {
-            debug!(self.shared.log, "client connection broken"; "client" => self.id.0, "why" => why);
-        }
+        self.note_end(&over);
         self.owed.values().for_each(|over| over.set(true));
         self.shared.places.borrow_mut().close(self.id);
         let closed = Inbound::Client(FromClient::Closed(self.id));
         let _ = self.shared.queue.send(closed);
     }
 
+    /// Tells why it ends, and checks that it may.
+    fn note_end(&self, over: &Over) {
+        let why = match over {
+            Over::Clean(why) => {
+                let facts = CloseFacts {
+                    owed: self.owed.len(),
+                    unwritten: self.replies.len() + self.ends.len(),
+                };
+                let may_close = permits::may_close(&facts);
+                must(may_close, &self.shared.counts.broken_closed_owing);
+                why
+            }
+            Over::Broken(why) => {
+                debug!(self.shared.log, "client connection broken"; "client" => self.id.0, "why" => why);
+                why
+            }
+        };
+        self.shared
+            .trace
+            .client_closed(self.id, why, self.owed.len());
+    }
+
     /// Answers that are not wholly written yet count as open, too.
     fn open(&self) -> usize {
         self.owed.len() + self.replies.len() + self.ends.len()
@@ -244,7 +268,7 @@
                 shut(&self.stream).map_err(|_| Over::Broken("half-close failed"))?;
             }
             if self.eof.is_some() {
-                return Err(Over::Clean);
+                return Err(Over::Clean("it has ended its side"));
             }
         }
         let gone_at = self.eof.filter(|_| !self.shut).map(|at| at + GONE_AFTER);
@@ -265,7 +289,7 @@
                     self.read()?;
                     if self.used().0 == used && used != Use::Busy {
                         count(&self.shared.counts.places_given_up);
-                        return Err(Over::Clean);
+                        return Err(Over::Clean("its place is wanted"));
                     }
                 }
             },
@@ -284,7 +308,7 @@
                 self.finishing = true;
             }
             _ = sleep_until(self.ends_by.unwrap_or(leaves_at)), if self.ends_by.is_some() => {
-                return Err(Over::Clean);
+                return Err(Over::Clean("it was idle and did not end its side"));
             }
             _ = sleep_until(gone_at.unwrap_or(leaves_at)), if gone_at.is_some() && !self.shut => {}
             _ = sleep_until(stalled), if !idle => {
@@ -601,6 +625,7 @@
         held_tag: passed("have"),
         body: body.into(),
         over: Rc::default(),
+        client: Rc::default(),
     };
     let sized = body.len() <= LONGEST_BODY && (0.0..=LONGEST_WAIT_MS).contains(&allow);
     (all_sound && sized).then_some(call)
--- a/crates/trailproxyd/src/dispatch/attempts.rs
+++ b/crates/trailproxyd/src/dispatch/attempts.rs
@@ -5,7 +5,8 @@
 use crate::messages::{Answer, AttemptId, LineId, Reply, Sending};
 use slog::{debug, info};
 use trailproxy::interface::{Action, Attempt, Effect, Ending, Event, Outcome};
-use trailproxy::units::{AttemptNo, Moment};
+use trailproxy::policy::refusals::GiveUpReason;
+use trailproxy::units::{AttemptNo, Moment, RequestId};
 
 impl Dispatch {
     pub(super) fn settle(&mut self, now: Moment) {
@@ -16,14 +17,10 @@
         for action in self.decisions.settle(now) {
             match action {
                 Action::Attempt(attempt) => self.attempt(now, attempt),
-                Action::Refuse { id, come_back } => {
-                    self.answer(now, id, Reply::Refused { come_back });
-                    self.forget(now, id);
-                }
-                Action::Fail { id } => {
-                    self.answer(now, id, Reply::Failed);
-                    self.forget(now, id);
+                Action::Refuse { id, come_back, why } => {
+                    self.given_up(now, id, Reply::Refused { come_back }, why);
                 }
+                Action::Fail { id, why } => self.given_up(now, id, Reply::Failed, why),
                 Action::Withdraw { id, hand_off: no } => {
                     self.pools.kill(AttemptId { request: id, no });
                 }
@@ -38,6 +35,13 @@
         }
     }
 
+    /// The decisions have given a request up.
+    fn given_up(&mut self, now: Moment, id: RequestId, reply: Reply, why: GiveUpReason) {
+        count(self.counts.given_up(why));
+        self.answer(now, id, reply, why.word());
+        self.forget(now, id);
+    }
+
     pub(super) fn attempt(&mut self, now: Moment, attempt: Attempt) {
         let Attempt { id, host, fill } = attempt;
         let request = self.state.requests.get_mut(&id);
@@ -60,7 +64,7 @@
             .clone()
             .filter(|earlier| earlier.ran)
             .map(|earlier| earlier.sent);
-        let begin_by = match self.effects[track] {
+        let repeat_by = match self.effects[track] {
             Effect::Keyed { window, .. } => ran.min().map(|first| first + window),
             _ => None,
         };
@@ -74,8 +78,8 @@
             track: bounds.track_names[track].as_str().into(),
             fill,
             source: name,
-            limit: self.clock.instant(request.limit),
-            begin_by: begin_by.map(|by| self.clock.instant(by)),
+            deadline: request.limit,
+            repeat_by,
             avoid: earlier.filter_map(|earlier| earlier.line).collect(),
         };
         request.attempts.push(AttemptState {
@@ -86,6 +90,10 @@
             over: false,
             ran: true,
         });
+        self.pools
+            .shared
+            .trace
+            .attempt(&sending.call, sending.id, host);
         self.decisions.crossings.went(now, id, host);
         self.pools.submit(sending);
     }
@@ -120,17 +128,18 @@
         let came_kb = answer.body.as_ref();
         let came_kb = came_kb.map(|body| body.bytes().len() as f64 / 1024.0);
         if ending == Ending::Done {
-            self.answer(
-                now,
-                id.request,
-                answer.body.map_or(Reply::Same, Reply::Served),
-            );
+            let reply = answer.body.map_or(Reply::Same, Reply::Served);
+            self.answer(now, id.request, reply, "served");
         }
         if self.client_of(id.request).is_some_and(|client| client.shut) {
             // Nothing more begins for it.
-            self.answer(now, id.request, Reply::Failed);
+            self.answer(now, id.request, Reply::Failed, "client_shut");
         }
         let request = self.state.requests.get(&id.request);
+        if let Some(request) = request {
+            let trace = &self.pools.shared.trace;
+            trace.ended(&request.call, id, ending, took);
+        }
         let closed = request.is_none_or(|request| request.closed);
         let proven = self
             .client_of(id.request)
--- a/crates/trailproxyd/src/dispatch/clients.rs
+++ b/crates/trailproxyd/src/dispatch/clients.rs
@@ -47,7 +47,7 @@
         }
         for (_, id) in self.calls_of(client) {
             if !self.recall(id) {
-                self.answer(now, id, Reply::Failed);
+                self.answer(now, id, Reply::Failed, "client_shut");
                 self.tell(now, Event::Left { id });
                 self.forget(now, id);
             }
--- a/crates/trailproxyd/src/dispatch/mod.rs
+++ b/crates/trailproxyd/src/dispatch/mod.rs
@@ -11,7 +11,7 @@
 mod timers;
 
 use crate::accounts::Accounts;
-use crate::checks::Counts;
+use crate::checks::{Counts, must};
 use crate::messages::{
     Call, CallId, ClientId, Clock, Entry, FromServer, Inbound, LineId, ToClient, next_now,
 };
@@ -157,6 +157,7 @@
                 let lingered = now >= asked + STILL_COMING + self.longest_limit();
                 let all_gone = self.state.all_in && self.state.clients.is_empty();
                 if self.state.finished && (all_gone || lingered) {
+                    self.check_nothing_owed();
                     self.last_account();
                     self.report();
                     return self.leave().await;
@@ -184,6 +185,15 @@
         }
     }
 
+    /// Whoever still waits for an answer as the process ends was promised one.
+    fn check_nothing_owed(&self) {
+        let owed = self.state.calls.len();
+        if owed > 0 {
+            warn!(self.log, "ends with answers owed"; "calls" => owed);
+        }
+        must(owed == 0, &self.counts.broken_ended_owing);
+    }
+
     /// The other dispatchers are told that it ends, and the way there is given the time to say so.
     async fn leave(&mut self) {
         let now = self.clock.moment(Instant::now());
--- a/crates/trailproxyd/src/dispatch/requests.rs
+++ b/crates/trailproxyd/src/dispatch/requests.rs
@@ -6,6 +6,8 @@
 use crate::subsystems::came;
 use std::rc::Rc;
 use trailproxy::interface::{Arrival, Effect, Event};
+use trailproxy::policy::permits;
+use trailproxy::policy::refusals::GiveUpReason;
 use trailproxy::units::{Moment, RequestId, Span};
 
 impl Dispatch {
@@ -23,8 +25,10 @@
 
     pub(super) fn arrived(&mut self, now: Moment, call: Call) {
         count(&self.counts.accesses);
-        if self.state.requests.len() >= self.pools.shared.bounds.max_open {
+        let most = self.pools.shared.bounds.max_open;
+        if !permits::may_take(self.state.requests.len(), most) {
             count(&self.counts.rejected);
+            count(self.counts.given_up(GiveUpReason::TableFull));
             return self.reply(call.id, Reply::Refused { come_back: None });
         }
         if !self.state.references.insert(call.reference.clone()) {
@@ -44,6 +48,7 @@
             part: call.part,
             size_kb: call.size_kb,
         };
+        self.pools.shared.trace.taken(&call, arrival.left);
         self.state.limits.insert((limit, id));
         self.state.calls.insert(call.id, id);
         let keyed = self.effects[usize::from(call.track.0)] != Effect::Idempotent;
@@ -69,12 +74,20 @@
             count(&self.counts.left);
             self.came(now, id, None);
             self.recall(id);
+            self.trace_closed(id, "none", "client_left");
             self.close(id);
             self.tell(now, Event::Left { id });
             self.forget(now, id);
         }
     }
 
+    fn trace_closed(&self, id: RequestId, how: &str, why: &str) {
+        if let Some(request) = self.state.requests.get(&id) {
+            let trace = &self.pools.shared.trace;
+            trace.closed(&request.call, how, why);
+        }
+    }
+
     /// No answer is owed any more; what is out may still end.
     pub(super) fn close(&mut self, id: RequestId) {
         if let Some(request) = self.state.requests.get_mut(&id) {
@@ -119,7 +132,7 @@
     }
 
     /// The one final answer of a request.
-    pub(super) fn answer(&mut self, now: Moment, id: RequestId, reply: Reply) {
+    pub(super) fn answer(&mut self, now: Moment, id: RequestId, reply: Reply, why: &str) {
         let Some(request) = self
             .state
             .requests
@@ -145,6 +158,7 @@
             Reply::Refused { .. } => &self.counts.rejected,
             Reply::Failed => &self.counts.aborted,
         });
+        self.trace_closed(id, reply.word(), why);
         self.close(id);
         self.reply(call, reply);
     }
--- a/crates/trailproxyd/src/dispatch/sharing.rs
+++ b/crates/trailproxyd/src/dispatch/sharing.rs
@@ -29,7 +29,7 @@
                 Due::Arrived(arrival) => self.go(now, arrival),
                 Due::Answered(id, body) => {
                     let body = Parcel::new(&body, &self.pools.shared.held);
-                    self.answer(now, id, Reply::Served(body));
+                    self.answer(now, id, Reply::Served(body), "from_record");
                     self.forget(now, id);
                 }
                 Due::Tell(event) => self.tell(now, event),
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -17,7 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::interface::{Ending, Note};
-use trailproxy::units::{HostId, Span};
+use trailproxy::policy::permits;
+use trailproxy::units::{HostId, Moment, Span};
 
 /// The bytes of an object, by the protocol, and of the words beside it.
 const LONGEST_WORD: usize = 240_000;
@@ -115,6 +116,7 @@
             "reset" | "read failed" | "write failed" => count(&self.shared.counts.lines_reset),
             _ => {}
         }
+        self.shared.trace.line_closed(self.host, self.id, why);
         if !self.open.is_empty() || !self.unsent.is_empty() {
             let (host, open) = (format!("{:x}", self.host.0), self.open.len());
             info!(self.shared.log, "host connection broken"; "host" => host, "open" => open, "why" => why);
@@ -259,6 +261,34 @@
         self.unring(|sending| sending.id == id)
     }
 
+    /// Drops what is in the ring if not a byte of it was written and it may not begin any more.
+    fn drop_what_may_not_begin(&mut self, now: Instant) {
+        let waiting = self.in_ring.as_ref().filter(|_| !self.begun);
+        let Some(sending) = waiting else {
+            return;
+        };
+        if let Err(why) = sending.may_begin(&self.shared.clock, now) {
+            let (trace, call) = (&self.shared.trace, &sending.call);
+            trace.denied(call, sending.id, why.word());
+            self.unring(|_| true);
+        }
+    }
+
+    /// The first byte of a request has gone out: what the rules say of that moment is checked once more.
+    fn check_begun(&self, now: Instant) {
+        let Some(sending) = &self.in_ring else {
+            return;
+        };
+        let clock = &self.shared.clock;
+        self.shared.trace.begun(&sending.call, sending.id, self.id);
+        let late = permits::begun_against_a_rule(clock.moment(now), &sending.facts(clock));
+        must(!late, &self.shared.counts.broken_began_late);
+        let written_at = self.open.get(&sending.call.reference).map(|open| open.sent);
+        let passed_on = written_at
+            .is_none_or(|at| permits::deadline_still_holds(clock.moment(now), clock.moment(at)));
+        must(passed_on, &self.shared.counts.broken_deadline_passed_on);
+    }
+
     /// Drops what is in the ring if not a byte of it was written and this holds of it.
     fn unring(&mut self, holds: impl FnOnce(&Sending) -> bool) -> bool {
         let kept = self
@@ -294,7 +324,7 @@
         loop {
             // The last look, at the moment of the write: what waited for room may have lost its client since.
             let now = Instant::now();
-            self.unring(|sending| sending.begins_no_more(now));
+            self.drop_what_may_not_begin(now);
             if self.outgoing.is_empty() {
                 self.in_ring = None;
                 self.begun = false;
@@ -306,7 +336,9 @@
             }
             match self.stream.try_write(self.outgoing.parts().0) {
                 Ok(n) => {
-                    self.begun |= n > 0;
+                    if !std::mem::replace(&mut self.begun, true) {
+                        self.check_begun(now);
+                    }
                     self.outgoing.consume(n);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
@@ -332,13 +364,15 @@
             }
             Packet::Sending(sending) => {
                 let (now, call) = (Instant::now(), &sending.call);
-                if sending.begins_no_more(now) {
+                if let Err(why) = sending.may_begin(&self.shared.clock, now) {
+                    self.shared.trace.denied(call, sending.id, why.word());
                     return self.end(sending.id, Ending::NotSent);
                 }
                 resp::put_array(&mut out, WORDS);
                 resp::put_word(&mut out, b"PULL");
                 resp::put_word(&mut out, call.reference.as_bytes());
-                resp::put_word(&mut out, fields(&sending, now).as_bytes());
+                let moment = self.shared.clock.moment(now);
+                resp::put_word(&mut out, fields(&sending, moment).as_bytes());
                 resp::put_word(&mut out, &call.body);
                 let open = OpenAttempt {
                     id: sending.id,
@@ -435,7 +469,7 @@
 }
 
 /// The fields of a request, as the hosts want them.
-fn fields(sending: &Sending, now: Instant) -> String {
+fn fields(sending: &Sending, now: Moment) -> String {
     let call = &sending.call;
     let mut fields = format!(
         "lane={},name={},piece={}",
@@ -445,8 +479,8 @@
         let _ = write!(fields, ",{name}={value}");
     };
     // Rounded down: the host gives up no later than the dispatcher.
-    let left = sending.limit.saturating_duration_since(now);
-    add("ttl", &left.as_millis().max(1).to_string());
+    let left = permits::deadline_to_pass(now, sending.deadline);
+    add("ttl", &(left.0 / 1000).max(1).to_string());
     if let Some(mark) = &call.mark {
         add("dedupe", mark);
     }
--- a/crates/trailproxyd/src/link_context.rs
+++ b/crates/trailproxyd/src/link_context.rs
@@ -3,6 +3,7 @@
 use crate::buffered::Held;
 use crate::checks::Counts;
 use crate::messages::*;
+use crate::trace::Trace;
 use slog::Logger;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
     pub held_limit: usize,
     pub counts: Rc<Counts>,
     pub log: Logger,
+    pub trace: Trace,
 }
 
 impl Shared {
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -17,6 +17,7 @@
 mod startup;
 mod store;
 mod subsystems;
+mod trace;
 mod waiting;
 
 use accounts::Accounts;
@@ -37,6 +38,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
+use trace::Trace;
 use trailproxy::interface::Terms;
 use trailproxy::logic::Dispatcher;
 use trailproxy_terms::Bounds;
@@ -184,6 +186,7 @@
         held: held.clone(),
         counts: counts.clone(),
         log: log.clone(),
+        trace: Trace::new(&log),
     });
     info!(log, "started"; "listen" => %listen, "known" => start.known_until, "unread" => start.known_unread,
         "descriptors" => start.descriptors, "memory" => start.memory_bytes);
@@ -263,6 +266,7 @@
         held,
         held_limit: start.memory_bytes / 2,
         counts,
+        trace: Trace::new(&log),
         log,
     }));
     let mut dispatch = Dispatch::new(decisions, pools, start.reports, effects);
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use trailproxy::interface::*;
+use trailproxy::policy::permits::{self, Denied, SendFacts};
 use trailproxy::units::*;
 use trailproxy_peers::decide::messages::{Address, Message};
 use trailproxy_shared_store::decide::{OpId, Reply as StoreReply};
@@ -64,6 +65,15 @@
     /// It has its final answer or its client has gone: nothing of it is to begin. Whoever sees that first says so here,
     /// and whoever writes looks here, so that no queue between the two makes it late.
     pub over: Rc<Cell<bool>>,
+    /// What is known of its client's connection, looked at in the same way.
+    pub client: Rc<ClientState>,
+}
+
+/// What all that wait for a client look at before they begin anything for it.
+#[derive(Default)]
+pub struct ClientState {
+    /// When it ended its side of the connection.
+    pub closed_at: Cell<Option<Instant>>,
 }
 
 pub enum FromClient {
@@ -85,6 +95,18 @@
     Failed,
 }
 
+impl Reply {
+    /// One word for logs.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Reply::Served(_) => "served",
+            Reply::Same => "same",
+            Reply::Refused { .. } => "refused",
+            Reply::Failed => "failed",
+        }
+    }
+}
+
 pub enum ToClient {
     Reply(u32, Reply),
     /// Nothing more comes: flush, half-close, read to the end.
@@ -117,17 +139,36 @@
     /// The name of another host that fills a miss.
     pub source: Option<Rc<str>>,
     /// Until then an answer is of use: told with the request in milliseconds.
-    pub limit: Instant,
+    pub deadline: Moment,
     /// Rule 2: what may have run before may go out again only until then.
-    pub begin_by: Option<Instant>,
+    pub repeat_by: Option<Moment>,
     /// Connections on which the same id has gone out before.
     pub avoid: Vec<LineId>,
 }
 
 impl Sending {
-    /// Whether its first byte must not go out any more: it is too late, it has its final answer, or its client has gone.
-    pub fn begins_no_more(&self, now: Instant) -> bool {
-        self.call.over.get() || self.limit <= now || self.begin_by.is_some_and(|by| by <= now)
+    /// Whether its first byte may go out now.
+    pub fn may_begin(&self, clock: &Clock, now: Instant) -> Result<(), Denied> {
+        permits::may_send(clock.moment(now), &self.facts(clock))
+    }
+
+    /// What decides whether it may begin.
+    pub fn facts(&self, clock: &Clock) -> SendFacts {
+        let closed_at = self.call.client.closed_at.get();
+        SendFacts {
+            answered: self.call.over.get(),
+            client_closed: closed_at.map(|at| clock.moment(at)),
+            deadline: self.deadline,
+            repeat_by: self.repeat_by,
+        }
+    }
+
+    /// When it may not begin any more, as far as time alone decides.
+    pub fn begins_until(&self, clock: &Clock) -> Instant {
+        let until = self
+            .repeat_by
+            .map_or(self.deadline, |by| by.min(self.deadline));
+        clock.instant(until)
     }
 }
 
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -256,10 +256,13 @@
                 probe.ended(shared, host);
             }
             pool.waiting.retain(|(until, sending)| {
-                match (sending.begins_no_more(now), *until <= now) {
-                    (true, _) => shared.dropped(sending, Ending::NotSent),
-                    (_, true) => shared.dropped(sending, Ending::NoConnection),
-                    _ => return true,
+                match sending.may_begin(&shared.clock, now) {
+                    Err(why) => {
+                        shared.trace.denied(&sending.call, sending.id, why.word());
+                        shared.dropped(sending, Ending::NotSent);
+                    }
+                    Ok(()) if *until <= now => shared.dropped(sending, Ending::NoConnection),
+                    Ok(()) => return true,
                 }
                 false
             });
@@ -269,9 +272,8 @@
     /// When the next wait is over.
     pub fn next_expiry(&self) -> Option<Instant> {
         let waiting = self.pools.values().flat_map(|pool| &pool.waiting);
-        let over = |(until, sending): &(Instant, Sending)| {
-            sending.begin_by.map_or(*until, |by| by.min(*until))
-        };
+        let clock = &self.shared.clock;
+        let over = |(until, sending): &(Instant, Sending)| sending.begins_until(clock).min(*until);
         let probes = self.pools.values().filter_map(|pool| pool.probe.as_ref());
         let probes = probes.filter(|probe| probe.is != ProbeIs::Over);
         waiting
--- /dev/null
+++ b/crates/trailproxyd/src/system_calls.rs
@@ -0,0 +1,48 @@
+//! Reads and writes of connections, with what their errors mean, in one place for clients, hosts and discovery.
+
+use std::io;
+use tokio::net::TcpStream;
+use trailproxy::policy::system_errors::{StreamError, of_stream};
+
+/// What came of a read or a write.
+pub enum Transfer {
+    /// So many bytes have moved; none at a read: the other side has ended its own.
+    Bytes(usize),
+    /// The connection is not ready for it.
+    NotReady,
+    /// The system lacks something for the moment: the connection stands, and its readiness is not told anew.
+    Lacking,
+    Broken(io::Error),
+}
+
+/// Reads what has come, as far as there is room for it.
+pub fn read(stream: &TcpStream, room: &mut [u8]) -> Transfer {
+    transfer(|| stream.try_read(room))
+}
+
+/// Writes as much as goes out now.
+pub fn write(stream: &TcpStream, bytes: &[u8]) -> Transfer {
+    transfer(|| stream.try_write(bytes))
+}
+
+fn transfer(mut call: impl FnMut() -> io::Result<usize>) -> Transfer {
+    loop {
+        let error = match call() {
+            Ok(moved) => return Transfer::Bytes(moved),
+            Err(error) => error,
+        };
+        match of_stream(errno(&error)) {
+            StreamError::Again => {}
+            StreamError::WhenReady => return Transfer::NotReady,
+            StreamError::Later => return Transfer::Lacking,
+            StreamError::Broken => return Transfer::Broken(error),
+        }
+    }
+}
+
+/// The system's number of an error. The runtime tells that a connection is not ready by an error without one.
+pub fn errno(error: &io::Error) -> i32 {
+    let not_ready = error.kind() == io::ErrorKind::WouldBlock;
+    let without = if not_ready { libc::EAGAIN } else { 0 };
+    error.raw_os_error().unwrap_or(without)
+}
--- /dev/null
+++ b/crates/trailproxyd/src/trace.rs
@@ -0,0 +1,83 @@
+//! A line of log for each step of each request, each close, each retry and each refusal, with the reason.
+//!
+//! Off unless `RELAY_TRACE` is `1`: it is for the search for faults, not for every day. Requests are named by the id that
+//! their clients gave them, which hosts see as well.
+
+use crate::messages::{AttemptId, Call, ClientId, LineId};
+use slog::{Logger, info};
+use trailproxy::interface::Ending;
+use trailproxy::units::{HostId, Span};
+
+const VARIABLE: &str = "RELAY_TRACE";
+
+/// Where steps are told, if they are.
+#[derive(Clone)]
+pub struct Trace {
+    log: Option<Logger>,
+}
+
+impl Trace {
+    /// As the environment has it.
+    pub fn new(log: &Logger) -> Trace {
+        let on = std::env::var(VARIABLE).is_ok_and(|value| value == "1");
+        Trace {
+            log: on.then(|| log.clone()),
+        }
+    }
+
+    /// A request was read whole.
+    pub fn taken(&self, call: &Call, left: Span) {
+        if let Some(log) = &self.log {
+            info!(log, "request"; "step" => "taken", "ref" => &*call.reference, "client" => call.id.client.0,
+                "left_ms" => left.0 / 1000);
+        }
+    }
+
+    /// An attempt is given to the connections of a host.
+    pub fn attempt(&self, call: &Call, id: AttemptId, host: HostId) {
+        if let Some(log) = &self.log {
+            info!(log, "request"; "step" => "attempt", "ref" => &*call.reference, "no" => id.no.0,
+                "host" => format!("{:x}", host.0));
+        }
+    }
+
+    /// The first byte of an attempt has gone out.
+    pub fn begun(&self, call: &Call, id: AttemptId, line: LineId) {
+        if let Some(log) = &self.log {
+            info!(log, "request"; "step" => "begun", "ref" => &*call.reference, "no" => id.no.0, "line" => line.0);
+        }
+    }
+
+    /// An attempt was dropped before its first byte.
+    pub fn denied(&self, call: &Call, id: AttemptId, why: &str) {
+        if let Some(log) = &self.log {
+            info!(log, "request"; "step" => "denied", "ref" => &*call.reference, "no" => id.no.0, "why" => why);
+        }
+    }
+
+    pub fn ended(&self, call: &Call, id: AttemptId, ending: Ending, took: Span) {
+        if let Some(log) = &self.log {
+            info!(log, "request"; "step" => "ended", "ref" => &*call.reference, "no" => id.no.0,
+                "ending" => format!("{ending:?}"), "took_ms" => took.0 / 1000);
+        }
+    }
+
+    /// The final answer, or that none is owed any more.
+    pub fn closed(&self, call: &Call, how: &str, why: &str) {
+        if let Some(log) = &self.log {
+            info!(log, "request"; "step" => "closed", "ref" => &*call.reference, "how" => how, "why" => why);
+        }
+    }
+
+    pub fn client_closed(&self, client: ClientId, why: &str, owed: usize) {
+        if let Some(log) = &self.log {
+            info!(log, "client closed"; "client" => client.0, "why" => why, "owed" => owed);
+        }
+    }
+
+    pub fn line_closed(&self, host: HostId, line: LineId, why: &str) {
+        if let Some(log) = &self.log {
+            info!(log, "line closed"; "host" => format!("{:x}", host.0), "line" => line.0, "why" => why);
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! What goes into a dispatcher and what comes out, in no protocol's words.
 
+use crate::policy::refusals::GiveUpReason;
 use crate::units::*;
 
 /// What a dispatcher is told when it starts.
@@ -272,10 +273,12 @@
     Refuse {
         id: RequestId,
         come_back: Option<Span>,
+        why: GiveUpReason,
     },
     /// Final: promises nothing.
     Fail {
         id: RequestId,
+        why: GiveUpReason,
     },
     Withdraw {
         id: RequestId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod interface;
 pub mod logic;
+pub mod policy;
 pub mod units;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,6 +7,8 @@
 //! cold budget, due-time admission, spill, silence watch, origin shield, keep-rank and probes.
 
 use crate::interface::*;
+use crate::policy::permits::{self, EarlierAttempt, SendFacts};
+use crate::policy::refusals::{COME_BACK, GiveUpReason};
 use crate::units::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -40,7 +42,6 @@
 const WAIT_OF_DUE: f64 = 0.6;
 const USUAL_WAITS: f64 = 3.0;
 const ORIGIN_WAIT: Span = Span::from_millis(60); // between two hand-offs of an access to the origin
-const COME_BACK: Span = Span::from_millis(500); // how long a client that was rejected stays away
 /// What was known of a host is forgotten so long after it left the list; a late list may name it once more.
 const FORGET: Span = Span::from_secs(60);
 const SEEN: usize = 50_000; // so many objects seen are remembered, before all are forgotten
@@ -325,7 +326,7 @@
     Wait(Moment),
     Send(Plan),
     Withdraw(usize),
-    GiveUp,
+    GiveUp(GiveUpReason),
 }
 
 pub struct Dispatcher<C = Free> {
@@ -817,7 +818,7 @@
                 match self.next_step(now, id) {
                     Step::Send(plan) => self.send(now, id, plan),
                     Step::Withdraw(no) => self.withdraw(id, no),
-                    Step::GiveUp => self.give_up(now, id),
+                    Step::GiveUp(why) => self.give_up(now, id, why),
                     Step::Wait(until) => {
                         self.timed.insert((until, id));
                         break;
@@ -844,7 +845,7 @@
     fn next_step(&mut self, now: Moment, id: RequestId) -> Step {
         let access = &self.accesses[&id];
         if now >= access.limit {
-            return Step::GiveUp;
+            return Step::GiveUp(GiveUpReason::DeadlinePassed);
         }
         if let Some(no) = access.tries.iter().position(|attempt| attempt.out) {
             let attempt = access.tries[no];
@@ -860,14 +861,17 @@
             return Step::Wait(access.limit);
         }
         if access.tries.len() >= self.terms.max_hand_offs {
-            return Step::GiveUp;
+            return Step::GiveUp(GiveUpReason::AttemptsUsed);
         }
         let last = (access.tries.last()).filter(|last| Some(last.plan.host) == self.origin);
         let again = last.map_or(now, |last| last.sent + ORIGIN_WAIT);
         if now < again {
             return Step::Wait(again.min(access.limit));
         }
-        self.plan(now, id).map_or(Step::GiveUp, Step::Send)
+        match self.plan(now, id) {
+            Ok(plan) => Step::Send(plan),
+            Err(why) => Step::GiveUp(why),
+        }
     }
 
     fn in_hash_order(&self, access: &Request, role: Role) -> Vec<HostId> {
@@ -899,7 +903,7 @@
         !failed && (within || host.breaker.wants_trial(now))
     }
 
-    fn plan(&mut self, now: Moment, id: RequestId) -> Option<Plan> {
+    fn plan(&mut self, now: Moment, id: RequestId) -> Result<Plan, GiveUpReason> {
         for id in self.caches.iter().chain(&self.parents).chain(&self.origin) {
             let host = self.hosts.get_mut(id);
             host.into_iter().for_each(|host| host.breaker.advance(now));
@@ -908,26 +912,29 @@
         let (written, origin) = (self.track(access).written, self.origin);
         let open = origin.filter(|&id| self.open_to(now, access, id));
         if access.lacking && origin.is_none_or(|id| !self.hosts[&id].sick()) {
-            return None;
+            return Err(GiveUpReason::NobodyHoldsIt);
         }
         if (access.lacking || written) && self.terms.straight {
-            return open.map(|host| Plan { host, source: host });
+            let plan = open.map(|host| Plan { host, source: host });
+            return plan.ok_or(GiveUpReason::OriginShut);
         }
         let cache = self.pick_cache(now, access);
         if written {
-            return cache.zip(open).map(|(host, source)| Plan { host, source });
+            let plan = cache.zip(open).map(|(host, source)| Plan { host, source });
+            return plan.ok_or(GiveUpReason::OriginShut);
         }
         let source = self.pick_source(now, access, cache);
         // With no cache to go to, an access passes them by, straight to where it would be filled.
         let no_use = |id| self.hosts[&id].sick() || !self.has_budget(now, id, self.work(access));
         let lost = |id: &HostId| access.failed_at(*id) || no_use(*id);
         let Some(host) = cache else {
-            let host = source.filter(|_| self.terms.straight && self.caches.iter().all(lost))?;
+            let straight = source.filter(|_| self.terms.straight && self.caches.iter().all(lost));
+            let host = straight.ok_or(GiveUpReason::NoHostInTime)?;
             let source = open.unwrap_or(host);
-            return Some(Plan { host, source });
+            return Ok(Plan { host, source });
         };
         let source = source.unwrap_or(host);
-        Some(Plan { host, source })
+        Ok(Plan { host, source })
     }
 
     /// The first open parent, or the origin where none is, if a fill from there would be in time.
@@ -987,18 +994,20 @@
     /// Rule 2: whether what may have run allows a hand-off to this host.
     fn may_run_again(&self, now: Moment, access: &Request, host: HostId) -> bool {
         let of = |id| (self.hosts[&id].entry.zone, self.hosts[&id].entry.cell);
-        let mut ran = access.tries.iter().filter(|t| t.out || t.may_have_run);
+        let own = access.tries.iter().filter(|t| t.out || t.may_have_run);
+        let own = own.map(|t| EarlierAttempt {
+            place: Some(of(t.plan.host)),
+            sent: t.sent,
+            out: t.out,
+        });
         let others = self.crossings.earlier(access.asked.id);
-        match self.track(access).effect {
-            // It is withdrawn before it goes out again: never two at once.
-            Effect::Idempotent => access.tries.iter().all(|t| !t.out),
-            Effect::NonIdempotent => ran.next().is_none() && others.is_none(),
-            Effect::Keyed { group, window } => {
-                let others = others.map(|earlier| (earlier.place, earlier.first));
-                let mut ran = ran.map(|t| (Some(of(t.plan.host)), t.sent)).chain(others);
-                ran.all(|(at, first)| group.covers(at, of(host)) && now < first + window)
-            }
-        }
+        let others = others.map(|earlier| EarlierAttempt {
+            place: earlier.place,
+            sent: earlier.first,
+            out: false,
+        });
+        let effect = self.track(access).effect;
+        permits::may_repeat(now, effect, own.chain(others), of(host)).is_ok()
     }
 
     /// Rule 5: the oldest copy that will do, given the latest purge of the object or its group.
@@ -1045,9 +1054,15 @@
         let (host, source) = (&self.hosts[&plan.host], &self.hosts[&plan.source]);
         let own = plan.host == plan.source;
         // Rule 1: nothing goes out for an access that has ended or whose client has given up.
-        let open = !access.ended && now < access.limit;
+        let facts = SendFacts {
+            answered: access.ended,
+            client_closed: None,
+            deadline: access.limit,
+            repeat_by: None,
+        };
+        let open = permits::may_send(now, &facts).is_ok();
         // Rule 3: neither host nor source may drain or be gone.
-        let kept = host.ready() && source.ready();
+        let kept = permits::may_use(host.ready(), source.ready()).is_ok();
         let cold = self.has_budget(now, plan.host, self.work(access));
         let cold = cold && (own || self.has_budget(now, plan.source, access.send));
         let may = open && kept && cold && self.may_run_again(now, access, plan.host);
@@ -1057,7 +1072,7 @@
     fn send(&mut self, now: Moment, id: RequestId, plan: Plan) {
         let access = &self.accesses[&id];
         if !self.passes(now, access, &plan) {
-            return self.give_up(now, id);
+            return self.give_up(now, id, GiveUpReason::NotPermitted);
         }
         let written = self.track(access).written;
         if self.seen.len() >= SEEN {
@@ -1119,23 +1134,25 @@
         actions.push(Action::Attempt(Attempt { id, host, fill }));
     }
 
+    /// How long a client that is refused stays away, spread by chance; `None` where it can't be told.
+    pub fn come_back(&mut self, now: Moment, track: ClassId) -> Option<Span> {
+        let longest = self.terms.longest_away?;
+        let full = self.crossings.come_back(now, track);
+        let usual = full.map_or(COME_BACK, |full| full.max(COME_BACK));
+        Some(usual.times(0.75 + 0.5 * self.chance.f64()).min(longest))
+    }
+
     /// The final answer where nothing more can be done: a rejection where trying again is harmless.
-    fn give_up(&mut self, now: Moment, id: RequestId) {
+    fn give_up(&mut self, now: Moment, id: RequestId, why: GiveUpReason) {
         let access = &self.accesses[&id];
         let ran = access.tries.iter().any(|t| t.out || t.may_have_run);
         let ran = ran || self.crossings.earlier(id).is_some();
-        let harmless = match self.track(access).effect {
-            Effect::Idempotent => true,
-            Effect::NonIdempotent => !ran,
-            Effect::Keyed { group, .. } => !ran || group == RepeatGroup::All,
-        };
-        let full = self.crossings.come_back(now, access.asked.track);
-        let spread = full.map_or(COME_BACK, |full| full.max(COME_BACK));
-        let spread = spread.times(0.75 + 0.5 * self.chance.f64());
-        let come_back = self.terms.longest_away.map(|longest| spread.min(longest));
+        let harmless = permits::may_refuse(self.track(access).effect, ran);
+        let track = access.asked.track;
+        let come_back = self.come_back(now, track);
         self.actions.push(match harmless {
-            true => Action::Refuse { id, come_back },
-            false => Action::Fail { id },
+            true => Action::Refuse { id, come_back, why },
+            false => Action::Fail { id, why },
         });
         self.close(id);
     }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -157,7 +157,7 @@
                     );
                     self.handed.push(hand_off);
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                     self.finals.entry(id).or_default().push(action);
                 }
                 Action::Withdraw { id, .. } => self.withdrawn.push(id),
