A randomized soak of many real dispatchers, with proxies, shims and an oracle outside

Cause: trials strike by script and judge a few rules; nothing let stops, reloads, failing calls, wrong clocks, misbehaving clients and servers overlap on real processes. The stand-ins' stage takes something before each host and tells what is known by now.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # One target for each thing that is done with the repository.
-.PHONY: replicas-by-zone build test lint run lab lab-validate bench-relay zones replicas store-faults budgets other-sites capacity
+.PHONY: soak replicas-by-zone build test lint run lab lab-validate bench-relay zones replicas store-faults budgets other-sites capacity
 
 build:
 	cargo build --release --workspace --locked
@@ -34,6 +34,11 @@
 zones: build
 	target/release/trailproxy zones measure --days 10 --strikes 100 --out out/zones
 
+# Randomized faults that overlap, on twelve dispatchers and on thirty: about four minutes. SEED= moves what is drawn.
+soak: build
+	target/release/trailproxy soak --seed $(SEED) --runs 8 --out out/soak/twelve
+	target/release/trailproxy soak --seed $(SEED) --runs 4 --dispatchers 30 --rate 5 --out out/soak/thirty
+
 # Five dispatchers under faults between them, alone and in pairs, with peers and without: about eleven minutes on six
 # cores. SEED= moves what is drawn; the summary comes into out/replicas.
 SEED ?= 1
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -154,6 +154,9 @@
     pub journal_address: SocketAddr,
     /// The list as it was told first, as JSON.
     pub known: String,
+    /// The first event, which has the whole list.
+    first: String,
+    journal: Journal,
     wanted: Rc<RefCell<BTreeMap<u64, Wanted>>>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -176,6 +179,18 @@
         wire: Wire,
         clock: Clock,
         seen: UnboundedSender<(Moment, Seen)>,
+    ) -> io::Result<Stage> {
+        Stage::open_behind(fleet, hosts, wire, clock, seen, |_, address| Ok(address)).await
+    }
+
+    /// The same with something before each host: given a host and where it listens, `front` says where the list has it.
+    pub async fn open_behind(
+        fleet: Fleet,
+        hosts: usize,
+        wire: Wire,
+        clock: Clock,
+        seen: UnboundedSender<(Moment, Seen)>,
+        front: impl Fn(HostId, SocketAddr) -> io::Result<SocketAddr>,
     ) -> io::Result<Stage> {
         let (to_fleet, inbox) = unbounded_channel();
         let mut ports = Vec::new();
@@ -185,6 +200,7 @@
             ports.push(Port {
                 place,
                 address,
+                told: front(fleet.at(place).id, address)?,
                 doors: Doors::default(),
                 task: None,
             });
@@ -201,10 +217,11 @@
             .zip(&ports)
             .map(|(entry, port)| member(entry, port, &fleet, &wire, &clock))
             .collect();
-        let known = format!(
-            "{{\"pos\":1,\"entries\":[{{\"pos\":1,\"hosts\":{{\"revision\":1,\"complete\":true,\"members\":[{}]}}}}]}}",
+        let first = format!(
+            "{{\"pos\":1,\"hosts\":{{\"revision\":1,\"complete\":true,\"members\":[{}]}}}}",
             members.join(",")
         );
+        let known = known(1, std::slice::from_ref(&first));
         let wanted: Rc<RefCell<BTreeMap<u64, Wanted>>> = Rc::default();
         let owner = Owner {
             fleet,
@@ -223,17 +240,28 @@
         };
         let tasks = vec![
             spawn_local(owner.run(inbox)),
-            spawn_local(tell(service, journal)),
+            spawn_local(tell(service, journal.clone())),
         ];
         Ok(Stage {
             to_fleet,
             journal_address,
             known,
+            first,
+            journal,
             wanted,
             tasks,
         })
     }
 
+    /// All that the journal service has told by now, as a dispatcher is told it at its start.
+    pub fn known_now(&self) -> String {
+        let journal = self.journal.borrow();
+        let last = journal.last().map_or(1, |(pos, _)| *pos);
+        let later = journal.iter().map(|(_, event)| event.clone());
+        let all: Vec<String> = std::iter::once(self.first.clone()).chain(later).collect();
+        known(last, &all)
+    }
+
     /// Notes what an access is about to be asked for, by its reference.
     pub fn expect(&self, reference: u64, wanted: Wanted) {
         self.wanted.borrow_mut().insert(reference, wanted);
@@ -249,12 +277,19 @@
     }
 }
 
+/// What a dispatcher is told at its start, as JSON.
+fn known(last: u64, events: &[String]) -> String {
+    format!("{{\"pos\":{last},\"entries\":[{}]}}", events.join(","))
+}
+
 /// The connections of one host, to be ended with it.
 type Doors = Rc<RefCell<BTreeMap<LineId, UnboundedSender<Back>>>>;
 
 struct Port {
     place: usize,
     address: SocketAddr,
+    /// Where the list has it.
+    told: SocketAddr,
     doors: Doors,
     task: Option<JoinHandle<()>>,
 }
@@ -427,7 +462,7 @@
     format!(
         "{{\"id\":\"{name}\",\"host_port\":\"{}\",\"locality\":\"{}\",\"flavor\":\"{flavor}\",\"cell\":{},\
          \"phase\":\"{phase}\",\"size\":{},\"up_since_ms\":{started}}}",
-        port.address,
+        port.told,
         wire.zones[usize::from(entry.zone.0)],
         entry.cell.0,
         entry.size,
--- a/crates/trailproxy-cli/src/main.rs
+++ b/crates/trailproxy-cli/src/main.rs
@@ -7,6 +7,7 @@
 mod out;
 mod peers;
 mod sections;
+mod soak;
 mod store;
 mod trial;
 mod zones;
@@ -43,6 +44,8 @@
     /// Budgets of the whole fleet: who has which part, until when, and why not more.
     #[command(subcommand)]
     Budgets(budgets::Task),
+    /// Many real dispatchers under randomized faults that overlap, judged from outside: 3 where a promise was broken.
+    Soak(soak::Task),
     /// Several real dispatchers, faults between them by a script, and somebody outside who counts: 3 where a rule broke.
     Trial(trial::Task),
     /// What a large fleet costs and achieves, by size, in virtual time: 3 where a promise is missed.
@@ -68,6 +71,7 @@
         Task::Store(task) => store::run(task),
         Task::Peers(task) => peers::run(task),
         Task::Budgets(task) => budgets::run(task),
+        Task::Soak(task) => soak::run(task),
         Task::Trial(task) => trial::run(task),
         Task::Capacity(task) => capacity::run(task),
         Task::CapacityLive(task) => capacity_live::run(task),
--- /dev/null
+++ b/crates/trailproxy-cli/src/soak.rs
@@ -0,0 +1,162 @@
+//! `trailproxy soak`: randomized runs of many real dispatchers under overlapping faults.
+
+use crate::{End, out};
+use clap::Args;
+use serde::Serialize;
+use std::path::PathBuf;
+use std::time::Instant;
+use trailproxy_soak::oracle::Verdict;
+use trailproxy_soak::plan::{Kind, Plan, Size};
+use trailproxy_soak::process::{Place, fresh_folder};
+use trailproxy_soak::run::play;
+
+#[derive(Args)]
+pub struct Task {
+    /// The first seed; each run has the next one.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many runs.
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
+    /// Dispatchers of a run.
+    #[arg(long, default_value_t = 12)]
+    dispatchers: usize,
+    /// Length of a run, in seconds.
+    #[arg(long, default_value_t = 12.0)]
+    seconds: f64,
+    /// Requests a second at each dispatcher.
+    #[arg(long, default_value_t = 8.0)]
+    rate: f64,
+    /// The kinds of trouble, separated by commas; else all: process, calls, clocks, servers, network, discovery, clients.
+    #[arg(long)]
+    kinds: Option<String>,
+    /// Without the preloaded shim: no system call fails and no clock is wrong.
+    #[arg(long)]
+    no_shim: bool,
+    /// The dispatcher's program; else `trailproxyd` beside this one.
+    #[arg(long)]
+    daemon: Option<PathBuf>,
+    /// Folder for summary.json, and for the logs of runs that broke something.
+    #[arg(long, default_value = "out/soak")]
+    out: String,
+}
+
+const DISPATCHERS: std::ops::RangeInclusive<usize> = 1..=40;
+/// So many breaches of a run are printed.
+const PRINTED: usize = 12;
+
+#[derive(Serialize)]
+struct Summary {
+    seed: u64,
+    dispatchers: usize,
+    seconds: f64,
+    kinds: Vec<&'static str>,
+    events: Vec<String>,
+    servers: Vec<String>,
+    verdict: Verdict,
+}
+
+pub fn run(task: Task) -> End {
+    soaked(&task).unwrap_or_else(End::Refused)
+}
+
+fn soaked(task: &Task) -> Result<End, String> {
+    let kinds = kinds(task.kinds.as_deref())?;
+    if !DISPATCHERS.contains(&task.dispatchers) {
+        return Err(format!(
+            "--dispatchers: found {}, accepted: {} to {}",
+            task.dispatchers,
+            DISPATCHERS.start(),
+            DISPATCHERS.end()
+        ));
+    }
+    let mut summaries = Vec::new();
+    let mut broken = 0;
+    for seed in task.seed..task.seed + task.runs {
+        let summary = one(task, seed, &kinds)?;
+        broken += usize::from(!summary.verdict.broken.is_empty());
+        summaries.push(summary);
+        let text = serde_json::to_string_pretty(&summaries).map_err(|e| e.to_string())?;
+        out::write(&task.out, "summary.json", &text)?;
+    }
+    println!("{broken} of {} runs broke something", summaries.len());
+    Ok(if broken == 0 { End::Well } else { End::Broken })
+}
+
+fn kinds(named: Option<&str>) -> Result<Vec<Kind>, String> {
+    let Some(named) = named else {
+        return Ok(Kind::ALL.to_vec());
+    };
+    let accepted = || Kind::ALL.map(Kind::name).join(", ");
+    let of = |name: &str| {
+        let kind = Kind::ALL.into_iter().find(|kind| kind.name() == name);
+        kind.ok_or_else(|| format!("--kinds: found {name:?}, accepted: {}", accepted()))
+    };
+    named.split(',').map(of).collect()
+}
+
+fn one(task: &Task, seed: u64, kinds: &[Kind]) -> Result<Summary, String> {
+    let size = Size {
+        dispatchers: task.dispatchers,
+        seconds: task.seconds,
+        rate: task.rate,
+    };
+    let plan = Plan::draw(seed, size, kinds)?;
+    let events: Vec<String> = plan.events.iter().map(ToString::to_string).collect();
+    let servers = plan.scenario.script.iter();
+    let servers: Vec<String> = servers.map(|cue| format!("{cue:?}")).collect();
+    let place = place(task, seed)?;
+    let begun = Instant::now();
+    let verdict = play(plan, &place).map_err(|e| format!("the run can't be played: {e}"))?;
+    let (tally, took) = (verdict.tally, begun.elapsed().as_secs());
+    println!(
+        "seed {seed}: {} troubles, {} asked, {} served, {} refused, {} failed, {} left, {} excused, {took} s, broken: {:?}",
+        events.len() + servers.len(),
+        tally.asked,
+        tally.served,
+        tally.refused,
+        tally.failed,
+        tally.left,
+        tally.excused,
+        verdict.broken
+    );
+    for breach in verdict.breaches.iter().take(PRINTED) {
+        println!(
+            "  {:7.3} s {:?}: {}",
+            breach.at_s, breach.promise, breach.what
+        );
+    }
+    if verdict.broken.is_empty() {
+        let _ = std::fs::remove_dir_all(&place.folder);
+    } else {
+        println!("  logs: {}", place.folder.display());
+    }
+    Ok(Summary {
+        seed,
+        dispatchers: task.dispatchers,
+        seconds: task.seconds,
+        kinds: kinds.iter().map(|kind| kind.name()).collect(),
+        events,
+        servers,
+        verdict,
+    })
+}
+
+fn place(task: &Task, seed: u64) -> Result<Place, String> {
+    let beside = || {
+        let own = std::env::current_exe().map_err(|e| e.to_string())?;
+        Ok::<_, String>(own.with_file_name("trailproxyd"))
+    };
+    let program = task.daemon.clone().map_or_else(beside, Ok)?;
+    let shim = match task.no_shim {
+        true => None,
+        false => Some(trailproxy_fault_control::shim_library().map_err(|e| e.to_string())?),
+    };
+    let parent = std::env::temp_dir();
+    let folder = fresh_folder(&parent, seed).map_err(|e| e.to_string())?;
+    Ok(Place {
+        program,
+        shim,
+        folder,
+    })
+}
