Interrupted reads and writes go on; lack of memory waits; a table of what errors mean

Change: system_calls has the one read and the one write, which ask policy/system_errors whether an error means again, when ready, later or broken.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -73,7 +73,7 @@
     write: RefCell<Option<OwnedWriteHalf>>,
     next: Cell<u64>,
     open: RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>,
-    /// Requests that were cancelled, and when.
+    /// Requests that were cancelled, and until when their answers may still come.
     left: RefCell<BTreeMap<u64, Instant>>,
     /// Requests whose time was over long ago.
     given_up: RefCell<BTreeSet<u64>>,
@@ -259,7 +259,9 @@
         connection.forget(number);
         match question.behaviour {
             Behaviour::Cancels(_) => {
-                connection.left.borrow_mut().insert(number, Instant::now());
+                // One that is stopped can't read of it, and may answer before it does.
+                let crosses_until = Instant::now() + ANSWER_CROSSES + self.dispatcher.pause_left();
+                connection.left.borrow_mut().insert(number, crosses_until);
                 let _ = connection.write(&revocation(number)).await;
             }
             Behaviour::Resets(_) => connection.close(true).await,
@@ -378,7 +380,7 @@
         let Some(tell) = self.open.borrow_mut().remove(&number) else {
             let left = self.left.borrow_mut().remove(&number);
             let given_up = self.given_up.borrow_mut().remove(&number);
-            if !given_up && left.is_none_or(|at| at.elapsed() > ANSWER_CROSSES) {
+            if !given_up && left.is_none_or(|until| Instant::now() > until) {
                 let what = format!("an answer to nothing that is open: {value}");
                 self.oracle.breach(Promise::OneAnswer, what);
             }
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -7,13 +7,13 @@
 use crate::messages::*;
 use crate::msgpack::{self, Fault, Value};
 use crate::ring::Ring;
+use crate::system_calls::{self, LACK_PASSES, Transfer};
 use crate::trace::Trace;
 use local_channel::mpsc;
 use slog::{Logger, debug};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::future::poll_fn;
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -156,6 +156,8 @@
     half_closed: bool,
     /// It is closed by then, whatever it does.
     ends_by: Option<Instant>,
+    /// The system lacked something for it: nothing is read or written before this.
+    rests_until: Option<Instant>,
 }
 
 /// Why a connection ends.
@@ -196,6 +198,7 @@
             told_to_finish: false,
             half_closed: false,
             ends_by: None,
+            rests_until: None,
             shared,
         }
     }
@@ -250,6 +253,9 @@
     }
 
     async fn turn(&mut self) -> Result<(), Over> {
+        if let Some(until) = self.rests_until.take() {
+            sleep_until(until).await;
+        }
         self.write()?;
         let idle = self.outgoing.is_empty();
         let (used, leaves_at) = self.used();
@@ -326,8 +332,8 @@
             if self.eof.is_some() {
                 break;
             }
-            match self.stream.try_read(self.incoming.room()) {
-                Ok(0) => {
+            match system_calls::read(&self.stream, self.incoming.room()) {
+                Transfer::Bytes(0) => {
                     // One that waited for its place asked long ago, and left as long ago as that for all one knows. One
                     // that had its place at once and was silent has left just now.
                     let waited = self.admitted.duration_since(self.came_after) > GONE_AFTER;
@@ -338,7 +344,7 @@
                     };
                     self.eof = Some(left_at);
                 }
-                Ok(n) => {
+                Transfer::Bytes(n) => {
                     if self.spoken && self.incoming.is_empty() {
                         self.since = Instant::now();
                     }
@@ -348,16 +354,25 @@
                     }
                     self.parse()?;
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                Transfer::NotReady => {
                     self.incoming.rest(true);
                     break;
                 }
-                Err(_) => return Err(Over::Broken("reset")),
+                Transfer::Lacking => {
+                    self.rest();
+                    break;
+                }
+                Transfer::Broken(_) => return Err(Over::Broken("reset")),
             }
         }
         Ok(())
     }
 
+    /// The system lacks something for the moment: the connection is left alone for a while.
+    fn rest(&mut self) {
+        self.rests_until = Some(Instant::now() + LACK_PASSES);
+    }
+
     fn reply(&mut self, number: u32, reply: Reply) {
         // What was revoked is owed nothing.
         if self.owed.remove(&number).is_some() {
@@ -383,8 +398,8 @@
                 self.outgoing.rest(self.replies.is_empty());
                 return Ok(());
             }
-            match self.stream.try_write(self.outgoing.parts().0) {
-                Ok(n) => {
+            match system_calls::write(&self.stream, self.outgoing.parts().0) {
+                Transfer::Bytes(n) => {
                     self.outgoing.consume(n);
                     self.written += n as u64;
                     self.progress = Instant::now();
@@ -393,8 +408,12 @@
                     }
                     self.since = self.progress;
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(_) => return Err(Over::Broken("write failed")),
+                Transfer::NotReady => return Ok(()),
+                Transfer::Lacking => {
+                    self.rest();
+                    return Ok(());
+                }
+                Transfer::Broken(_) => return Err(Over::Broken("write failed")),
             }
         }
     }
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -7,11 +7,11 @@
 use crate::msgpack::Fault;
 use crate::resp;
 use crate::ring::Ring;
+use crate::system_calls::{self, LACK_PASSES, Transfer};
 use local_channel::mpsc;
 use slog::{info, warn};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -70,6 +70,8 @@
     retired: bool,
     /// It was said that nothing new is to come here.
     unfit: bool,
+    /// The system lacked something for it: nothing is read or written before this.
+    rests_until: Option<Instant>,
 }
 
 type Over = &'static str;
@@ -100,6 +102,7 @@
             active: Instant::now(),
             retired: false,
             unfit: false,
+            rests_until: None,
             shared,
         }
     }
@@ -182,7 +185,15 @@
         }
     }
 
+    /// The system lacks something for the moment: the connection is left alone for a while.
+    fn rest(&mut self) {
+        self.rests_until = Some(Instant::now() + LACK_PASSES);
+    }
+
     async fn turn(&mut self) -> Result<(), Over> {
+        if let Some(until) = self.rests_until.take() {
+            sleep_until(until).await;
+        }
         // What the host has said, its end above all, is known before anything more goes out.
         let may_read = self.shared.held.bytes() < self.shared.held_limit;
         if may_read {
@@ -334,15 +345,19 @@
                 };
                 self.encode(packet);
             }
-            match self.stream.try_write(self.outgoing.parts().0) {
-                Ok(n) => {
+            match system_calls::write(&self.stream, self.outgoing.parts().0) {
+                Transfer::Bytes(n) => {
                     if !std::mem::replace(&mut self.begun, true) {
                         self.check_begun(now);
                     }
                     self.outgoing.consume(n);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(_) => return Err("write failed"),
+                Transfer::NotReady => return Ok(()),
+                Transfer::Lacking => {
+                    self.rest();
+                    return Ok(());
+                }
+                Transfer::Broken(_) => return Err("write failed"),
             }
         }
     }
@@ -390,9 +405,9 @@
     fn read(&mut self) -> Result<(), Over> {
         loop {
             self.incoming.reserve(self.wants);
-            match self.stream.try_read(self.incoming.room()) {
-                Ok(0) => return Err("closed"),
-                Ok(n) => {
+            match system_calls::read(&self.stream, self.incoming.room()) {
+                Transfer::Bytes(0) => return Err("closed"),
+                Transfer::Bytes(n) => {
                     self.incoming.filled(n);
                     (self.heard, self.active) = (Instant::now(), Instant::now());
                     self.parse()?;
@@ -400,11 +415,15 @@
                         return Ok(());
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                Transfer::NotReady => {
                     self.incoming.rest(true);
                     return Ok(());
                 }
-                Err(_) => return Err("reset"),
+                Transfer::Lacking => {
+                    self.rest();
+                    return Ok(());
+                }
+                Transfer::Broken(_) => return Err("reset"),
             }
         }
     }
--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -4,6 +4,7 @@
 use crate::http::Response;
 use crate::messages::*;
 use crate::sse::Events;
+use crate::system_calls::{self, LACK_PASSES, Transfer};
 use local_channel::mpsc;
 use serde_json::Value;
 use slog::{Logger, info, warn};
@@ -210,10 +211,11 @@
                 .await
                 .map_err(silent)?
                 .map_err(broken)?;
-            match stream.try_write(unsent) {
-                Ok(n) => unsent = &unsent[n..],
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(broken(e)),
+            match system_calls::write(&stream, unsent) {
+                Transfer::Bytes(n) => unsent = &unsent[n..],
+                Transfer::NotReady => {}
+                Transfer::Lacking => sleep(LACK_PASSES).await,
+                Transfer::Broken(e) => return Err(broken(e)),
             }
         }
         let (mut response, mut events) = (Response::default(), Events::default());
@@ -224,11 +226,15 @@
                 .await
                 .map_err(silent)?
                 .map_err(broken)?;
-            let n = match stream.try_read(&mut piece) {
-                Ok(0) => return Err("closed".into()),
-                Ok(n) => n,
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
-                Err(e) => return Err(broken(e)),
+            let n = match system_calls::read(&stream, &mut piece) {
+                Transfer::Bytes(0) => return Err("closed".into()),
+                Transfer::Bytes(n) => n,
+                Transfer::NotReady => continue,
+                Transfer::Lacking => {
+                    sleep(LACK_PASSES).await;
+                    continue;
+                }
+                Transfer::Broken(e) => return Err(broken(e)),
             };
             self.again = CALL_AGAIN;
             response
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -17,6 +17,7 @@
 mod startup;
 mod store;
 mod subsystems;
+mod system_calls;
 mod trace;
 mod waiting;
 
--- a/crates/trailproxyd/src/system_calls.rs
+++ b/crates/trailproxyd/src/system_calls.rs
@@ -1,8 +1,12 @@
 //! Reads and writes of connections, with what their errors mean, in one place for clients, hosts and discovery.
 
 use std::io;
+use std::time::Duration;
 use tokio::net::TcpStream;
-use trailproxy::policy::system_errors::{StreamError, of_stream};
+use trailproxy::policy::system_errors::{self, StreamError, of_stream};
+
+/// How long a connection rests for which the system lacked something.
+pub const LACK_PASSES: Duration = Duration::from_micros(system_errors::LACK_PASSES.0);
 
 /// What came of a read or a write.
 pub enum Transfer {
