--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -3,6 +3,7 @@
 use crate::list::Names;
 use crate::messages::Entry;
 use crate::operator::Source;
+use crate::starting::StepError;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,20 +35,31 @@
     pub file: Value,
 }
 
-/// Reads all of it; the message says in plain words what is wrong.
-pub fn read() -> Result<Start, String> {
-    let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path} can't be read: {e}"))?;
-    let json: Value =
-        serde_json::from_str(&text).map_err(|e| format!("{path} is not JSON: {e}"))?;
-    from_json(&json, variable("RELAY_NAME"), variable("RELAY_LISTEN")).map_err(|why| match line_of(
-        &text, &why,
-    ) {
-        Some(line) => format!("{path}, line {line}: {why}"),
-        None => format!("{path}: {why}"),
+/// Reads all of it; the error says in plain words what is wrong.
+pub fn read() -> Result<Start, StepError> {
+    let unset = || StepError::Unfit("RELAY_CONFIG is not set".into());
+    let path = variable("RELAY_CONFIG").ok_or_else(unset)?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|error| StepError::System(format!("{path} can't be read"), error))?;
+    let json: Value = serde_json::from_str(&text).map_err(|e| not_json(&path, &e))?;
+    let start = from_json(&json, variable("RELAY_NAME"), variable("RELAY_LISTEN"));
+    start.map_err(|why| {
+        StepError::Unfit(match line_of(&text, &why) {
+            Some(line) => format!("{path}, line {line}: {why}"),
+            None => format!("{path}: {why}"),
+        })
     })
 }
 
+/// A file that ends amid its JSON may be about to be written to its end.
+fn not_json(path: &str, error: &serde_json::Error) -> StepError {
+    let why = format!("{path} is not JSON: {error}");
+    match error.is_eof() {
+        true => StepError::HalfWritten(why),
+        false => StepError::Unfit(why),
+    }
+}
+
 /// The line of the setting that a message names: of its names in turn, each behind the one before, and of
 /// several in a list the one at its place.
 fn line_of(text: &str, why: &str) -> Option<usize> {
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -339,8 +339,18 @@
 
     /// The same, without a wait for it to listen.
     pub fn begin_in(config: &Json, address: SocketAddr, environment: &Environment) -> Program {
+        Program::begin_with(&config.to_string(), config, address, environment)
+    }
+
+    /// The same with this text as its configuration.
+    pub fn begin_with(
+        text: &str,
+        config: &Json,
+        address: SocketAddr,
+        environment: &Environment,
+    ) -> Program {
         let path = Program::stem().with_extension("json");
-        std::fs::write(&path, config.to_string()).expect("a configuration");
+        std::fs::write(&path, text).expect("a configuration");
         Program::begin(config, address, path, environment)
     }
 
--- a/crates/trailproxyd/tests/system_calls.rs
+++ b/crates/trailproxyd/tests/system_calls.rs
@@ -129,14 +129,79 @@
     assert_eq!(client.answer().1, Final::done(b"kept"));
 }
 
+/// It serves, and has told why it did not at first.
+fn has_started_late(stage: &Stage, told: &str) {
+    let mut client = stage.client();
+    client.ask_with("heartbeat", vec![], &[]);
+    assert_eq!(client.answer().1, Final::done(&[1]));
+    assert!(stage.program.logged(told), "{told}");
+}
+
 #[test]
 fn a_start_outlasts_a_passing_lack_of_sockets() {
     let faults = Faults::new();
     let errors = [libc::ENFILE, libc::ENOBUFS, libc::EMFILE];
     faults.control.fail_next(Kind::Socket, 6, &errors);
-    let stage = Stage::under(&faults);
-    let mut client = stage.client();
-    client.ask_with("heartbeat", vec![], &[]);
-    assert_eq!(client.answer().1, Final::done(&[1]));
-    assert!(stage.program.logged("can't listen yet"));
+    has_started_late(&Stage::under(&faults), "can't listen yet");
+}
+
+#[test]
+fn a_start_outlasts_a_passing_lack_of_what_wakes_it_up() {
+    let faults = Faults::new();
+    let errors = [libc::ENFILE, libc::EMFILE];
+    faults.control.fail_next(Kind::WakeUp, 5, &errors);
+    has_started_late(&Stage::under(&faults), "not started yet");
+}
+
+#[test]
+fn a_start_outlasts_a_passing_failure_to_read_its_configuration() {
+    let faults = Faults::new();
+    faults
+        .control
+        .fail_next(Kind::OpenRead, 3, &[libc::EIO, libc::ENFILE]);
+    has_started_late(&Stage::under(&faults), "not started yet");
+}
+
+#[test]
+fn a_start_waits_for_a_configuration_that_is_being_replaced() {
+    let stage = Stage::new();
+    let text = stage.config.to_string();
+    let address = free_address();
+    let environment = Environment::default();
+    let half = &text[..text.len() / 2];
+    let program = Program::begin_with(half, &stage.config, address, &environment);
+    wait_for("it finds half of it", || program.logged("not started yet"));
+    program.feed(&text);
+    wait_for("it listens", || {
+        std::net::TcpStream::connect(address).is_ok()
+    });
+}
+
+#[test]
+fn a_hangup_amid_the_writing_of_a_configuration_reads_all_of_it() {
+    let stage = Stage::new();
+    let text = stage.config.to_string();
+    stage.program.configure(&text[..text.len() / 2]);
+    wait_for("it finds half of it", || {
+        stage.program.logged("not read yet")
+    });
+    stage.program.feed(&text);
+    wait_for("it reads all of it", || {
+        stage.program.logged("configuration read again")
+    });
+}
+
+#[test]
+fn a_start_that_can_not_be_ends_with_one_line_that_says_how_long_it_was_tried() {
+    let stage = Stage::new();
+    let taken = stage.program.address;
+    let mut program = Program::begin_in(&stage.config, taken, &Environment::default());
+    assert_eq!(program.ended().code(), Some(1));
+    let log = program.log();
+    let last = log.lines().last().expect("a line");
+    assert!(last.starts_with("trailproxyd: can't listen on"), "{last}");
+    assert!(
+        last.contains("in use") && last.contains("tried for 2."),
+        "{last}"
+    );
 }
