Ages of other machines' stamps are bounded by two clocks; copies are held against purges by stamps

Whatever a host gave from before a purge was passed on. Change: policy/stamps takes an age to be no longer than the own clock and the newest stamp heard both allow; entries carry the list's stamp beside the moment on the own clock, and two processes of a host are told apart by the stamp; admits_copy holds what a copy was minted at against the purge's stamp alone, and such an answer counts as the host's error. Connections to a former process are still found by the best guess, as safe ages broke those to the present one. Ruled out: an hour behind, purges do not refuse copies for an hour; they age from when they were heard.

--- a/crates/benchlink/src/hosting.rs
+++ b/crates/benchlink/src/hosting.rs
@@ -101,6 +101,7 @@
                 object: (object != 0).then_some(ObjectId(object)),
                 group: GroupId(f.u16()?.into()),
                 ago: Span(f.u32()?.into()),
+                stamp: None,
             }
         }
         1040 => {
@@ -157,6 +158,7 @@
         zone,
         kind,
         started,
+        stamp: started,
         size,
         state,
     })
--- a/crates/lab/src/decide/baseline.rs
+++ b/crates/lab/src/decide/baseline.rs
@@ -555,7 +555,9 @@
             Event::Outcome(outcome) => self.outcome(now, &outcome),
             Event::Woken { .. } => self.armed = None,
             Event::Probed { .. } | Event::Hinted { .. } => {}
-            Event::Purged { object, group, ago } => {
+            Event::Purged {
+                object, group, ago, ..
+            } => {
                 let forget = self.terms.purge_done.times(3.0);
                 self.purges.retain(|_, &mut at| now.since(at) < forget);
                 let group = object.map_or(group, |_| GroupId::default());
--- a/crates/lab/src/model/dispatchers.rs
+++ b/crates/lab/src/model/dispatchers.rs
@@ -36,6 +36,7 @@
                     object,
                     group,
                     ago: self.now.since(at),
+                    stamp: Some(at),
                 },
             );
         }
--- a/crates/lab/src/model/events.rs
+++ b/crates/lab/src/model/events.rs
@@ -52,6 +52,7 @@
                         object,
                         group,
                         ago: now.since(at),
+                        stamp: Some(at),
                     },
                 );
             }
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -60,6 +60,7 @@
         zone: ZoneId(0),
         kind: KindId(0),
         started: None,
+        stamp: None,
         size: 4.0,
         state,
     }
@@ -201,6 +202,7 @@
         let mut checker = checker();
         let cold = HostEntry {
             started: Some(secs(10.0)),
+            stamp: Some(secs(10.0)),
             ..entry(HOST, 0, HostState::Ready)
         };
         checker.listed(secs(10.0), cold);
--- a/crates/peers/src/decide/spreading.rs
+++ b/crates/peers/src/decide/spreading.rs
@@ -31,7 +31,7 @@
                 HostState::Draining => Listed::Draining,
                 HostState::Gone => Listed::Gone,
             };
-            let started = entry.started.map_or(0, |at| at.0);
+            let started = entry.stamp.map_or(0, |at| at.0);
             let host = self.hosts.entry(entry.host).or_default();
             let (same, restricted) = (
                 (host.started, host.listed) == (started, Some(listed)),
@@ -54,7 +54,7 @@
             {
                 self.restrict(now, &known);
             }
-            let young = now.since(Moment(started)) < TURN_LASTS;
+            let young = entry.started.is_some_and(|at| now.since(at) < TURN_LASTS);
             if !same && (listed != Listed::Ready || young) {
                 let (host, at) = (entry.host.0, now.0);
                 self.own_fact(
@@ -74,7 +74,7 @@
     /// A breaker opened here.
     pub fn opened(&mut self, now: Moment, entry: HostEntry) {
         if self.rules.hints && self.hints.len() < MOST_HINTS {
-            let started = entry.started.map_or(0, |at| at.0 / 1_000_000);
+            let started = entry.stamp.map_or(0, |at| at.0 / 1_000_000);
             self.hints
                 .insert((entry.host, started), (now, self.tells()));
         }
--- a/crates/peers/tests/stories.rs
+++ b/crates/peers/tests/stories.rs
@@ -385,6 +385,7 @@
         zone: ZoneId(0),
         kind: KindId(0),
         started,
+        stamp: started,
         size: 1.0,
         state,
     };
@@ -424,6 +425,7 @@
         zone: ZoneId(0),
         kind: KindId(0),
         started: None,
+        stamp: None,
         size: 1.0,
         state: HostState::Ready,
     };
--- a/crates/shared-store/src/decide/mod.rs
+++ b/crates/shared-store/src/decide/mod.rs
@@ -633,6 +633,6 @@
 fn opened(entry: HostEntry) -> Word {
     Word::Opened {
         host: entry.host,
-        started: entry.started.map_or(0, |at| at.0 / 1_000_000),
+        started: entry.stamp.map_or(0, |at| at.0 / 1_000_000),
     }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1275,6 +1275,7 @@
             zone: self.shape.zone,
             kind: kind_of(self.shape.role),
             started: self.started,
+            stamp: self.started,
             size: self.shape.size,
             state,
         }
--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -39,6 +39,8 @@
     /// Requests under an id that was open already, or lately.
     ids_again,
     bad_hosts,
+    /// Answers that hosts gave from before a purge, which no client was given.
+    purged_copies_refused,
     bad_entries,
     dials,
     /// Connections to hosts that were closed as idle here, closed there, and reset.
--- a/crates/trailproxyd/src/dispatch/attempts.rs
+++ b/crates/trailproxyd/src/dispatch/attempts.rs
@@ -98,6 +98,17 @@
         self.pools.submit(sending);
     }
 
+    /// An answer from a copy that a purge forbids is none: the host has failed to heed it.
+    fn admitted(&self, now: Moment, id: AttemptId, answer: Answer) -> Answer {
+        let admits = |minted| self.decisions.admits_copy(now, id.request, id.no, minted);
+        let done = answer.ending == Ending::Done;
+        if !done || answer.minted.is_none_or(admits) {
+            return answer;
+        }
+        count(&self.counts.purged_copies_refused);
+        Answer::bare(Ending::Error)
+    }
+
     pub(super) fn ended(
         &mut self,
         now: Moment,
@@ -105,6 +116,7 @@
         line: Option<LineId>,
         answer: Answer,
     ) {
+        let answer = self.admitted(now, id, answer);
         let ending = answer.ending;
         let request = self.state.requests.get_mut(&id.request);
         let attempt = request.and_then(|request| request.attempts.get_mut(usize::from(id.no.0)));
--- a/crates/trailproxyd/src/dispatch/journal.rs
+++ b/crates/trailproxyd/src/dispatch/journal.rs
@@ -7,16 +7,37 @@
 use trailproxy::units::{AttemptNo, Moment};
 
 impl Dispatch {
+    /// What is told at the start: first all stamps, which bound each other's ages.
+    pub(super) fn known(&mut self, now: Moment, known: Vec<Entry>) {
+        for entry in &known {
+            self.hear_stamps(now, entry);
+        }
+        for entry in known {
+            self.journal(now, entry);
+        }
+    }
+
+    fn hear_stamps(&mut self, now: Moment, entry: &Entry) {
+        for stamp in entry.stamps() {
+            self.state.stamps.heard(now, stamp);
+        }
+    }
+
     pub(super) fn journal(&mut self, now: Moment, entry: Entry) {
         let (mut purged, mut listed, mut recalls) = (None, false, Vec::new());
         self.state.place = self.state.place.max(entry.pos);
+        self.hear_stamps(now, &entry);
         match entry.change {
             Change::Hosts {
                 form,
-                members,
+                mut members,
                 unread,
             } => {
                 listed = true;
+                for member in &mut members {
+                    let stamp = member.entry.stamp;
+                    member.entry.started = stamp.map(|stamp| self.state.stamps.latest(now, stamp));
+                }
                 self.pools.list(form, &members);
                 for _ in 0..unread {
                     count(&self.counts.bad_entries);
@@ -31,12 +52,21 @@
                     peers.listed(now, &entries, entry.pos);
                 }
             }
-            Change::Purged { object, group, at } => {
+            Change::Purged {
+                object,
+                group,
+                stamp,
+            } => {
                 purged = Some((object, group));
-                let ago = now.since(at);
-                self.tell(now, Event::Purged { object, group, ago });
+                let told = Event::Purged {
+                    object,
+                    group,
+                    ago: self.state.stamps.least_age(now, stamp),
+                    stamp: Some(stamp),
+                };
+                self.tell(now, told);
                 if let Some(peers) = &mut self.decisions.crossings.peers {
-                    peers.purged(now, object, group, at);
+                    peers.purged(now, object, group, stamp);
                 }
             }
         }
--- a/crates/trailproxyd/src/dispatch/mod.rs
+++ b/crates/trailproxyd/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 use tokio::time::{Instant, sleep_until};
 use trailproxy::interface::{Effect, Event, Terms};
 use trailproxy::logic::Dispatcher;
+use trailproxy::policy::stamps::Stamps;
 use trailproxy::units::{AttemptNo, HostId, Moment, RequestId, WakeId};
 use trailproxy_terms::Reports;
 
@@ -96,8 +97,9 @@
     limits: BTreeSet<(Moment, RequestId)>,
     wakes: BTreeSet<(Moment, WakeId)>,
     next: u64,
-    /// The last place in the journal.
+    /// The last place in the journal, and the stamps that it has told.
     place: u64,
+    stamps: Stamps,
     /// Whether the decisions took an event since they last settled.
     told: bool,
     ending: Option<Instant>,
@@ -136,7 +138,7 @@
         let mut stop = Some(stop);
         let mut report_at = Instant::now();
         let now = self.clock.moment(report_at);
-        known.into_iter().for_each(|entry| self.journal(now, entry));
+        self.known(now, known);
         self.settle(now);
         loop {
             let now = Instant::now();
--- a/crates/trailproxyd/src/dispatch/sharing.rs
+++ b/crates/trailproxyd/src/dispatch/sharing.rs
@@ -32,6 +32,20 @@
                     self.answer(now, id, Reply::Served(body), "from_record");
                     self.forget(now, id);
                 }
+                Due::Tell(Event::Purged {
+                    object,
+                    group,
+                    stamp: Some(stamp),
+                    ..
+                }) => {
+                    let told = Event::Purged {
+                        object,
+                        group,
+                        ago: self.state.stamps.least_age(now, stamp),
+                        stamp: Some(stamp),
+                    };
+                    self.tell(now, told);
+                }
                 Due::Tell(event) => self.tell(now, event),
                 Due::Restricted(host, told) => self.restricted(now, host, told),
             }
@@ -49,8 +63,9 @@
         let Some(mut entry) = entries.into_iter().find(|entry| entry.host == host) else {
             return;
         };
-        if let Some((state, started)) = told {
-            (entry.state, entry.started) = (state, started);
+        if let Some((state, stamp)) = told {
+            (entry.state, entry.stamp) = (state, stamp);
+            entry.started = stamp.map(|stamp| self.state.stamps.latest(now, stamp));
         }
         info!(self.log, "host restricted"; "host" => format!("{:x}", host.0), "by_others" => told.is_some());
         let (form, entries) = (ListForm::Changes, vec![entry]);
--- a/crates/trailproxyd/src/link.rs
+++ b/crates/trailproxyd/src/link.rs
@@ -556,6 +556,12 @@
     }
 }
 
+/// The first microsecond that a told millisecond may mean: for copies the strict side.
+fn stamp_of_ms(text: &str) -> Option<Moment> {
+    let ms: u64 = text.parse().ok()?;
+    Some(Moment(ms.saturating_mul(1000)))
+}
+
 fn read_answer(words: [&[u8]; 3], sending: &OpenAttempt, held: &Held) -> Option<Answer> {
     let [word, fields, body] = words;
     let fields = std::str::from_utf8(fields).ok()?;
@@ -591,5 +597,6 @@
             .map(|ms: f64| Span::from_secs_f64(ms / 1000.0)),
         report: read_report(fields),
         body: (word == b"data").then(|| Parcel::new(body, held)),
+        minted: named("minted").and_then(stamp_of_ms),
     })
 }
--- a/crates/trailproxyd/src/list.rs
+++ b/crates/trailproxyd/src/list.rs
@@ -70,10 +70,14 @@
                 return None;
             }
             let group = GroupId(u32::try_from(group.unwrap_or(0)).ok()?);
-            let at = latest_of_ms(purge.get("stamp")?.as_u64()?);
+            let stamp = latest_of_ms(purge.get("stamp")?.as_u64()?);
             return Some(Entry {
                 pos,
-                change: Change::Purged { object, group, at },
+                change: Change::Purged {
+                    object,
+                    group,
+                    stamp,
+                },
             });
         }
         let hosts = json.get("hosts")?;
@@ -113,7 +117,8 @@
         cell: CellId(u16::try_from(cell).unwrap_or(u16::MAX)),
         zone: zone.copied().unwrap_or(ZoneId(u16::MAX)),
         kind: kind.copied().unwrap_or(KindId(u8::MAX)),
-        started: (started > 0).then(|| latest_of_ms(started)),
+        started: None,
+        stamp: (started > 0).then(|| latest_of_ms(started)),
         size: if size.is_finite() && size > 0.0 {
             size
         } else {
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -179,6 +179,8 @@
     pub report: Vec<f64>,
     /// The bytes where it is done; `None`: the client's copy is the one.
     pub body: Option<Parcel>,
+    /// When the origin gave this copy out, as it is stamped.
+    pub minted: Option<Moment>,
 }
 
 impl Answer {
@@ -189,6 +191,7 @@
             waited: None,
             report: vec![],
             body: None,
+            minted: None,
         }
     }
 }
@@ -286,7 +289,8 @@
     Purged {
         object: Option<ObjectId>,
         group: GroupId,
-        at: Moment,
+        /// When, by the clock of whoever purged.
+        stamp: Moment,
     },
 }
 
@@ -296,6 +300,19 @@
     pub change: Change,
 }
 
+impl Entry {
+    /// The stamps that it bears.
+    pub fn stamps(&self) -> Vec<Moment> {
+        match &self.change {
+            Change::Hosts { members, .. } => {
+                let stamps = members.iter().filter_map(|member| member.entry.stamp);
+                stamps.collect()
+            }
+            Change::Purged { stamp, .. } => vec![*stamp],
+        }
+    }
+}
+
 /// Unix time, anchored once to the monotonic clock.
 #[derive(Clone, Copy)]
 pub struct Clock {
--- a/crates/trailproxyd/src/peered.rs
+++ b/crates/trailproxyd/src/peered.rs
@@ -53,27 +53,27 @@
         let due = self.waiting.hold(now, arrival);
         let key = self.folding.key(arrival.track, mark);
         self.peers.come(now, arrival.id, key, due);
-        self.act(now);
+        self.act();
     }
 
     pub fn sent(&mut self, now: Moment, id: RequestId, host: HostId) {
         if let Some(place) = self.waiting.place(host) {
             self.peers.hand_off(now, id, place);
-            self.act(now);
+            self.act();
         }
     }
 
     pub fn ended(&mut self, now: Moment, id: RequestId, came: Came) {
         self.waiting.forget(id);
         self.peers.ended(now, id, came);
-        self.act(now);
+        self.act();
     }
 
     pub fn message(&mut self, now: Moment, address: Address, message: Message) {
         if !self.peers.shown(now, address, &message) {
             self.peers.heard(now, address, message);
         }
-        self.act(now);
+        self.act();
     }
 
     /// Its name and its process, as the others know it.
@@ -89,29 +89,29 @@
 
     pub fn send(&mut self, now: Moment, to: PeerId, of: u8, bytes: Vec<u8>) {
         self.peers.beside(now, to, of, bytes);
-        self.act(now);
+        self.act();
     }
 
     pub fn answer(&mut self, now: Moment, address: Address, no: AskNo, text: String) {
         self.peers.answer(now, address, no, text);
-        self.act(now);
+        self.act();
     }
 
     /// The journal told a purge, by its own clock.
     pub fn purged(&mut self, now: Moment, object: Option<ObjectId>, group: GroupId, at: Moment) {
         self.peers.purged(now, object, group, at);
-        self.act(now);
+        self.act();
     }
 
     /// The journal told of hosts, at this place.
     pub fn listed(&mut self, now: Moment, entries: &[HostEntry], place: u64) {
         self.peers.listed(now, entries, place);
-        self.act(now);
+        self.act();
     }
 
     pub fn opened(&mut self, now: Moment, host: HostEntry) {
         self.peers.opened(now, host);
-        self.act(now);
+        self.act();
     }
 
     pub fn earlier(&self, id: RequestId) -> Option<Earlier> {
@@ -129,7 +129,7 @@
     pub fn advance(&mut self, now: Moment) {
         if self.peers.next() <= now {
             self.peers.advance(now);
-            self.act(now);
+            self.act();
         }
     }
 
@@ -140,7 +140,7 @@
     /// It ends in order: the others need not find out.
     pub fn leave(&mut self, now: Moment) {
         self.peers.leave(now);
-        self.act(now);
+        self.act();
     }
 
     /// Nothing is held in common any more: whoever waits goes on.
@@ -153,15 +153,19 @@
         self.peers.show(now)
     }
 
-    fn act(&mut self, now: Moment) {
+    fn act(&mut self) {
         for act in self.peers.take() {
             match act {
                 Action::Send(to, message) => drop(self.to.send(ToPeers::Send(to, message))),
                 Action::Decided { id, verdict } => self.waiting.decided(id, verdict),
                 Action::Purged { object, group, at } => {
-                    let ago = now.since(at);
-                    self.waiting
-                        .due(Due::Tell(Event::Purged { object, group, ago }));
+                    // How long ago is for whoever knows the journal's stamps to say.
+                    self.waiting.due(Due::Tell(Event::Purged {
+                        object,
+                        group,
+                        ago: Span::ZERO,
+                        stamp: Some(at),
+                    }));
                 }
                 Action::Restricted {
                     host,
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -107,8 +107,9 @@
             };
             let pool = self.pools.entry(member.entry.host).or_insert_with(fresh);
             let moved = pool.member.address != member.address;
-            let started = member.entry.started.unwrap_or_default();
-            if moved || pool.member.entry.started != member.entry.started {
+            // The best guess, not the safe one: a wrong clock costs a few requests here and breaks no rule.
+            let started = member.entry.stamp.unwrap_or_default();
+            if moved || pool.member.entry.stamp != member.entry.stamp {
                 // What its former process had is lost with it, though a silent machine never says so. The
                 // list may tell late: what came up since is to the new process.
                 let former = |line: &&mut Line| moved || line.up < started;
--- a/crates/trailproxyd/src/subsystems.rs
+++ b/crates/trailproxyd/src/subsystems.rs
@@ -339,8 +339,12 @@
                 }
                 Act::Decided { id, verdict } => self.waiting.decided(id, verdict),
                 Act::Purged { object, group, ago } => {
-                    self.waiting
-                        .due(Due::Tell(Event::Purged { object, group, ago }));
+                    self.waiting.due(Due::Tell(Event::Purged {
+                        object,
+                        group,
+                        ago,
+                        stamp: None,
+                    }));
                 }
                 Act::Hinted { host } => self.waiting.due(Due::Tell(Event::Hinted { host })),
                 Act::Posted { from, bytes } => self.posted.push((from, bytes)),
@@ -353,7 +357,10 @@
 
     pub fn heard(&mut self, now: Moment, event: &Event) {
         self.waiting.heard(event);
-        if let Event::Purged { object, group, ago } = event {
+        if let Event::Purged {
+            object, group, ago, ..
+        } = event
+        {
             self.sharing.purged(now, *object, *group, *ago);
             self.act();
         }
--- a/crates/trailproxyd/tests/endings.rs
+++ b/crates/trailproxyd/tests/endings.rs
@@ -187,13 +187,14 @@
     let mut rude = stage.client();
     let socket = socket2::SockRef::from(&rude.stream);
     socket.set_recv_buffer_size(4096).expect("a small buffer");
-    // Large answers fill the way back, and as many small ones as may be owed stand behind them.
-    for object in at_c2.into_iter().take(22) {
+    // Large answers fill the way back, more than the system takes for it (over 6 MB), and small ones stand behind them, as
+    // many as may be owed whatever part of the large ones has gone out.
+    for object in at_c2.into_iter().cycle().take(28) {
         rude.ask("image", object, 20_000);
         stage.pull().hit(&[7; 240_000]);
     }
     let waiting = [0, 1].map(|_| rude.ask("image", at_c1[0], 20_000));
-    for _ in 0..62 {
+    for _ in 0..32 {
         rude.ask_with("nonsense", vec![], &[]);
     }
     waiting.iter().for_each(|&number| rude.revoke(number));
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -37,8 +37,10 @@
         let _ = (&self.stream).write_all(&out);
     }
 
+    /// Served from a copy that the origin gave out just now, so that no purge of before forbids it.
     pub fn hit(&self, body: &[u8]) {
-        self.answer("data", "why=TCP_HIT,tag=aa,minted=1", body);
+        let minted = unix_ms() + 1;
+        self.answer("data", &format!("why=TCP_HIT,tag=aa,minted={minted}"), body);
     }
 
     pub fn field(&self, name: &str) -> Option<&str> {
@@ -509,6 +511,14 @@
         Stage::in_environment(&faults.environment(), |_, _| {})
     }
 
+    /// The same with a change of the configuration.
+    pub fn changed_under(
+        faults: &Faults,
+        change: impl FnOnce(&mut Json, &BTreeMap<&'static str, SocketAddr>),
+    ) -> Stage {
+        Stage::in_environment(&faults.environment(), change)
+    }
+
     fn in_environment(
         environment: &Environment,
         change: impl FnOnce(&mut Json, &BTreeMap<&'static str, SocketAddr>),
--- a/crates/trailproxyd/tests/system_calls.rs
+++ b/crates/trailproxyd/tests/system_calls.rs
@@ -11,6 +11,10 @@
 use trailproxy_fault_control::Kind;
 
 const HOUR: Duration = Duration::from_secs(3600);
+/// How long a copy of the class is fresh.
+const FRESH_MS: u64 = 8_000;
+/// Word of the journal is heard within this, also on a busy machine.
+const TOLD_WITHIN: Duration = Duration::from_millis(150);
 /// More calls in a row than one reading or writing makes.
 const MANY_CALLS: u64 = 8;
 
@@ -34,7 +38,8 @@
     wait_for("the purge is heard", || {
         client.ask("image", object, 3000);
         let pull = stage.pull();
-        let heard = pull.field("fresh").is_some();
+        // A purge takes the time for stale copies away.
+        let heard = pull.field("fresh").is_some() && oldest_allowed(&pull) <= FRESH_MS;
         pull.hit(b"x");
         client.answer();
         heard
@@ -74,6 +79,75 @@
     );
 }
 
+#[test]
+fn a_copy_from_before_a_purge_is_no_answer_though_a_host_gives_it() {
+    let faults = Faults::new();
+    let stage = Stage::under(&faults);
+    let stamp = unix_ms();
+    let (mut client, first, _) = first_pull_after_purge(&stage, 7, stamp);
+    // The clock of this host is behind, so that it takes an old copy for young enough.
+    first.answer("data", &format!("tag=aa,minted={}", stamp - 1), b"old");
+    let second = stage.pull();
+    assert_ne!(second.host, first.host, "another is asked");
+    let fresh = format!("tag=bb,minted={}", stamp + 1);
+    second.answer("data", &fresh, b"new");
+    assert_eq!(client.answer().1, Final::done(b"new"));
+}
+
+/// How many of these requests for large objects go to c1, which is told to have started just now.
+fn work_for_a_cold_host(
+    set_clock: impl FnOnce(&Faults),
+    warm_after: Duration,
+    wait: Duration,
+) -> usize {
+    let at_c1 = homes("c1");
+    let faults = Faults::new();
+    set_clock(&faults);
+    let stage = Stage::changed_under(&faults, |config, _| {
+        config["settings"]["rules"]["cold_us"] = json!(warm_after.as_micros() as u64);
+    });
+    let mut journal = stage.journal();
+    let c1 = member("c1", stage.addresses["c1"], "ready", unix_ms());
+    journal.tell(&hosts(2, false, &[c1]));
+    let mut client = stage.client();
+    std::thread::sleep(TOLD_WITHIN + wait);
+    for object in at_c1.iter().take(20) {
+        let mut fields = fields(*object, 9000);
+        fields[0].1 = format!("{:016x}", object + 0x7000_0000);
+        fields[5].1 = "3000".into();
+        client.ask_with("image", fields, &[]);
+    }
+    let mut pulls = 0;
+    while let Some(pull) = stage.pull_within(Duration::from_millis(300)) {
+        pulls += usize::from(pull.host == "c1");
+    }
+    pulls
+}
+
+#[test]
+fn a_host_is_cold_where_the_wall_clock_is_ahead() {
+    let warm_after = Duration::from_secs(60);
+    let right = work_for_a_cold_host(|_| (), warm_after, Duration::ZERO);
+    let ahead = |faults: &Faults| faults.control.set_clock_ahead(HOUR);
+    let wrong = work_for_a_cold_host(ahead, warm_after, Duration::ZERO);
+    assert!(
+        wrong <= right + 1,
+        "{wrong} with the clock ahead, {right} else"
+    );
+}
+
+#[test]
+fn a_host_becomes_warm_where_the_wall_clock_is_behind() {
+    let (warm_after, wait) = (Duration::from_millis(400), Duration::from_millis(600));
+    let right = work_for_a_cold_host(|_| (), warm_after, wait);
+    let behind = |faults: &Faults| faults.control.set_clock_behind(HOUR);
+    let wrong = work_for_a_cold_host(behind, warm_after, wait);
+    assert!(
+        wrong + 1 >= right,
+        "{wrong} with the clock behind, {right} else"
+    );
+}
+
 #[test]
 fn interrupted_reads_and_writes_cost_no_request() {
     let faults = Faults::new();
--- a/crates/zones/src/decide/memory.rs
+++ b/crates/zones/src/decide/memory.rs
@@ -45,6 +45,7 @@
     tier: Tier,
     state: HostState,
     started: Option<Moment>,
+    stamp: Option<Moment>,
     /// When it left the list.
     left: Moment,
     /// Since when it fails what it is asked; `None`: it answered last.
@@ -104,16 +105,18 @@
                 tier,
                 state: entry.state,
                 started: entry.started,
+                stamp: entry.stamp,
                 left: now,
                 failing: None,
             });
-            if known.started != entry.started {
+            if known.stamp != entry.stamp {
                 known.failing = None;
             }
             if entry.state == HostState::Gone {
                 gone(known);
             }
-            (known.tier, known.state, known.started) = (tier, entry.state, entry.started);
+            (known.tier, known.state) = (tier, entry.state);
+            (known.started, known.stamp) = (entry.started, entry.stamp);
         }
         self.hosts
             .retain(|_, known| known.state != HostState::Gone || now.since(known.left) < EXPLAINS);
--- a/crates/zones/src/decide/mod.rs
+++ b/crates/zones/src/decide/mod.rs
@@ -438,7 +438,9 @@
             .for_each(|budget| budget.advance(now));
         match event {
             Event::Hosts { form, entries } => self.memory.list(now, *form, entries),
-            Event::Purged { object, group, ago } => self.memory.purged(now - *ago, *object, *group),
+            Event::Purged {
+                object, group, ago, ..
+            } => self.memory.purged(now - *ago, *object, *group),
             Event::Outcome(outcome) => self.outcome(now, outcome),
             Event::Left { id } => {
                 let all = (*id, AttemptNo(0))..=(*id, AttemptNo(u8::MAX));
--- a/crates/zones/tests/stories.rs
+++ b/crates/zones/tests/stories.rs
@@ -96,6 +96,7 @@
         zone,
         kind,
         started,
+        stamp: started,
         size: 8.0,
         state,
     }
@@ -399,6 +400,7 @@
         object: None,
         group: GroupId(2),
         ago: Span::ZERO,
+        stamp: None,
     };
     desk.zones.heard(at(200), &purge);
     desk.play(210, 2, 10.0, Note::Filled);
@@ -609,6 +611,7 @@
             object: None,
             group: GroupId((n % 8) as u32),
             ago: Span::ZERO,
+            stamp: None,
         };
         desk.zones.heard(at(ms), &event);
         let object = n % 40;
@@ -678,6 +681,7 @@
             object: Some(ObjectId(n)),
             group: GroupId(0),
             ago: Span::ZERO,
+            stamp: None,
         };
         desk.zones.heard(at(n * 10), &event);
         if n % 100 == 0 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,7 +149,10 @@
     Purged {
         object: Option<ObjectId>,
         group: GroupId,
+        /// How long ago at least, on the caller's clock.
         ago: Span,
+        /// When, as it was stamped by another machine's clock: copies are held against it by their own stamps.
+        stamp: Option<Moment>,
     },
 }
 
@@ -167,8 +170,11 @@
     pub cell: CellId,
     pub zone: ZoneId,
     pub kind: KindId,
-    /// `None`: long past.
+    /// When its process began, on the caller's clock. `None`: long past.
     pub started: Option<Moment>,
+    /// The same as the list stamped it, by another machine's clock: it tells two processes of one host apart, and is
+    /// compared with no time.
+    pub stamp: Option<Moment>,
     pub size: f64,
     pub state: HostState,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -284,6 +284,17 @@
     }
 }
 
+/// One purge.
+#[derive(Clone, Copy, Default)]
+struct Purge {
+    /// When, on the own clock, at the latest.
+    at: Moment,
+    /// When it was told.
+    heard: Moment,
+    /// When, by the clock that stamps copies.
+    stamp: Option<Moment>,
+}
+
 struct Request {
     asked: Arrival,
     send: f64, // predicted sending time alone, in seconds
@@ -343,7 +354,7 @@
     touched: BTreeSet<RequestId>,
     timed: BTreeSet<(Moment, RequestId)>,
     armed: Option<Moment>,
-    purges: BTreeMap<(GroupId, Option<ObjectId>), Moment>,
+    purges: BTreeMap<(GroupId, Option<ObjectId>), Purge>,
     seen: BTreeSet<(ObjectId, u32)>,
     sending: Vec<(f64, f64)>, // sending times by track: their sum in seconds and their number
     pooled: [Histogram; 3],
@@ -431,16 +442,58 @@
             Event::Hinted { host } => (self.hosts.get_mut(&host).into_iter())
                 .for_each(|host| host.breaker.run = host.breaker.run.max(RUN_ACTS - 1)),
             Event::Woken { .. } => self.armed = self.armed.filter(|&at| at > now),
-            Event::Purged { object, group, ago } => {
-                let forget = self.terms.purge_done.times(3.0);
-                self.purges.retain(|_, &mut at| now.since(at) < forget);
-                let group = object.map_or(group, |_| GroupId::default()); // an object's may be untold
-                let at = self.purges.entry((group, object)).or_default();
-                *at = (*at).max(now - ago);
-            }
+            Event::Purged {
+                object,
+                group,
+                ago,
+                stamp,
+            } => self.purged(now, object, group, now - ago, stamp),
         }
     }
 
+    fn purged(
+        &mut self,
+        now: Moment,
+        object: Option<ObjectId>,
+        group: GroupId,
+        at: Moment,
+        stamp: Option<Moment>,
+    ) {
+        let forget = self.forgets_purges_after();
+        self.purges.retain(|_, purge| now.since(purge.at) < forget);
+        let group = object.map_or(group, |_| GroupId::default()); // an object's may be untold
+        let purge = self.purges.entry((group, object)).or_default();
+        purge.at = purge.at.max(at);
+        purge.heard = now;
+        purge.stamp = purge.stamp.max(stamp);
+    }
+
+    /// By then no host has a copy from before a purge.
+    fn forgets_purges_after(&self) -> Span {
+        self.terms.purge_done.times(3.0)
+    }
+
+    /// The purges of an object and of its group that still bind.
+    fn purges_of(&self, now: Moment, access: &Request) -> impl Iterator<Item = &Purge> {
+        let (object, group) = (access.asked.object, access.asked.group);
+        let keys = [(GroupId::default(), Some(object)), (group, None)];
+        let forget = self.forgets_purges_after();
+        let known = keys.into_iter().filter_map(|key| self.purges.get(&key));
+        known.filter(move |purge| now.since(purge.at) < forget)
+    }
+
+    /// Rule 5, by stamps alone: whether a copy that was given out then may answer an attempt. A host whose clock is wrong,
+    /// or that heeds no age, may answer from before a purge that was told before the attempt went out.
+    pub fn admits_copy(&self, now: Moment, id: RequestId, no: AttemptNo, minted: Moment) -> bool {
+        let Some(access) = self.accesses.get(&id) else {
+            return true;
+        };
+        let sent = access.tries.get(usize::from(no.0)).map(|t| t.sent);
+        let told_before = |purge: &&Purge| sent.is_some_and(|sent| purge.heard <= sent);
+        let mut binding = self.purges_of(now, access).filter(told_before);
+        binding.all(|purge| purge.stamp.is_none_or(|stamp| minted > stamp))
+    }
+
     fn list(&mut self, now: Moment, form: ListForm, entries: Vec<HostEntry>) {
         if form == ListForm::Failed && self.terms.list_on_request {
             self.actions.push(Action::FollowList);
@@ -456,7 +509,7 @@
                 kind if kind == self.terms.origin_kind => (Role::Origin, parent, all),
                 _ => (Role::Cache, cache, own),
             };
-            let before = self.hosts.get(&entry.host).map(|host| host.entry.started);
+            let before = self.hosts.get(&entry.host).map(|host| host.entry.stamp);
             let fresh = || Host {
                 entry,
                 role,
@@ -480,7 +533,7 @@
             let learnt = *self.learnt.entry(entry.kind).or_insert(first);
             let told = Some(entry.size).filter(|_| self.terms.sizes_tell);
             host.size = told.unwrap_or(learnt.0 / learnt.1);
-            if before != Some(entry.started) {
+            if before != Some(entry.stamp) {
                 // A fresh process: what its predecessor did is no fault of it. Each dispatcher begins
                 // at another point of its debt, or all would send at once.
                 host.breaker = Breaker::default();
@@ -1013,13 +1066,14 @@
     /// Rule 5: the oldest copy that will do, given the latest purge of the object or its group.
     fn oldest(&self, now: Moment, access: &Request, stale: bool) -> Option<Span> {
         let track = self.track(access);
-        let (object, group) = (access.asked.object, access.asked.group);
-        let keys = [(GroupId::default(), Some(object)), (group, None)];
-        let since = keys.map(|key| Some(now.since(*self.purges.get(&key)?)));
+        let since = self
+            .purges_of(now, access)
+            .map(|purge| now.since(purge.at))
+            .min();
         let grace = track.grace.times(f64::from(u8::from(stale)));
-        let aged = track.fresh.filter(|_| stale || since != [None; 2]);
+        let aged = track.fresh.filter(|_| stale || since.is_some());
         let aged = aged.map(|fresh| fresh + grace);
-        since.into_iter().flatten().chain(aged).min()
+        since.into_iter().chain(aged).min()
     }
 
     /// The way between zones that a plan takes, if any.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod permits;
 pub mod refusals;
+pub mod stamps;
 pub mod system_errors;
--- /dev/null
+++ b/src/policy/stamps.rs
@@ -0,0 +1,55 @@
+//! How old another machine's time stamp is at least.
+//!
+//! The own wall clock may be wrong by hours, and so may one of the clocks that stamps come from. An age is therefore taken
+//! to be no longer than two witnesses allow: the own clock, and the newest stamp heard so far with the time that has run
+//! since, which is where the stamps' own clock has got to at least. An age that is too short is safe: a purge binds for
+//! longer, and a host counts as cold for longer, each for a bounded time.
+
+use crate::units::{Moment, Span};
+
+/// The stamps heard so far, as far as they bound the time.
+///
+/// ```
+/// use trailproxy::policy::stamps::Stamps;
+/// use trailproxy::units::{Moment, Span};
+/// let (stamp, hour) = (Moment(10_000_000_000), Span::from_secs(3_600));
+/// // The own clock is an hour ahead: what was stamped just now is not an hour old.
+/// let mut stamps = Stamps::default();
+/// let now = stamp + hour;
+/// stamps.heard(now, stamp);
+/// assert_eq!(stamps.least_age(now, stamp), Span::ZERO);
+/// // Another stamp, five seconds newer, shows that the first was five seconds old.
+/// stamps.heard(now, stamp + Span::from_secs(5));
+/// assert_eq!(stamps.least_age(now, stamp), Span::from_secs(5));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Stamps {
+    /// The stamp that was furthest ahead when it was heard, and when that was by the own clock.
+    furthest: Option<(Moment, Moment)>,
+}
+
+impl Stamps {
+    /// A stamp came.
+    pub fn heard(&mut self, now: Moment, stamp: Moment) {
+        if self.reached(now).is_none_or(|reached| stamp > reached) {
+            self.furthest = Some((stamp, now));
+        }
+    }
+
+    /// Where the clock of the stamps has got to at least.
+    fn reached(&self, now: Moment) -> Option<Moment> {
+        let (stamp, heard) = self.furthest?;
+        Some(stamp + now.since(heard))
+    }
+
+    /// How long ago a stamp was made, at least.
+    pub fn least_age(&self, now: Moment, stamp: Moment) -> Span {
+        let reached = self.reached(now).unwrap_or(stamp);
+        reached.min(now).since(stamp)
+    }
+
+    /// When by the own clock that was, at the latest.
+    pub fn latest(&self, now: Moment, stamp: Moment) -> Moment {
+        now - self.least_age(now, stamp)
+    }
+}
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -135,6 +135,7 @@
     let is_cold = |host| host == COLD || case.all_cold && CACHES.contains(&host);
     let of = |&host: &HostId| HostEntry {
         started: Some(START).filter(|_| is_cold(host) && told && now >= START),
+        stamp: Some(START).filter(|_| is_cold(host) && told && now >= START),
         ..entry(host)
     };
     all.map(of).collect()
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -86,6 +86,7 @@
         zone,
         kind,
         started,
+        stamp: started,
         size,
         state,
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -503,6 +503,7 @@
         ListForm::Changes,
         vec![HostEntry {
             started,
+            stamp: started,
             ..entry(PARENTS[0])
         }],
     );
@@ -663,6 +664,7 @@
     let started = Some(stage.now);
     let cold = [CACHES[0], PARENTS[0]].map(|host| HostEntry {
         started,
+        stamp: started,
         ..entry(host)
     });
     stage.list(ListForm::Changes, cold.to_vec());
@@ -691,11 +693,13 @@
         object: Some(ObjectId(8)),
         group: GroupId(0),
         ago,
+        stamp: None,
     });
     stage.event(Event::Purged {
         object: None,
         group: GroupId(1),
         ago: ms(500),
+        stamp: None,
     });
     stage.pass(Span::from_secs(1));
     let oldest = |stage: &mut Stage, object| {
@@ -711,6 +715,7 @@
     let (started, size) = (Some(now), 60.0);
     HostEntry {
         started,
+        stamp: started,
         size,
         ..entry(PARENTS[0])
     }
@@ -767,6 +772,7 @@
     let started = Some(stage.now);
     let struck = [CACHES[0], CACHES[1], PARENTS[0]].map(|host| HostEntry {
         started,
+        stamp: started,
         ..entry(host)
     });
     stage.list(ListForm::Changes, struck.to_vec());
@@ -798,7 +804,12 @@
 fn the_purge_of_an_object_told_without_its_group_bounds_its_copies() {
     let mut stage = Stage::new(terms());
     let (object, group, ago) = (Some(ObjectId(5)), GroupId::default(), ms(100));
-    stage.event(Event::Purged { object, group, ago });
+    stage.event(Event::Purged {
+        object,
+        group,
+        ago,
+        stamp: None,
+    });
     let (purged, other) = (stage.arrive(READS, 5), stage.arrive(READS, 9));
     let oldest = |id| stage.last(id).fill.expect("a fill").oldest;
     assert_eq!((oldest(purged), oldest(other)), (Some(ms(100)), None));
@@ -1020,6 +1031,7 @@
         object: Some(ObjectId(5)),
         group: GroupId(0),
         ago: ms(100),
+        stamp: None,
     });
     let open = stage.arrive(READS, 7);
     stage.dispatcher.follow(stage.now, probing());
@@ -1053,6 +1065,7 @@
 fn a_cold_cache_stays_within_its_budget_when_the_terms_change() {
     let started = |stage: &Stage, host| HostEntry {
         started: Some(stage.now),
+        stamp: Some(stage.now),
         ..entry(host)
     };
     let mut stage = Stage::new(one_of_many());
@@ -1105,6 +1118,7 @@
     let mut stage = Stage::new(one_of_many());
     let cold = CACHES.map(|host| HostEntry {
         started: Some(stage.now),
+        stamp: Some(stage.now),
         ..entry(host)
     });
     stage.list(ListForm::Changes, cold.to_vec());
