--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -356,6 +356,29 @@
         Program::begin(config, address, path, environment)
     }
 
+    /// The same with its log going to this pipe.
+    pub fn begin_logging_to(
+        config: &Json,
+        address: SocketAddr,
+        log: std::io::PipeWriter,
+    ) -> Program {
+        let path = Program::stem().with_extension("json");
+        std::fs::write(&path, config.to_string()).expect("a configuration");
+        let child = Command::new(env!("CARGO_BIN_EXE_trailproxyd"))
+            .env("RELAY_LISTEN", address.to_string())
+            .env("RELAY_CONFIG", &path)
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Program {
+            child,
+            address,
+            log: path.with_extension("log"),
+            path,
+        }
+    }
+
     /// A path that no other program has.
     fn stem() -> PathBuf {
         static NEXT: AtomicU32 = AtomicU32::new(0);
