Failing tests: a lack of our own taken for a refusal, a log that ends, an end that waits for it

Result: 12 failing calls of socket() end a request that may not run twice without any host having heard of it; after two failed writes no line follows; told to end with its log unread, the process stays for good.

--- a/crates/trailproxyd/tests/rare.rs
+++ b/crates/trailproxyd/tests/rare.rs
@@ -5,6 +5,8 @@
 
 use serde_json::json;
 use stage::*;
+use std::io::Read;
+use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
 use trailproxy_fault_control::Kind;
 
@@ -123,3 +125,84 @@
     pull.answer("data", "tag=aa,minted=1", b"kept");
     assert_eq!(client.answer().1, Final::done(b"kept"));
 }
+
+#[test]
+fn a_lack_of_our_own_is_no_refusal_by_a_host() {
+    let faults = Faults::new();
+    let stage = Stage::under(&faults);
+    let mut client = stage.client();
+    client.ask_with("heartbeat", vec![], &[]);
+    client.answer();
+    let errors = [libc::ENFILE, libc::ENOBUFS, libc::EMFILE];
+    for (kind, errors) in [
+        (Kind::Socket, &errors[..]),
+        (Kind::Connect, &[libc::EADDRNOTAVAIL, libc::ENETUNREACH][..]),
+    ] {
+        faults.control.fail_next(kind, 12, errors);
+        client.ask("order", 7, 3000);
+        let pull = stage.pull();
+        pull.answer("data", "tag=aa,minted=1", b"kept");
+        pull.hang_up();
+        assert_eq!(client.answer().1, Final::done(b"kept"), "{kind:?}");
+        assert!(faults.control.injected(kind) > 0);
+    }
+    assert!(!stage.program.logged("breaker open"));
+}
+
+#[test]
+fn a_process_that_was_stopped_begins_nothing_for_a_client_that_closed_meanwhile() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    client.ask_with("heartbeat", vec![], &[]);
+    client.answer();
+    stage.program.signal("-STOP");
+    client.ask("order", 7, 3000);
+    drop(client);
+    std::thread::sleep(Duration::from_millis(500));
+    stage.program.signal("-CONT");
+    let begun = stage.pull_within(Duration::from_millis(500));
+    assert!(begun.is_none(), "half a second after the client closed");
+}
+
+#[test]
+fn the_log_goes_on_after_a_write_that_failed() {
+    let faults = Faults::new();
+    let stage = Stage::under(&faults);
+    faults
+        .control
+        .fail_next(Kind::FileWrite, 2, &[libc::ENOSPC, libc::EIO]);
+    stage.program.signal("-HUP");
+    wait_for("a line is lost", || {
+        faults.control.injected(Kind::FileWrite) > 1
+    });
+    wait_for("a later line is there", || {
+        stage.program.signal("-HUP");
+        stage.program.logged("configuration read again")
+    });
+    assert!(!stage.program.logged("panicked"));
+}
+
+#[test]
+fn an_end_does_not_wait_for_whoever_should_read_the_log() {
+    let stage = Stage::new();
+    let (mut reads, writes) = std::io::pipe().expect("a pipe");
+    // SAFETY: a descriptor of this process; the smallest pipe is a page.
+    unsafe { libc::fcntl(writes.as_raw_fd(), libc::F_SETPIPE_SZ, 4096) };
+    let address = free_address();
+    let mut program = Program::begin_logging_to(&stage.config, address, writes);
+    let mut client = None;
+    wait_for("it listens", || {
+        client = std::net::TcpStream::connect(address).ok();
+        client.is_some()
+    });
+    drop(client);
+    // Its log fills the pipe, and nobody reads.
+    for _ in 0..60 {
+        program.signal("-HUP");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    program.signal("-TERM");
+    assert_eq!(program.ended().code(), Some(0));
+    let mut text = [0; 16];
+    assert!(reads.read(&mut text).is_ok_and(|n| n > 0));
+}
