A lack of our own is no refusal by a host; the log outlasts failed writes and holds up no end

Cause: servers.rs took every error of connect for the host's refusal, so that ENFILE, ENOBUFS, EADDRNOTAVAIL or ENETUNREACH for a moment failed all that waited for it and counted against its breaker; slog's Fuse panics in the log's thread at the first failed write, which ends it without a word; main waited for that thread, which waits for whoever reads the log. The loop of the last accepts ended at the first failure, and passed over set_nonblocking that failed. Not shown by a test: a failure in the loop of the last accepts, which takes a connection that comes within one turn of the runtime; while accepts fail before, accepting goes on past the word to stop.

--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -8,7 +8,7 @@
 use crate::msgpack::{self, Fault, Value};
 use crate::pulse::Pulse;
 use crate::ring::Ring;
-use crate::system_calls::{self, LACK_PASSES, Transfer};
+use crate::system_calls::{self, LACK_PASSES, Transfer, errno};
 use crate::trace::Trace;
 use local_channel::mpsc;
 use slog::{Logger, debug};
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::policy::permits::{self, CloseFacts};
+use trailproxy::policy::system_errors::{AcceptError, of_accept};
 use trailproxy::units::*;
 
 /// Open requests on one connection, by the protocol: one that asks for more is closed, and all that it
@@ -38,6 +39,8 @@
 /// So often one connection is read from before others have their turn.
 const READS_AT_ONCE: usize = 8;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
+/// Accepts that fail at the end are made again for so long: less than what clients are given to be answered in.
+const LAST_ACCEPTS_WITHIN: Duration = Duration::from_secs(2);
 /// A client is owed a word or a close within 3 s: by then its message must be whole.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2500);
 /// A client that ends its side is taken to have gone after this: what it sent just before still begins.
@@ -90,21 +93,52 @@
             Err(e) => {
                 count(&shared.counts.accepts_failed);
                 debug!(shared.log, "accept failed"; "why" => %e);
-                sleep(ACCEPT_AGAIN).await;
+                if of_accept(errno(&e)) != AcceptError::Next {
+                    sleep(ACCEPT_AGAIN).await;
+                }
             }
         }
     }
-    // The system is asked itself: what has come in this moment is not told to the runtime yet.
-    while let Ok((socket, _)) = socket2::SockRef::from(&listener).accept() {
-        let _ = socket.set_nonblocking(true);
-        if let Ok(stream) = TcpStream::from_std(socket.into()) {
-            admit(&mut next, stream, before, &shared).await;
-        }
-    }
+    accept_the_last(&listener, &mut next, before, &shared).await;
     drop(listener);
     let _ = shared.queue.send(Inbound::AllIn);
 }
 
+/// Lets in whoever waits as the process ends. The system is asked itself: what has come in this moment is not told to the
+/// runtime yet. An accept that fails costs nobody who waits behind it.
+async fn accept_the_last(
+    listener: &TcpListener,
+    next: &mut u64,
+    before: Instant,
+    shared: &Rc<Shared>,
+) {
+    let until = Instant::now() + LAST_ACCEPTS_WITHIN;
+    while Instant::now() < until {
+        let error = match accept_now(listener) {
+            Ok(stream) => {
+                admit(next, stream, before, shared).await;
+                continue;
+            }
+            Err(error) => error,
+        };
+        match of_accept(errno(&error)) {
+            AcceptError::NobodyWaits | AcceptError::Broken => return,
+            AcceptError::Next => count(&shared.counts.accepts_failed),
+            AcceptError::Later => {
+                count(&shared.counts.accepts_failed);
+                sleep(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+}
+
+/// The next that waits. One that can't be made not to block is not taken: it would stop the process.
+fn accept_now(listener: &TcpListener) -> std::io::Result<TcpStream> {
+    let (socket, _) = socket2::SockRef::from(listener).accept()?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
+}
+
 /// Serves a newcomer once there is a place for it.
 async fn admit(next: &mut u64, stream: TcpStream, came_after: Instant, shared: &Rc<Shared>) {
     loop {
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -9,6 +9,7 @@
 mod link;
 mod link_context;
 mod list;
+mod logging;
 mod messages;
 mod operator;
 mod peered;
@@ -27,7 +28,6 @@
 
 use serving::serve;
 use slog::{Drain, Logger, o};
-use slog_async::{Async, AsyncGuard, OverflowStrategy};
 use starting::{persist, without_panic};
 use std::process::ExitCode;
 use tokio::runtime::Runtime;
@@ -35,9 +35,6 @@
 use tokio::task::LocalSet;
 use trailproxyd::{buffered, http, msgpack, resp, ring, sse};
 
-/// Lines that wait for the log's own thread; more are dropped and their number is logged.
-const LOG_LINES: usize = 4096;
-
 const HELP: &str = "\
 trailproxyd: a trailproxy dispatcher on sockets
 
@@ -93,10 +90,11 @@
     let hear = || runtime.block_on(async { Signals::hear() });
     let signals = persist(|| without_panic("signals can't be heard", hear))?;
     let start = persist(startup::read)?;
-    let (drain, guard) = persist(|| without_panic("the log can't be started", || Ok(new_log())))?;
+    let begin_log = || Ok(logging::new_log());
+    let (drain, guard) = persist(|| without_panic("the log can't be started", begin_log))?;
     let log = Logger::root(drain.fuse(), o!("name" => start.name.clone()));
     let ended = LocalSet::new().block_on(&runtime, serve(start, signals, log));
-    drop(guard);
+    logging::finish(guard);
     ended
 }
 
@@ -106,19 +104,6 @@
         .build()
 }
 
-/// The log on standard output, written by a thread of its own.
-fn new_log() -> (Async, AsyncGuard) {
-    let plain = slog_term::PlainDecorator::new(std::io::stdout());
-    let lines = slog_term::FullFormat::new(plain)
-        .use_utc_timestamp()
-        .build()
-        .fuse();
-    Async::new(lines)
-        .chan_size(LOG_LINES)
-        .overflow_strategy(OverflowStrategy::DropAndReport)
-        .build_with_guard()
-}
-
 /// What it is told by signals.
 struct Signals {
     hangup: Signal,
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -196,14 +196,24 @@
     }
 }
 
+/// What came of a dial.
+pub enum Dialled {
+    Up(TcpStream),
+    /// The host refuses, or can't be reached.
+    Refused,
+    /// Nothing came up in time.
+    TimedOut,
+    /// This side lacked what a connection takes, all the time: it says nothing of the host.
+    Lacking,
+}
+
 pub enum FromServer {
     Dialled {
         host: HostId,
         line: LineId,
         /// Where it was dialled.
         address: SocketAddr,
-        stream: Option<TcpStream>,
-        refused: bool,
+        dialled: Dialled,
     },
     Ended {
         id: AttemptId,
--- a/crates/trailproxyd/src/servers.rs
+++ b/crates/trailproxyd/src/servers.rs
@@ -4,20 +4,26 @@
 use crate::link::Link;
 use crate::link_context::Shared;
 use crate::messages::*;
+use crate::system_calls::errno;
 use local_channel::mpsc::{self, SendError};
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use trailproxy::interface::*;
+use trailproxy::policy::system_errors::{self, ConnectError, of_connect};
 use trailproxy::units::*;
 
 /// So many attempts share a connection before another is dialled, as descriptors allow. More are lost
 /// with one spoilt answer; fewer leave connections idle, which hosts close, and new ones are less sure.
 const TOGETHER: usize = 2;
 
+/// How long a dial waits that failed for a reason of this side.
+const DIAL_AGAIN: Duration = Duration::from_micros(system_errors::DIAL_AGAIN.0);
+
 /// One connection, as its pool knows it.
 struct Line {
     id: LineId,
@@ -34,9 +40,24 @@
     /// Waiting for a connection, and until when.
     waiting: VecDeque<(Instant, Sending)>,
     dialing: usize,
+    /// Whether the last dial failed for a reason of this side.
+    lacking: bool,
     probe: Option<Probe>,
 }
 
+impl Pool {
+    /// Whoever waits is told at once that the host refuses.
+    fn refused(&mut self, shared: &Shared, host: HostId) {
+        let waits = |probe: &&mut Probe| probe.is == ProbeIs::Waiting;
+        if let Some(probe) = self.probe.as_mut().filter(waits) {
+            probe.ended(shared, host);
+        }
+        for (_, sending) in self.waiting.drain(..) {
+            shared.dropped(&sending, Ending::NoConnection);
+        }
+    }
+}
+
 /// A probe of one host.
 struct Probe {
     id: ProbeId,
@@ -103,6 +124,7 @@
                 lines: Vec::new(),
                 waiting: VecDeque::new(),
                 dialing: 0,
+                lacking: false,
                 probe: None,
             };
             let pool = self.pools.entry(member.entry.host).or_insert_with(fresh);
@@ -262,6 +284,10 @@
                         shared.trace.denied(&sending.call, sending.id, why.word());
                         shared.dropped(sending, Ending::NotSent);
                     }
+                    // The host is not to blame for what was lacking here.
+                    Ok(()) if *until <= now && pool.lacking => {
+                        shared.dropped(sending, Ending::NotSent);
+                    }
                     Ok(()) if *until <= now => shared.dropped(sending, Ending::NoConnection),
                     Ok(()) => return true,
                 }
@@ -332,14 +358,13 @@
                 host,
                 line,
                 address,
-                stream,
-                refused,
+                dialled,
             } => {
                 // The host has moved since: whoever is there now is another.
                 let pool = self.pools.get(&host);
                 let moved = pool.is_some_and(|pool| pool.member.address != address);
-                let (stream, refused) = (stream.filter(|_| !moved), refused && !moved);
-                self.dialled(host, line, stream, refused);
+                let dialled = if moved { Dialled::TimedOut } else { dialled };
+                self.dialled(host, line, dialled);
                 None
             }
             FromServer::Ended {
@@ -385,26 +410,32 @@
         }
     }
 
-    fn dialled(&mut self, host: HostId, id: LineId, stream: Option<TcpStream>, refused: bool) {
-        let pool = self.pools.get_mut(&host);
-        let (Some(pool), Some(stream)) = (pool, stream) else {
-            self.lines -= 1;
-            if let Some(pool) = self.pools.get_mut(&host) {
+    fn dialled(&mut self, host: HostId, id: LineId, dialled: Dialled) {
+        match (self.pools.get_mut(&host), dialled) {
+            (Some(pool), Dialled::Up(stream)) => {
                 pool.dialing -= 1;
-                if refused {
-                    let waits = |probe: &&mut Probe| probe.is == ProbeIs::Waiting;
-                    if let Some(probe) = pool.probe.as_mut().filter(waits) {
-                        probe.ended(&self.shared, host);
-                    }
-                    for (_, sending) in pool.waiting.drain(..) {
-                        self.shared.dropped(&sending, Ending::NoConnection);
-                    }
+                pool.lacking = false;
+                self.came_up(host, id, stream);
+            }
+            (Some(pool), failed) => {
+                self.lines -= 1;
+                pool.dialing -= 1;
+                pool.lacking = matches!(failed, Dialled::Lacking);
+                if matches!(failed, Dialled::Refused) {
+                    pool.refused(&self.shared, host);
                 }
                 self.assign(host);
+                self.forget();
             }
-            return self.forget();
+            (None, _) => self.lines -= 1,
+        }
+    }
+
+    /// A connection is up.
+    fn came_up(&mut self, host: HostId, id: LineId, stream: TcpStream) {
+        let Some(pool) = self.pools.get_mut(&host) else {
+            return;
         };
-        pool.dialing -= 1;
         let (orders_in, orders) = mpsc::channel();
         let retired = pool.member.entry.state != HostState::Ready;
         if retired {
@@ -424,19 +455,36 @@
 }
 
 async fn dial(address: SocketAddr, within: Duration, host: HostId, line: LineId, queue: Queue) {
-    let (stream, refused) = match timeout(within, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => (Some(stream), false),
-        Ok(Err(_)) => (None, true),
-        Err(_) => (None, false),
+    let lacking = Cell::new(false);
+    let dialled = match timeout(within, connect(address, &lacking)).await {
+        Ok(Ok(stream)) => {
+            let _ = stream.set_nodelay(true);
+            Dialled::Up(stream)
+        }
+        Ok(Err(_)) => Dialled::Refused,
+        Err(_) if lacking.get() => Dialled::Lacking,
+        Err(_) => Dialled::TimedOut,
     };
-    if let Some(stream) = &stream {
-        let _ = stream.set_nodelay(true);
-    }
     let _ = queue.send(Inbound::Server(FromServer::Dialled {
         host,
         line,
         address,
-        stream,
-        refused,
+        dialled,
     }));
 }
+
+/// Connects, again and again while it fails for a reason of this side, which is noted in `lacking`.
+async fn connect(address: SocketAddr, lacking: &Cell<bool>) -> std::io::Result<TcpStream> {
+    loop {
+        lacking.set(false);
+        let error = match TcpStream::connect(address).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => error,
+        };
+        if of_connect(errno(&error)) == ConnectError::Theirs {
+            return Err(error);
+        }
+        lacking.set(true);
+        sleep(DIAL_AGAIN).await;
+    }
+}
