A refusal for want of room says when to come back; a message has 512 values at most

Cause: dispatch/requests.rs refused what found max_open reached by itself, with no time to stay away; msgpack::read begins anew with every piece of a message that is not whole, at the cost of all its values so far, up to 64,000. Change: the decisions say the time; a message with more than 512 values is damage (a request has some thirty).

--- a/crates/trailproxyd/src/dispatch/requests.rs
+++ b/crates/trailproxyd/src/dispatch/requests.rs
@@ -29,7 +29,8 @@
         if !permits::may_take(self.state.requests.len(), most) {
             count(&self.counts.rejected);
             count(self.counts.given_up(GiveUpReason::TableFull));
-            return self.reply(call.id, Reply::Refused { come_back: None });
+            let come_back = self.decisions.come_back(now, call.track);
+            return self.reply(call.id, Reply::Refused { come_back });
         }
         if !self.state.references.insert(call.reference.clone()) {
             count(&self.counts.bad_clients);
--- a/crates/trailproxyd/src/msgpack.rs
+++ b/crates/trailproxyd/src/msgpack.rs
@@ -4,6 +4,10 @@
 /// Nested deeper, a message is taken for damage.
 const DEEPEST: usize = 8;
 
+/// With more values, a message is taken for damage: one that is not whole yet is read from its start again with every
+/// piece that comes, which has to stay cheap. A request has some thirty.
+const MOST_VALUES: usize = 512;
+
 #[derive(Debug, PartialEq)]
 pub enum Value<'a> {
     Nil,
@@ -27,6 +31,8 @@
     bytes: &'a [u8],
     at: usize,
     longest: usize,
+    /// So many values may come still.
+    values: usize,
 }
 
 /// The first message in the bytes and its length; none is longer than `longest`.
@@ -35,6 +41,7 @@
         bytes,
         at: 0,
         longest,
+        values: MOST_VALUES,
     };
     let value = reader.value(DEEPEST)?;
     Ok((value, reader.at))
@@ -66,6 +73,8 @@
         let deeper = deep
             .checked_sub(1)
             .ok_or(Fault::Malformed("a message is nested too deep"))?;
+        let fewer = self.values.checked_sub(1);
+        self.values = fewer.ok_or(Fault::Malformed("a message has too many values"))?;
         let code = self.number(1)? as u8;
         let n = match code {
             0x80..=0x9f => usize::from(code & 0x0f),
