Who is heard with a clock that is far off counts as lost; the soak's judge knows its own stalls

Cause: receiving.rs drops messages of a clock that is over 0.75 s off and remembers nothing; who had such a clock from its start knew nobody, so that after keep_s it was sure of every key alone. It heard nothing either, as nobody answers it. Change: whoever is heard so counts among the lost for keep_s, on both sides: the smaller side is an island, as behind a cut, and unsure; each answers the other once a second. RELAY_TRACE tells what discovery said.

--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -71,6 +71,9 @@
 const RUMOURS: usize = 20;
 const MOST_RUMOURS: usize = 8_192;
 const MOST_HINTS: usize = 1_024;
+/// One whose clock is too far off is answered no more often, and so many are remembered.
+const ANSWER_OFF_CLOCK: Span = Span::from_secs(1);
+const MOST_OFF_CLOCK: usize = 1_024;
 
 /// What is held in common, each by itself, and the bounds that the operator sets.
 #[derive(Clone, Debug, PartialEq)]
@@ -187,6 +190,14 @@
     restricted: Option<Moment>,
 }
 
+/// One whose clock is too far off for it to be listened to.
+#[derive(Clone, Copy, Debug)]
+struct OffClock {
+    heard: Moment,
+    /// When it was last told that this one is there.
+    answered: Moment,
+}
+
 /// One dispatcher's part.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -216,6 +227,8 @@
     /// It saw fewer than were lost: what the others did meanwhile is not known here.
     island: bool,
     lost: usize,
+    /// Those that are there and can't be listened to.
+    off_clock: BTreeMap<PeerId, OffClock>,
     counts: Counts,
     acts: Vec<Action>,
 }
@@ -252,6 +265,7 @@
             stand: Stands::Alone,
             island: false,
             lost: 0,
+            off_clock: BTreeMap::new(),
             counts: Counts::default(),
             acts: Vec::new(),
             rules,
@@ -480,6 +494,15 @@
                 lost_now.push(id);
             }
         }
+        let keep = self.rules.keep;
+        self.off_clock
+            .retain(|_, known| now.since(known.heard) < keep);
+        for &id in self.off_clock.keys() {
+            let reached = self.members.alive(id);
+            if !reached && !lost_now.contains(&id) {
+                lost_now.push(id);
+            }
+        }
         let lost = lost_now;
         let island = there <= lost.len();
         if island && !self.island {
--- a/crates/peers/src/decide/receiving.rs
+++ b/crates/peers/src/decide/receiving.rs
@@ -24,8 +24,7 @@
         }
         let stamp = Moment(message.stamp);
         if stamp > now + APART || now.since(stamp) > APART + LATE {
-            self.counts.off_clock += 1;
-            return;
+            return self.heard_off_clock(now, message.from, address);
         }
         self.counts.letters_in += 1;
         let from = message.from;
@@ -64,6 +63,36 @@
         self.settle(now);
     }
 
+    /// Somebody is there whose clock is too far off to be listened to: what it does is not known here, nor the other way
+    /// round. It is answered now and then, so that it learns as much.
+    fn heard_off_clock(&mut self, now: Moment, from: PeerId, address: Address) {
+        self.counts.off_clock += 1;
+        if from == self.members.own().id {
+            return;
+        }
+        let known = self.off_clock.get(&from).copied();
+        if known.is_none() && self.off_clock.len() >= MOST_OFF_CLOCK {
+            return;
+        }
+        let answered = known.map(|known| known.answered);
+        let answer = answered.is_none_or(|at| now.since(at) >= ANSWER_OFF_CLOCK);
+        let answered = if answer { now } else { answered.unwrap_or(now) };
+        self.off_clock.insert(
+            from,
+            OffClock {
+                heard: now,
+                answered,
+            },
+        );
+        if answer {
+            self.send(now, address, Vec::new());
+        }
+        if known.is_none() {
+            self.look_round(now);
+        }
+        self.settle(now);
+    }
+
     fn note(&mut self, now: Moment, origin: Origin, note: Note, answers: &mut Vec<Note>) {
         let Origin {
             from,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::interface::Effect;
 use trailproxy::units::{HostId, Moment, Span, ZoneId};
 use trailproxy_fault_control::{Control, Kind as Call};
@@ -42,6 +42,7 @@
 const TOLD_AT_LAST: Span = Span::from_secs(7);
 /// Discovery is called again within this once it is back.
 const CALLED_AGAIN: Span = Span::from_secs(1);
+const LOOK_AT_ITSELF: Duration = Duration::from_millis(10);
 const CHECK_EVERY: Duration = Duration::from_millis(100);
 /// References of requests begin here, and those of clients that misbehave there.
 const FIRST_REFERENCE: u64 = 0x1000_0000;
@@ -139,6 +140,7 @@
         for event in self.plan.events.clone() {
             spawn_local(self.clone().happen(event));
         }
+        let watching_itself = spawn_local(self.clone().watch_itself());
         let watching = spawn_local(self.clone().watch());
         let mut tasks = Vec::new();
         for (nth, wish) in self.wishes().into_iter().enumerate() {
@@ -150,6 +152,7 @@
             task.await.map_err(io::Error::other)?;
         }
         self.end().await;
+        watching_itself.abort();
         watching.abort();
         self.catch_up();
         for clients in &self.clients {
@@ -235,6 +238,15 @@
         }
     }
 
+    /// Notes how long this process itself is not run.
+    async fn watch_itself(self: Rc<Run>) {
+        loop {
+            let due = Instant::now() + LOOK_AT_ITSELF;
+            sleep_until(due).await;
+            self.oracle.judge_stalled(due.elapsed());
+        }
+    }
+
     fn catch_up(&self) {
         let mut seen = self.seen.borrow_mut();
         while let Ok((at, what)) = seen.try_recv() {
@@ -245,7 +257,7 @@
                 }
                 Seen::Purged(object, group) => {
                     let told = self.told_at(at + self.plan.scenario.purge_delay);
-                    self.oracle.purged(told, object, group);
+                    self.oracle.purged(at, told, object, group);
                 }
                 Seen::Given { host, kb } => self.oracle.filled(at, host, kb),
                 _ => {}
--- a/crates/trailproxy-cli/src/soak.rs
+++ b/crates/trailproxy-cli/src/soak.rs
@@ -71,15 +71,20 @@
         ));
     }
     let mut summaries = Vec::new();
-    let mut broken = 0;
+    let (mut broken, mut void) = (0, 0);
     for seed in task.seed..task.seed + task.runs {
         let summary = one(task, seed, &kinds)?;
-        broken += usize::from(!summary.verdict.broken.is_empty());
+        let verdict = &summary.verdict;
+        void += usize::from(verdict.is_void());
+        broken += usize::from(!verdict.is_void() && !verdict.broken.is_empty());
         summaries.push(summary);
         let text = serde_json::to_string_pretty(&summaries).map_err(|e| e.to_string())?;
         out::write(&task.out, "summary.json", &text)?;
     }
-    println!("{broken} of {} runs broke something", summaries.len());
+    println!(
+        "{broken} of {} runs broke something, {void} are void",
+        summaries.len()
+    );
     Ok(if broken == 0 { End::Well } else { End::Broken })
 }
 
@@ -120,6 +125,10 @@
         tally.excused,
         verdict.broken
     );
+    if verdict.is_void() {
+        let stalled = verdict.judge_stalled_s;
+        println!("  void: the judge itself was not run for {stalled:.3} s");
+    }
     for breach in verdict.breaches.iter().take(PRINTED) {
         println!(
             "  {:7.3} s {:?}: {}",
--- a/crates/trailproxyd/src/dispatch/journal.rs
+++ b/crates/trailproxyd/src/dispatch/journal.rs
@@ -27,6 +27,8 @@
         let (mut purged, mut listed, mut recalls) = (None, false, Vec::new());
         self.state.place = self.state.place.max(entry.pos);
         self.hear_stamps(now, &entry);
+        let trace = &self.pools.shared.trace;
+        trace.journal(entry.pos, entry.change.word());
         match entry.change {
             Change::Hosts {
                 form,
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -310,6 +310,16 @@
     pub change: Change,
 }
 
+impl Change {
+    /// One word for logs.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Change::Hosts { .. } => "hosts",
+            Change::Purged { .. } => "purge",
+        }
+    }
+}
+
 impl Entry {
     /// The stamps that it bears.
     pub fn stamps(&self) -> Vec<Moment> {
--- a/crates/trailproxyd/src/trace.rs
+++ b/crates/trailproxyd/src/trace.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Discovery has told something new.
+    pub fn journal(&self, place: u64, what: &str) {
+        if let Some(log) = &self.log {
+            info!(log, "journal told"; "place" => place, "what" => what);
+        }
+    }
+
     pub fn client_closed(&self, client: ClientId, why: &str, owed: usize) {
         if let Some(log) = &self.log {
             info!(log, "client closed"; "client" => client.0, "why" => why, "owed" => owed);
