--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,33 +7,19 @@
 //! cold budget, due-time admission, spill, silence watch, origin shield, keep-rank and probes.
 
 use crate::interface::*;
+use crate::policy::breaker::*;
+use crate::policy::host::*;
 use crate::policy::permits::{self, EarlierAttempt, SendFacts};
 use crate::policy::refusals::{COME_BACK, GiveUpReason};
 use crate::units::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
-/// The design's window, in slots of a second; one of fewer fills says nothing. A fill this many times
-/// slower than the usual 95th percentile fails (the design has 3; a bin adds up to 1.7).
-const WINDOW_SLOTS: u64 = 10;
-const LEAST_FILLS: u32 = 10;
+/// A fill this many times slower than the usual 95th percentile fails (the design has 3; a bin adds up to 1.7).
 const SLOW: f64 = 2.0;
-/// How long a host stays open at first. Longer starves a healed host, shorter costs trials.
-const OPEN_FOR: Span = Span::from_secs(10);
-/// A trial's first byte must come within this; the share it leads to, and how soon that doubles.
-const TRIAL_WITHIN: Span = Span::from_secs(1);
-const FIRST_SHARE: f64 = 0.05;
-const DOUBLING: Span = Span::from_secs(2);
-/// Failures in a row open a breaker from this weight on, or leave a crowded host this part of its share:
-/// a hard one has 4, one overdue, lost or maybe another's 2, a slow one 1. Lower acts on chance, higher late.
-const RUN_ACTS: u32 = 10;
-const CROWD_KEEPS: f64 = 0.25;
 /// Up to this predicted stretch an access stays at its first cache. Lower loses hits, higher loses time.
 const SPILL_AT: f64 = 3.0;
 /// Added to a sending time of guessed size. Lower lets large ones crowd caches, higher rejects small.
 const GUESS_MARGIN: f64 = 1.3;
-/// Part of a cold host's told limit that all use together. Higher risks it, lower warms it later.
-const COLD_USE: f64 = 0.4;
-const SAVED: f64 = 1.5; // such parts that are saved up: higher risks it in a crowd, lower leaves them unused
 const HOP: Span = Span::from_millis(40); // what an answer takes besides its sending
 const FILL_WAIT: Span = Span::from_millis(100); // what a fill takes besides its sending
 /// A hand-off is overdue after this many times its predicted sending and the longer of a part of the track's
@@ -47,242 +33,17 @@
 const SEEN: usize = 50_000; // so many objects seen are remembered, before all are forgotten
 /// How much faster than an answer a fill runs at least: a fuller link delays answers. Higher fills the link.
 const FILL_PACE: f64 = 1.75;
-/// Weight of the newest answer in the share that needed a fill and in the slowness of a cache; how soon
-/// averages over time are half forgotten.
+/// Weight of the newest answer in the share that needed a fill and in the slowness of a cache.
 const FIRST_MISSING: f64 = 0.4;
 const MISSING_GAIN: f64 = 0.02;
 const SLOWNESS_GAIN: f64 = 0.1;
-const HALVES: Span = Span::from_secs(2);
-const BIN: f64 = 1.7;
 /// How often a host is probed; what a cache and a parent of untold size is taken for, and for how many busy
 /// seconds that counts. Probes cost hosts work; a larger guess risks cold hosts, a smaller one rejects.
 const PROBE_EVERY: Span = Span::from_secs(2);
 const FIRST_SIZES: [f64; 3] = [4.0, 16.0, 16.0];
 const FIRST_COUNTS: f64 = 3.0;
-/// Busy seconds remembered of a kind. Up to AT_EASE hits come at full pace; a reckoned crowd counts in part.
+/// Busy seconds remembered of a kind.
 const REMEMBERED: f64 = 120.0;
-const AT_EASE: f64 = 0.6;
-const ALL_IN_USE: f64 = 0.95;
-const FREE_COUNTS: f64 = 0.4;
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Role {
-    Cache,
-    Parent,
-    Origin,
-}
-
-/// A coarse histogram of microseconds: each bin is `BIN` times as wide as the one before; wider blurs.
-#[derive(Default)]
-struct Histogram([u32; 32]);
-
-impl Histogram {
-    fn add(&mut self, value: f64) {
-        let bin = value.max(1.0).log(BIN) as usize;
-        self.0[bin.min(31)] += 1;
-        if self.0.iter().sum::<u32>() >= 500 {
-            self.0.iter_mut().for_each(|n| *n /= 2);
-        }
-    }
-
-    /// The upper edge of the bin that one in so many lies above; `None` when too little is heard.
-    fn above(&self, one_in: u32) -> Option<f64> {
-        let total: u32 = self.0.iter().sum();
-        let mut left = total - total / one_in;
-        for (bin, &n) in self.0.iter().enumerate().filter(|_| total >= 20) {
-            if n >= left {
-                return Some(BIN.powi(bin as i32 + 1));
-            }
-            left -= n;
-        }
-        None
-    }
-}
-
-/// What is out now, on average lately, and when that was reckoned.
-#[derive(Default)]
-struct Level(f64, f64, Moment);
-
-impl Level {
-    fn add(&mut self, now: Moment, change: f64) {
-        let kept = 0.5f64.powf(now.since(self.2).as_secs_f64() / HALVES.as_secs_f64());
-        let usual = self.0 + (self.1 - self.0) * kept;
-        *self = Level((self.0 + change).max(0.0), usual, now);
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum Phase {
-    #[default]
-    Closed,
-    Open(Moment),
-    Trial,
-    /// The share, when it doubles next, and whether all went well since it last did.
-    Ramp(f64, Moment, bool),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Verdict {
-    Good(Option<f64>),
-    /// It or another failed.
-    Vague,
-    /// It has more to do than it can, but is not sick.
-    Crowded,
-    Bad,
-}
-
-/// The design's breaker, one for each cache, parent and origin.
-#[derive(Default)]
-struct Breaker {
-    slots: VecDeque<(u64, u32, u32)>,
-    usual: Histogram,
-    pending: Vec<f64>,
-    phase: Phase,
-    run: u32,
-    well: Moment,
-}
-
-impl Breaker {
-    fn counts(&self) -> (u32, u32) {
-        let add = |sum: (u32, u32), slot: &(u64, u32, u32)| (sum.0 + slot.1, sum.1 + slot.2);
-        self.slots.iter().fold((0, 0), add)
-    }
-
-    fn advance(&mut self, now: Moment) {
-        let slot = now.0 / 1_000_000;
-        if self.slots.back().is_none_or(|last| last.0 != slot) {
-            let (good, failed) = self.counts();
-            let pending = std::mem::take(&mut self.pending);
-            if failed * 10 <= good {
-                let usual = &mut self.usual;
-                pending.into_iter().for_each(|latency| usual.add(latency));
-            }
-            self.slots.push_back((slot, 0, 0));
-        }
-        self.slots.retain(|old| old.0 + WINDOW_SLOTS > slot);
-        if let Phase::Ramp(share, step, clean) = &mut self.phase {
-            while now >= *step {
-                *share *= if *clean { 2.0 } else { 1.0 };
-                (*step, *clean) = (*step + DOUBLING, true);
-            }
-            if *share >= 1.0 {
-                self.phase = Phase::Closed;
-            }
-        }
-    }
-
-    fn share(&self) -> f64 {
-        match self.phase {
-            Phase::Closed => 1.0,
-            Phase::Ramp(share, ..) => share,
-            Phase::Open(_) | Phase::Trial => 0.0,
-        }
-    }
-
-    fn wants_trial(&self, now: Moment) -> bool {
-        matches!(self.phase, Phase::Open(until) if now >= until)
-    }
-
-    /// Counts an outcome: 0 is a good one, else how much it weighs in a run of failures.
-    fn judge(&mut self, now: Moment, weighs: u32, crowded: bool) {
-        self.advance(now);
-        let bad = weighs > 0;
-        self.run = if bad { self.run + weighs } else { 0 };
-        self.well = if bad { self.well } else { now };
-        if let Some(slot) = self.slots.back_mut() {
-            slot.1 += u32::from(!bad);
-            slot.2 += u32::from(bad);
-        }
-        let (good, failed) = self.counts();
-        let failing = good + failed >= LEAST_FILLS && failed > good;
-        let cut = (self.share() * CROWD_KEEPS).max(FIRST_SHARE);
-        if self.run >= RUN_ACTS || failing {
-            // A crowd is thinned out: without any, the next host would be crowded.
-            let thinned = Phase::Ramp(cut, now + DOUBLING, true);
-            let open = Phase::Open(now + OPEN_FOR);
-            self.turn(now, if crowded { thinned } else { open });
-        } else if let Phase::Ramp(.., clean) = &mut self.phase {
-            *clean &= self.run * 2 < RUN_ACTS;
-        }
-    }
-
-    fn turn(&mut self, now: Moment, phase: Phase) {
-        (self.phase, self.run, self.well) = (phase, 0, now);
-        self.slots.clear();
-    }
-}
-
-struct Host {
-    entry: HostEntry,
-    role: Role,
-    cold: Cold,
-    dispatchers: f64,
-    breaker: Breaker,
-    heard: Moment,
-    /// How many times longer than predicted hits here took lately, and when that was last told.
-    slowness: (f64, Moment),
-    out: u32,
-    size: f64, // how many answers it can send at full pace, as told or else as learnt
-    /// How busy it last said it was, when, and what it has sent for this dispatcher since, in seconds.
-    busy: Option<(f64, Moment)>,
-    done: f64,
-    left: Moment, // when it last left the list
-    /// What is left of what it may be given while it is cold, and when that was reckoned.
-    allowance: (f64, Moment),
-}
-
-impl Host {
-    fn ready(&self) -> bool {
-        self.entry.state == HostState::Ready
-    }
-
-    fn list_as(&mut self, now: Moment, state: HostState) {
-        let leaves = state == HostState::Gone && self.entry.state != HostState::Gone;
-        self.left = if leaves { now } else { self.left };
-        self.entry.state = state;
-    }
-
-    fn sick(&self) -> bool {
-        matches!(self.breaker.phase, Phase::Open(_) | Phase::Trial)
-    }
-
-    /// How far a crowd that is reckoned there slows its answers: less where it last said that much is free,
-    /// because what waits for fills sends nothing yet.
-    fn crowd_told(&self) -> f64 {
-        let crowd = |busy: f64| (busy - AT_EASE) / (ALL_IN_USE - AT_EASE);
-        (self.busy).map_or(1.0, |(busy, _)| crowd(busy).clamp(FREE_COUNTS, 1.0))
-    }
-
-    fn slowness(&self, now: Moment) -> f64 {
-        let halvings = now.since(self.slowness.1).as_secs_f64() / HALVES.as_secs_f64();
-        1.0 + (self.slowness.0 - 1.0).max(0.0) * 0.5f64.powf(halvings)
-    }
-
-    /// The part of its capacity that it can surely give now.
-    fn warmth(&self, now: Moment) -> f64 {
-        let warm_after = self.cold.warm_after.as_secs_f64().max(0.001);
-        let risen = |at| now.since(at).as_secs_f64() / warm_after;
-        self.cold.from + (1.0 - self.cold.from) * self.entry.started.map_or(1.0, risen).min(1.0)
-    }
-
-    /// Work as a part of what this dispatcher may give it within the span of rule 4 while it is cold.
-    fn cost(&self, now: Moment, work: f64) -> f64 {
-        let told = self.cold.fall_multiple * self.cold.fall_after.as_secs_f64();
-        work * self.among() / (told * COLD_USE * self.warmth(now) * self.size)
-    }
-
-    fn among(&self) -> f64 {
-        self.cold.among.unwrap_or(self.dispatchers)
-    }
-
-    /// Where parts are less than a call of mean work, who does not use its turn has let it pass to another.
-    fn allowance(&self, now: Moment, mean: f64) -> f64 {
-        let span = self.cold.fall_after.as_secs_f64().max(0.001);
-        let saved = self.allowance.0 + now.since(self.allowance.1).as_secs_f64() / span - SAVED;
-        let turn = self.cost(now, mean).max(1.0);
-        SAVED + saved - turn * (saved / turn).ceil().max(0.0)
-    }
-}
 
 /// One purge.
 #[derive(Clone, Copy, Default)]
@@ -1007,7 +768,7 @@
     /// Fills on the zone's link over those that fit at the pace of an answer.
     fn link_crowd(&self) -> f64 {
         let carries = self.terms.link_kb_per_s.filter(|_| !self.terms.link_told);
-        let each = self.fills.1 * (self.fills.0 + 1.0) / (self.fills.1 + 1.0);
+        let each = self.fills.usual * (self.fills.now + 1.0) / (self.fills.usual + 1.0);
         let under_way = (each + 1.0) * seats(&self.terms) * self.terms.flow_kb_per_s;
         carries.map_or(self.link_told / FILL_PACE, |carries| under_way / carries)
     }
@@ -1019,7 +780,7 @@
             return 1.0;
         }
         let (own, size) = (f64::from(host.out), host.size);
-        let usual = self.at_caches.1 * size / self.zone_size.max(0.5);
+        let usual = self.at_caches.usual * size / self.zone_size.max(0.5);
         let others = usual * (own + 1.0) / (usual + 1.0) * (host.dispatchers - 1.0);
         let crowd = (own + others + 1.0) / (size * host.warmth(now)).max(0.5);
         1.0 + (crowd - 1.0).max(0.0) * host.crowd_told()
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,7 @@
 //! Decisions, split by job.
 
+pub(crate) mod breaker;
+pub(crate) mod host;
 pub mod permits;
 pub mod refusals;
 pub mod stamps;
