The soak draws few descriptors, no withdrawals, other settings and another discovery at SIGHUP

Cause: its runs had descriptors to spare, one way to discovery, and a SIGHUP that changed nothing; a soak that was ended itself left its dispatchers running. Change: descriptors of 64, 128 or 384 and whether requests may be withdrawn are drawn with the run; SIGHUP changes settings and moves discovery; dispatchers end with the soak.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -70,7 +70,7 @@
     Kill,
     /// SIGSTOP, and SIGCONT at the end.
     Pause,
-    /// SIGHUP with a configuration that differs in nothing that needs a new start.
+    /// SIGHUP with another address of discovery and other settings, none of which needs a new start.
     Reload,
     /// SIGHUP while half of the configuration is written; the rest follows.
     HalfReload,
@@ -150,11 +150,14 @@
 /// One run.
 pub struct Plan {
     pub seed: u64,
+    /// Descriptors that a dispatcher may hold: few, and clients wait for places.
+    pub descriptors: u64,
     pub scenario: Scenario,
     pub events: Vec<Event>,
 }
 
 const FLEET: &str = include_str!("fleet.star");
+const DESCRIPTORS: [u64; 3] = [64, 128, 384];
 /// Nothing happens before this, so that all are warm, nor in the last part, so that all can be judged.
 const QUIET_AT_FIRST: f64 = 0.8;
 const QUIET_AT_LAST: f64 = 2.0;
@@ -168,6 +171,9 @@
     pub fn draw(seed: u64, size: Size, kinds: &[Kind]) -> Result<Plan, String> {
         let mut chance = Rng::with_seed(seed);
         let mut scenario = scenario(size)?;
+        let descriptors = DESCRIPTORS[chance.usize(..DESCRIPTORS.len())];
+        // Some deployments take no request back.
+        scenario.terms.may_withdraw = chance.u8(..4) > 0;
         let busy = (size.seconds - QUIET_AT_FIRST - QUIET_AT_LAST).max(1.0);
         let mut events = Vec::new();
         let mut covered = 0.0;
@@ -192,6 +198,7 @@
         scenario.script.sort_by_key(|cue| cue.at);
         Ok(Plan {
             seed,
+            descriptors,
             scenario,
             events,
         })
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
@@ -103,6 +104,11 @@
         })
     }
 
+    /// Changes what its configuration says from now on.
+    pub fn change(&self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.config.borrow_mut());
+    }
+
     /// Writes the configuration, with what discovery has told by now.
     pub fn write_config(&self, known: &str) -> io::Result<String> {
         let mut config = self.config.borrow_mut();
@@ -124,13 +130,16 @@
             .create(true)
             .append(true)
             .open(&self.log)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .env("RELAY_CONFIG", &self.config_path)
             .envs(self.environment.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        // SAFETY: one system call between fork and exec, which allocates nothing.
+        unsafe { command.pre_exec(end_with_the_parent) };
+        let child = command.spawn()?;
         *self.child.borrow_mut() = Some(child);
         let begun = Instant::now();
         while !self.is_ready().await {
@@ -277,6 +286,15 @@
     }
 }
 
+/// Nothing that a run has started outlives it, however it ends.
+fn end_with_the_parent() -> io::Result<()> {
+    // SAFETY: it takes a signal and nothing else.
+    match unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// An address of this process alone, as the loopback net has room for all, so that nobody else takes it between two lives.
 fn free_address() -> io::Result<SocketAddr> {
     const FIRST_PORT: u16 = 21_000;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -28,8 +28,9 @@
 
 /// All is up before the day begins.
 const LEAD: Duration = Duration::from_millis(1_500);
-const DESCRIPTORS: u64 = 384;
 const MEMORY_MB: u64 = 64;
+/// Ways to discovery.
+const JOURNALS: usize = 2;
 /// Bodies have this part of the bytes that they stand for.
 const SCALE: f64 = 1.0 / 32.0;
 /// The front goes on sending new connections for so long after a dispatcher was told to end.
@@ -67,6 +68,8 @@
     stage: Stage,
     network: Rc<Faults>,
     discovery: Rc<Faults>,
+    /// Where discovery is reached; a new configuration may name another one.
+    journals: Vec<String>,
     clients: Vec<Rc<Clients>>,
     seen: RefCell<UnboundedReceiver<(Moment, Seen)>>,
     next_rogue: Cell<u64>,
@@ -98,16 +101,16 @@
             |host: HostId, address| proxy::open(host, address, network.clone(), oracle.clone());
         let stage = Stage::open_behind(fleet, hosts, wire, clock, see, front).await?;
         let discovery = Rc::new(Faults::default());
-        let journal = proxy::open(
-            HostId(0),
-            stage.journal_address,
-            discovery.clone(),
-            oracle.clone(),
-        )?;
+        let mut journals = Vec::new();
+        for _ in 0..JOURNALS {
+            let (faults, address) = (discovery.clone(), stage.journal_address);
+            let front = proxy::open(HostId(0), address, faults, oracle.clone())?;
+            journals.push(front.to_string());
+        }
         let longest = scenario.limits.iter().max().copied().unwrap_or_default();
         let mut clients = Vec::new();
         for number in 0..scenario.seats.iter().sum::<u32>() as usize {
-            let config = config(&plan, number, journal.to_string());
+            let config = config(&plan, number, &journals[0]);
             let longest = Duration::from_micros(longest.0);
             let dispatcher = Dispatcher::new(number, place, config, longest, oracle.clone())?;
             clients.push(Rc::new(Clients::new(Rc::new(dispatcher), oracle.clone())));
@@ -120,6 +123,7 @@
             stage,
             network,
             discovery,
+            journals,
             clients,
             seen: RefCell::new(seen),
             next_rogue: Cell::new(FIRST_ROGUE_REFERENCE),
@@ -362,6 +366,12 @@
             }
             Trouble::Pause => dispatcher.pause(lasts).await,
             Trouble::Reload => {
+                let nth = self.chance.borrow_mut().usize(..self.journals.len());
+                let weights = ["nominal", "rough"][nth % 2];
+                dispatcher.change(|config| {
+                    config["journal"] = json!(self.journals[nth]);
+                    config["settings"]["weights"] = json!(weights);
+                });
                 dispatcher.write_config(&self.stage.known_now())?;
                 dispatcher.signal(libc::SIGHUP);
             }
@@ -444,10 +454,10 @@
     }
 }
 
-fn config(plan: &Plan, number: usize, journal: String) -> Value {
+fn config(plan: &Plan, number: usize, journal: &str) -> Value {
     json!({
         "seed": format!("{:016x}", mix(mix(plan.seed, number as u64), 4)),
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": plan.descriptors},
         "journal": journal,
         "known": {"pos": 1, "entries": []},
         "settings": settings(&plan.scenario, ZoneId(1)),
