--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -73,6 +73,8 @@
     clients: Vec<Rc<Clients>>,
     seen: RefCell<UnboundedReceiver<(Moment, Seen)>>,
     next_rogue: Cell<u64>,
+    /// What clients that misbehave ask for.
+    rogues_wish: Option<Wish>,
     chance: RefCell<Rng>,
 }
 
@@ -115,6 +117,7 @@
             let dispatcher = Dispatcher::new(number, place, config, longest, oracle.clone())?;
             clients.push(Rc::new(Clients::new(Rc::new(dispatcher), oracle.clone())));
         }
+        let rogues_wish = Stream::new(&plan.scenario, 0, mix(plan.seed, 5)).next();
         let chance = RefCell::new(Rng::with_seed(mix(plan.seed, 7)));
         Ok(Rc::new(Run {
             plan,
@@ -127,6 +130,7 @@
             clients,
             seen: RefCell::new(seen),
             next_rogue: Cell::new(FIRST_ROGUE_REFERENCE),
+            rogues_wish,
             chance,
         }))
     }
@@ -392,7 +396,7 @@
     async fn rogues(self: Rc<Run>, event: &Event, each_second: f64) {
         let visits = (event.lasts.as_secs_f64() * each_second) as u32;
         let between = Duration::from_secs_f64(1.0 / each_second.max(0.1));
-        let Some(wish) = self.wishes().into_iter().find(|wish| wish.track.0 == 0) else {
+        let Some(wish) = self.rogues_wish else {
             return;
         };
         for nth in 0..visits {
