--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's own file. The script is run by `trailproxy`, a process beside this one, which hands its checked
 //! sections on as JSON: a script that runs long or grows large costs that process, and no request waits for it.
 
+use crate::starting::StepError;
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -86,14 +87,27 @@
     }
 
     /// What the file says; the message names file, line and field of what does not fit.
-    pub async fn read(&self, against: &Against) -> Result<Told, String> {
+    pub async fn read(&self, against: &Against) -> Result<Told, StepError> {
         let path = self.path.display();
         let text = match self.path.extension().is_some_and(|end| end == "json") {
-            true => of_file(&self.path).map_err(|e| format!("{path} can't be read: {e}"))?,
+            true => of_file(&self.path)
+                .map_err(|error| StepError::System(format!("{path} can't be read"), error))?,
             false => self.run().await?,
         };
+        let all: Value = serde_json::from_slice(&text).map_err(|error| {
+            let why = format!("{path}: found no sections ({error})");
+            match error.is_eof() {
+                true => StepError::HalfWritten(why),
+                false => StepError::Unfit(why),
+            }
+        })?;
+        self.sections(all, against).map_err(StepError::Unfit)
+    }
+
+    /// What the sections say.
+    fn sections(&self, mut all: Value, against: &Against) -> Result<Told, String> {
+        let path = self.path.display();
         let unread = |e| format!("{path}: found no sections ({e})");
-        let mut all: Value = serde_json::from_slice(&text).map_err(unread)?;
         let store = all.as_object_mut().and_then(|all| all.remove("store"));
         let store: Option<Box<StoreSheet>> = match store {
             Some(store) => {
@@ -151,7 +165,7 @@
         })
     }
 
-    async fn run(&self) -> Result<Vec<u8>, String> {
+    async fn run(&self) -> Result<Vec<u8>, StepError> {
         let reader = self.reader.display();
         let mut child = Command::new(&self.reader)
             .args(["zones", "sheet"])
@@ -161,11 +175,10 @@
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
-            .map_err(|e| {
-                format!(
-                    "{reader}, which reads {}, can't be started: {e}",
-                    self.path.display()
-                )
+            .map_err(|error| {
+                let path = self.path.display();
+                let what = format!("{reader}, which reads {path}, can't be started");
+                StepError::System(what, error)
             })?;
         let (said, complained) = (child.stdout.take(), child.stderr.take());
         let whole = async {
@@ -175,24 +188,24 @@
         };
         let ended = timeout(WITHIN, whole).await;
         let (status, said, complained) = ended.map_err(|_| {
-            format!(
+            StepError::Unfit(format!(
                 "{reader} said nothing of {} within {WITHIN:?}",
                 self.path.display()
-            )
+            ))
         })?;
         if said.len() as u64 >= MOST_BYTES {
-            return Err(format!(
+            return Err(StepError::Unfit(format!(
                 "{reader} said more than {MOST_BYTES} bytes of {}",
                 self.path.display()
-            ));
+            )));
         }
         if !status.is_ok_and(|status| status.success()) {
             let words = String::from_utf8_lossy(&complained);
             let words = words.trim().trim_start_matches("trailproxy: ");
-            return Err(match words {
+            return Err(StepError::Unfit(match words {
                 "" => format!("{reader} failed on {}", self.path.display()),
                 words => words.to_owned(),
-            });
+            }));
         }
         Ok(said)
     }
--- a/crates/trailproxyd/src/peers.rs
+++ b/crates/trailproxyd/src/peers.rs
@@ -4,6 +4,7 @@
 //! over its bytes and no more.
 
 use crate::messages::{FromPeers, Inbound, Queue, ToPeers};
+use crate::system_calls::{LACK_PASSES, errno};
 use local_channel::mpsc;
 use slog::{Logger, info};
 use std::cell::Cell;
@@ -11,6 +12,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
+use trailproxy::policy::system_errors::{StreamError, of_stream};
 use trailproxy_peers::decide::messages::Address;
 use trailproxy_peers::wire::{MOST_BYTES, Seal, Unread};
 
@@ -73,10 +75,18 @@
     let (unreads, mut row) = (Unreads::default(), 0);
     let more = |count: &Cell<u64>, by: usize| count.set(count.get() + by as u64);
     loop {
-        // An error is another's: a port that nobody listens on any more tells so here.
-        let Ok((size, SocketAddr::V4(from))) = socket.recv_from(&mut bytes).await else {
-            tokio::task::yield_now().await;
-            continue;
+        let (size, from) = match socket.recv_from(&mut bytes).await {
+            Ok((size, SocketAddr::V4(from))) => (size, from),
+            // The system lacks something for the moment.
+            Err(e) if of_stream(errno(&e)) == StreamError::Later => {
+                tokio::time::sleep(LACK_PASSES).await;
+                continue;
+            }
+            // An error is another's: a port that nobody listens on any more tells so here.
+            Ok(_) | Err(_) => {
+                tokio::task::yield_now().await;
+                continue;
+            }
         };
         row += 1;
         if row % IN_A_ROW == 0 {
--- a/crates/trailproxyd/src/reload.rs
+++ b/crates/trailproxyd/src/reload.rs
@@ -30,11 +30,7 @@
             continue;
         };
         let (source, other) = running.compare(start, &followers);
-        let told = match &source {
-            Some(source) => source.read(&followers.against).await,
-            None => Ok(Told::default()),
-        };
-        match told {
+        match read_operator(source.as_ref(), &followers.against, &followers.log).await {
             Ok(told) => {
                 if let Some((settings, other)) = other {
                     running.file["settings"] = settings;
@@ -48,6 +44,27 @@
     }
 }
 
+/// The operator's own file, where there is one. One that is being replaced is read again for a while.
+pub async fn read_operator(
+    source: Option<&Source>,
+    against: &Against,
+    log: &Logger,
+) -> Result<Told, String> {
+    let Some(source) = source else {
+        return Ok(Told::default());
+    };
+    let mut tries = Tries::new();
+    loop {
+        let error = match source.read(against).await {
+            Ok(told) => return Ok(told),
+            Err(error) => error,
+        };
+        let (pause, why) = tries.again(&error)?;
+        info!(log, "operator's file not read yet"; "why" => why);
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// One that is being replaced is read again for a while; one that can't be read changes nothing.
 async fn read_patiently(log: &Logger) -> Option<Start> {
     let mut tries = Tries::new();
--- a/crates/trailproxyd/src/serving.rs
+++ b/crates/trailproxyd/src/serving.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::Dispatch;
 use crate::messages::{Clock, Inbound};
 use crate::pulse::Pulse;
-use crate::reload::{Followers, Running, follow_hangups};
+use crate::reload::{Followers, Running, follow_hangups, read_operator};
 use crate::servers::Pools;
 use crate::starting::{StepError, Tries};
 use crate::startup::Start;
@@ -43,14 +43,11 @@
         purges_last: start.terms.purge_done,
         peers: start.peers.clone(),
     };
-    let told = match &start.operator {
+    let told = tokio::select! {
+        told = read_operator(start.operator.as_ref(), &against, &log) => told?,
         // Nothing has been taken yet: asked to end, it just ends.
-        Some(source) => tokio::select! {
-            told = source.read(&against) => told?,
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-        },
-        None => operator::Told::default(),
+        _ = terminate.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
     };
     let listen = start.listen;
     let listener = tokio::select! {
--- a/crates/trailproxyd/tests/system_calls.rs
+++ b/crates/trailproxyd/tests/system_calls.rs
@@ -279,3 +279,22 @@
         "{last}"
     );
 }
+
+#[test]
+fn a_start_waits_for_an_operators_file_that_is_being_replaced() {
+    let stage = Stage::new();
+    let operator = std::env::temp_dir().join(format!("operator-{}.json", std::process::id()));
+    std::fs::write(&operator, "{\"zo").expect("half a file");
+    let mut config = stage.config.clone();
+    config["operator"] = json!(operator);
+    let address = free_address();
+    let program = Program::begin_in(&config, address, &Environment::default());
+    wait_for("it finds half of it", || {
+        program.logged("operator's file not read yet")
+    });
+    std::fs::write(&operator, "{}").expect("a file");
+    wait_for("it listens", || {
+        std::net::TcpStream::connect(address).is_ok()
+    });
+    let _ = std::fs::remove_file(operator);
+}
