One way to tell the decisions of a purge, and to take messages out of bytes

Change: Dispatch::tell_purge; take_messages of the stand-ins' client, used by the soak's. Result: no behaviour changed; sockets, endings, rare, system_calls, standins and soak pass.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -17,6 +17,7 @@
 use trailproxy::units::{Moment, Span};
 use trailproxy_lab::rules::Final;
 use trailproxy_lab::traffic::Wish;
+use trailproxy_standins::client::take_messages;
 
 /// Requests that are open on one connection at most.
 const TO_A_CONNECTION: usize = 6;
@@ -346,24 +347,11 @@
                 return Ok(());
             }
             held.extend_from_slice(&piece[..size]);
-            let mut at = 0;
-            while at < held.len() {
-                let mut rest = &held[at..];
-                let before = rest.len();
-                match rmpv::decode::read_value(&mut rest) {
-                    Ok(value) => {
-                        at += before - rest.len();
-                        self.hear(&value);
-                    }
-                    Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => break,
-                    Err(e) => {
-                        let what = format!("an answer can't be read: {e}");
-                        self.oracle.breach(Promise::OneAnswer, what);
-                        return Ok(());
-                    }
-                }
+            if let Err(e) = take_messages(&mut held, |value| self.hear(value)) {
+                let what = format!("an answer can't be read: {e}");
+                self.oracle.breach(Promise::OneAnswer, what);
+                return Ok(());
             }
-            held.drain(..at);
         }
         Ok(())
     }
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -51,6 +51,25 @@
     crosses: Rc<Cell<Duration>>,
 }
 
+/// Hands on every message that is whole, and takes it out. An error: what is there is no message.
+pub fn take_messages(held: &mut Vec<u8>, mut each: impl FnMut(&Value)) -> io::Result<()> {
+    let mut at = 0;
+    while at < held.len() {
+        let mut rest = &held[at..];
+        let before = rest.len();
+        match rmpv::decode::read_value(&mut rest) {
+            Ok(value) => {
+                at += before - rest.len();
+                each(&value);
+            }
+            Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => break,
+            Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
+        }
+    }
+    held.drain(..at);
+    Ok(())
+}
+
 /// A queue whose bytes go out on a connection, whatever is queued in one write.
 pub fn writer(mut write: OwnedWriteHalf) -> UnboundedSender<Vec<u8>> {
     let (out, mut queue) = unbounded_channel::<Vec<u8>>();
@@ -222,20 +241,9 @@
                 return Ok(());
             }
             held.extend_from_slice(&chunk[..n]);
-            let mut at = 0;
-            while at < held.len() {
-                let mut rest = &held[at..];
-                let before = rest.len();
-                match rmpv::decode::read_value(&mut rest) {
-                    Ok(value) => {
-                        at += before - rest.len();
-                        self.hear(&value);
-                    }
-                    Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => break,
-                    Err(_) => return Ok(()),
-                }
+            if take_messages(&mut held, |value| self.hear(value)).is_err() {
+                return Ok(());
             }
-            held.drain(..at);
         }
     }
 
--- a/crates/trailproxyd/src/dispatch/journal.rs
+++ b/crates/trailproxyd/src/dispatch/journal.rs
@@ -4,7 +4,7 @@
 use crate::checks::count;
 use crate::messages::{AttemptId, Change, Entry};
 use trailproxy::interface::{Event, HostEntry};
-use trailproxy::units::{AttemptNo, Moment};
+use trailproxy::units::{AttemptNo, GroupId, Moment, ObjectId};
 
 impl Dispatch {
     /// What is told at the start: first all stamps, which bound each other's ages.
@@ -17,6 +17,23 @@
         }
     }
 
+    /// The decisions are told of a purge, by its stamp.
+    pub(super) fn tell_purge(
+        &mut self,
+        now: Moment,
+        object: Option<ObjectId>,
+        group: GroupId,
+        stamp: Moment,
+    ) {
+        let purged = Event::Purged {
+            object,
+            group,
+            ago: self.state.stamps.least_age(now, stamp),
+            stamp: Some(stamp),
+        };
+        self.tell(now, purged);
+    }
+
     fn hear_stamps(&mut self, now: Moment, entry: &Entry) {
         for stamp in entry.stamps() {
             self.state.stamps.heard(now, stamp);
@@ -60,13 +77,7 @@
                 stamp,
             } => {
                 purged = Some((object, group));
-                let told = Event::Purged {
-                    object,
-                    group,
-                    ago: self.state.stamps.least_age(now, stamp),
-                    stamp: Some(stamp),
-                };
-                self.tell(now, told);
+                self.tell_purge(now, object, group, stamp);
                 if let Some(peers) = &mut self.decisions.crossings.peers {
                     peers.purged(now, object, group, stamp);
                 }
--- a/crates/trailproxyd/src/dispatch/sharing.rs
+++ b/crates/trailproxyd/src/dispatch/sharing.rs
@@ -37,15 +37,7 @@
                     group,
                     stamp: Some(stamp),
                     ..
-                }) => {
-                    let told = Event::Purged {
-                        object,
-                        group,
-                        ago: self.state.stamps.least_age(now, stamp),
-                        stamp: Some(stamp),
-                    };
-                    self.tell(now, told);
-                }
+                }) => self.tell_purge(now, object, group, stamp),
                 Due::Tell(event) => self.tell(now, event),
                 Due::Restricted(host, told) => self.restricted(now, host, told),
             }
