Failing test: what came while the process was stopped is lost where its client was idle too long

Result: eight clients that had been idle for 4.2 s when the process was stopped for 0.6 s ask meanwhile; none is answered.

--- a/crates/trailproxyd/tests/rare.rs
+++ b/crates/trailproxyd/tests/rare.rs
@@ -234,3 +234,26 @@
     bytes.extend(vec![1; 15_999]);
     assert!(matches!(read(&bytes, 64_000), Err(Fault::Malformed(_))));
 }
+
+#[test]
+fn what_came_while_the_process_was_stopped_is_answered_though_its_client_was_idle_for_too_long() {
+    // A client's connection is ended 4.5 s after its last answer.
+    const NEARLY_IDLE: Duration = Duration::from_millis(4200);
+    const BEYOND_IDLE: Duration = Duration::from_millis(600);
+    let stage = Stage::new();
+    let mut clients: Vec<Client> = (0..8).map(|_| stage.client()).collect();
+    for client in &mut clients {
+        client.ask_with("heartbeat", vec![], &[]);
+        client.answer();
+    }
+    std::thread::sleep(NEARLY_IDLE);
+    stage.program.signal("-STOP");
+    for client in &mut clients {
+        client.ask_with("heartbeat", vec![], &[]);
+    }
+    std::thread::sleep(BEYOND_IDLE);
+    stage.program.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(client.answer().1, Final::done(&[1]));
+    }
+}
