The last look before a client's end asks the system, not only the runtime

Cause: try_read of the runtime asks the system only for what it has been told of. A process that was stopped is woken with its wait interrupted, so that timers run before anything was told: the look before an idle client's end (clients.rs, turn, and GiveWay) found nothing, the connection was ended, and the request there was read and dropped. Change: system_calls::hear_the_system looks with MSG_PEEK and waits until the runtime has been told. Once, under load, this story ended at its first answer with a reset, before what it is about; not explained yet, looked for next.

--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -306,6 +306,7 @@
         if idle && self.open() == 0 {
             if self.finishing && !self.half_closed {
                 // What has come by now is answered first; who asks again is not idle.
+                system_calls::hear_the_system(&self.stream).await;
                 self.read()?;
                 if self.open() > 0 || !self.outgoing.is_empty() {
                     self.finishing = self.told_to_finish;
@@ -335,6 +336,7 @@
                     (self.finishing, self.told_to_finish) = (true, true);
                 }
                 Some(ToClient::GiveWay) => {
+                    system_calls::hear_the_system(&self.stream).await;
                     self.read()?;
                     if self.used().0 == used && used != Use::Busy {
                         count(&self.shared.counts.places_given_up);
--- a/crates/trailproxyd/src/system_calls.rs
+++ b/crates/trailproxyd/src/system_calls.rs
@@ -1,9 +1,11 @@
 //! Reads and writes of connections, with what their errors mean, in one place for clients, hosts and discovery.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::os::fd::AsRawFd;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 use trailproxy::policy::system_errors::{self, StreamError, of_stream};
 
 /// How long a connection rests for which the system lacked something.
@@ -50,7 +52,7 @@
 
 /// How long ago the last data came by a connection, as the system counts it; `None`: it does not tell.
 pub fn since_last_data(stream: &TcpStream) -> Option<Duration> {
-    let mut told = std::mem::MaybeUninit::<libc::tcp_info>::zeroed();
+    let mut told = MaybeUninit::<libc::tcp_info>::zeroed();
     let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
     // SAFETY: the structure is plain numbers, zeroed, and as long as the length says.
     let (failed, told) = unsafe {
@@ -68,6 +70,20 @@
     (failed == 0 && since <= LONGEST_SINCE).then_some(since)
 }
 
+/// Waits until the runtime knows of what the system has for a connection already, if anything.
+///
+/// The runtime reads only what it has been told of. Behind an interrupted wait, as when the process was stopped, timers run
+/// before it has asked.
+pub async fn hear_the_system(stream: &TcpStream) {
+    let mut first = [MaybeUninit::uninit()];
+    let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+    let there = socket2::SockRef::from(stream).recv_with_flags(&mut first, flags);
+    if there.is_ok() {
+        // It is about to be told; the bound is for what can't be.
+        let _ = timeout(LACK_PASSES, stream.readable()).await;
+    }
+}
+
 /// The system's number of an error. The runtime tells that a connection is not ready by an error without one.
 pub fn errno(error: &io::Error) -> i32 {
     let not_ready = error.kind() == io::ErrorKind::WouldBlock;
