Free addresses of tests are found without a listener

Cause: free_address opened a listener to see whether an address is free. Change: the address is bound without listening, in the stage and in the soak.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -302,7 +302,11 @@
     let [high, middle, low] = [16, 8, 0].map(|shift| (std::process::id() >> shift) as u8);
     let ip = [127, 128 | (high & 0x3f), middle, low];
     let address = SocketAddr::from((ip, NEXT_PORT.fetch_add(1, Ordering::Relaxed)));
-    std::net::TcpListener::bind(address)?;
+    // Nothing listens for the answer: a child that is started in that moment has a copy of the socket for a while.
+    let tcp = socket2::Type::STREAM;
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, tcp, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
     Ok(address)
 }
 
--- a/crates/trailproxyd/tests/stage/mod.rs
+++ b/crates/trailproxyd/tests/stage/mod.rs
@@ -485,12 +485,21 @@
         let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         // Process numbers have 22 bits.
         let address = SocketAddr::from(([127, 64 + high, middle, low], port));
-        if TcpListener::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
 }
 
+/// Whether nobody has it. Nothing listens for the answer: a child that another test starts in that moment has a copy of each
+/// descriptor until it runs its program, and who connects then would be taken by a listener that nobody serves.
+fn is_free(address: SocketAddr) -> bool {
+    let tcp = socket2::Type::STREAM;
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, tcp, None).expect("a socket");
+    socket.set_reuse_address(true).expect("an option");
+    socket.bind(&address.into()).is_ok()
+}
+
 /// Two caches, a parent, the origin, the journal service and a program that knows them.
 pub struct Stage {
     pub program: Program,
