One loop for what is tried again while it runs; when data came is asked only where used

Cause, from reading the change again: three retry loops were twins (listening in serving.rs, two reads in reload.rs); the arrival time of data was asked of the system at each read and kept in a field, though only a request or a close uses it; the laboratory's baseline repeated permits::may_refuse; peers bound `keep` twice; pick_errno took a detour.

Change: starting::persist_awake serves the three loops, with their log words as before; clients.rs asks for the arrival time where it is used; the baseline calls permits::may_refuse; the rest is removed. No behaviour is meant to change, no test or check was touched.

--- a/crates/fault-control/src/page.rs
+++ b/crates/fault-control/src/page.rs
@@ -203,9 +203,8 @@
 
 /// One of the packed errors.
 fn pick_errno(packed: u64, random: u64) -> i32 {
-    let errnos = (0..MOST_ERRNOS).map(|nth| (packed >> (16 * nth) & 0xffff) as i32);
     let errnos: [i32; MOST_ERRNOS] =
-        std::array::from_fn(|nth| errnos.clone().nth(nth).unwrap_or(0));
+        std::array::from_fn(|nth| (packed >> (16 * nth) & 0xffff) as i32);
     let count = errnos.iter().take_while(|errno| **errno != 0).count();
     match count {
         0 => libc::EIO,
--- a/crates/lab/src/decide/baseline.rs
+++ b/crates/lab/src/decide/baseline.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use trailproxy::interface::*;
 use trailproxy::logic::Dispatcher;
+use trailproxy::policy::permits;
 use trailproxy::policy::refusals::GiveUpReason;
 use trailproxy::units::*;
 use trailproxy_budgets::decide::following::Following;
@@ -438,11 +439,7 @@
     fn give_up(&mut self, id: RequestId) {
         let access = &self.accesses[&id];
         let ran = access.tries.iter().any(|t| t.out || t.may_have_run);
-        let harmless = match self.track(access).effect {
-            Effect::Idempotent => true,
-            Effect::NonIdempotent => !ran,
-            Effect::Keyed { group, .. } => !ran || group == RepeatGroup::All,
-        };
+        let harmless = permits::may_refuse(self.track(access).effect, ran);
         let come_back = self
             .terms
             .longest_away
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -494,7 +494,6 @@
                 lost_now.push(id);
             }
         }
-        let keep = self.rules.keep;
         self.off_clock
             .retain(|_, known| now.since(known.heard) < keep);
         for &id in self.off_clock.keys() {
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -182,8 +182,6 @@
     last_limit: Instant,
     /// What those that wait for it look at.
     state: Rc<ClientState>,
-    /// When the data that was read last came, as the system tells.
-    data_came: Option<Instant>,
     /// It came no earlier, and had a place from then on; it may have waited between.
     came_after: Instant,
     admitted: Instant,
@@ -231,7 +229,6 @@
             spoken: false,
             last_limit: now,
             state: Rc::default(),
-            data_came: None,
             came_after,
             admitted: now,
             eof: None,
@@ -394,7 +391,6 @@
                     if self.half_closed {
                         self.incoming.consume(n);
                     }
-                    self.data_came = self.data_age().map(|age| Instant::now() - age);
                     self.parse(first)?;
                 }
                 Transfer::NotReady => {
@@ -411,10 +407,16 @@
         Ok(())
     }
 
-    /// How long ago what is read now came, by the system.
-    fn data_age(&self) -> Option<Duration> {
+    /// When the last data came, as the system tells.
+    fn data_came(&self) -> Option<Instant> {
         let age = system_calls::since_last_data(&self.stream)?;
-        Instant::now().checked_sub(age).map(|_| age)
+        Instant::now().checked_sub(age)
+    }
+
+    /// Since when it may have been there, if it waited for its place and this is the first look at it.
+    fn waited_since(&self, first: bool) -> Option<Instant> {
+        let waited = self.admitted.duration_since(self.came_after) > GONE_AFTER;
+        (first && waited).then_some(self.came_after)
     }
 
     /// Since when what is found now may have been there.
@@ -423,15 +425,14 @@
     /// that began. Neither is earlier than the data that came with it.
     fn earliest(&self, first: bool) -> Instant {
         let now = Instant::now();
-        let waited = self.admitted.duration_since(self.came_after) > GONE_AFTER;
-        if first && waited {
-            return self.came_after;
+        if let Some(since) = self.waited_since(first) {
+            return since;
         }
         // The process may have been stopped since the task was run, amid its turn.
         self.shared.pulse.beat(now);
         let silence = self.shared.pulse.silence_before(now);
         let found_since = silence.map_or(now, |silence| silence.began);
-        self.data_came
+        self.data_came()
             .map_or(found_since, |came| came.max(found_since))
             .min(now)
     }
@@ -439,11 +440,10 @@
     /// When a request that is read now was sent, at the latest that is safe: its time runs from then.
     fn sent_at(&self, first: bool) -> Instant {
         let now = Instant::now();
-        let waited = self.admitted.duration_since(self.came_after) > GONE_AFTER;
-        if first && waited {
-            return self.came_after;
+        if let Some(since) = self.waited_since(first) {
+            return since;
         }
-        self.data_came.map_or(now, |came| came.min(now))
+        self.data_came().map_or(now, |came| came.min(now))
     }
 
     /// The system lacks something for the moment: the connection is left alone for a while.
--- a/crates/trailproxyd/src/reload.rs
+++ b/crates/trailproxyd/src/reload.rs
@@ -3,7 +3,7 @@
 use crate::list;
 use crate::messages::{Inbound, Queue};
 use crate::operator::{Against, Source, Told};
-use crate::starting::Tries;
+use crate::starting::persist_awake;
 use crate::startup::{self, Start};
 use local_channel::mpsc;
 use serde_json::Value;
@@ -26,11 +26,19 @@
 /// Reads the configuration again at every SIGHUP.
 pub async fn follow_hangups(mut hangup: Signal, mut running: Running, followers: Followers) {
     while hangup.recv().await.is_some() {
-        let Some(start) = read_patiently(&followers.log).await else {
-            continue;
+        let log = &followers.log;
+        let read = async || startup::read();
+        let tell = |why: &str| info!(log, "new configuration not read yet"; "why" => why);
+        let start = match persist_awake(tell, read).await {
+            Ok(start) => start,
+            // It changes nothing.
+            Err(why) => {
+                warn!(log, "new configuration refused"; "why" => why);
+                continue;
+            }
         };
         let (source, other) = running.compare(start, &followers);
-        match read_operator(source.as_ref(), &followers.against, &followers.log).await {
+        match read_operator(source.as_ref(), &followers.against, log).await {
             Ok(told) => {
                 if let Some((settings, other)) = other {
                     running.file["settings"] = settings;
@@ -39,7 +47,7 @@
                 drop(followers.queue.send(Inbound::Operator(told)));
             }
             // The settings read with it do not hold either.
-            Err(why) => warn!(followers.log, "operator's file refused"; "why" => why),
+            Err(why) => warn!(log, "operator's file refused"; "why" => why),
         }
     }
 }
@@ -53,37 +61,9 @@
     let Some(source) = source else {
         return Ok(Told::default());
     };
-    let mut tries = Tries::new();
-    loop {
-        let error = match source.read(against).await {
-            Ok(told) => return Ok(told),
-            Err(error) => error,
-        };
-        let (pause, why) = tries.again(&error)?;
-        info!(log, "operator's file not read yet"; "why" => why);
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// One that is being replaced is read again for a while; one that can't be read changes nothing.
-async fn read_patiently(log: &Logger) -> Option<Start> {
-    let mut tries = Tries::new();
-    loop {
-        let error = match startup::read() {
-            Ok(start) => return Some(start),
-            Err(error) => error,
-        };
-        match tries.again(&error) {
-            Ok((pause, why)) => {
-                info!(log, "new configuration not read yet"; "why" => why);
-                tokio::time::sleep(pause).await;
-            }
-            Err(why) => {
-                warn!(log, "new configuration refused"; "why" => why);
-                return None;
-            }
-        }
-    }
+    let read = async || source.read(against).await;
+    let tell = |why: &str| info!(log, "operator's file not read yet"; "why" => why);
+    persist_awake(tell, read).await
 }
 
 /// What the dispatcher runs by: the file that was read last, with the settings that hold, and what of its start
--- a/crates/trailproxyd/src/serving.rs
+++ b/crates/trailproxyd/src/serving.rs
@@ -8,7 +8,7 @@
 use crate::pulse::Pulse;
 use crate::reload::{Followers, Running, follow_hangups, read_operator};
 use crate::servers::Pools;
-use crate::starting::{StepError, Tries};
+use crate::starting::{StepError, persist_awake};
 use crate::startup::Start;
 use crate::trace::Trace;
 use crate::{Signals, client_slots, clients, link_context, list, operator, subsystems};
@@ -152,16 +152,12 @@
 
 /// Listens, for as long as it takes a failure that may pass.
 async fn listen_patiently(listen: SocketAddr, log: &Logger) -> Result<TcpListener, String> {
-    let mut tries = Tries::new();
-    loop {
-        let error = match bind(listen) {
-            Ok(listener) => return Ok(listener),
-            Err(error) => StepError::System(format!("can't listen on {listen}"), error),
-        };
-        let (pause, why) = tries.again(&error)?;
-        warn!(log, "can't listen yet"; "why" => why);
-        tokio::time::sleep(pause).await;
-    }
+    let listens = async || {
+        let failed = |error| StepError::System(format!("can't listen on {listen}"), error);
+        bind(listen).map_err(failed)
+    };
+    let tell = |why: &str| warn!(log, "can't listen yet"; "why" => why);
+    persist_awake(tell, listens).await
 }
 
 fn bind(listen: SocketAddr) -> std::io::Result<TcpListener> {
--- a/crates/trailproxyd/src/starting.rs
+++ b/crates/trailproxyd/src/starting.rs
@@ -43,13 +43,13 @@
 }
 
 /// The tries of one step.
-pub struct Tries {
+struct Tries {
     began: Instant,
     pause: Duration,
 }
 
 impl Tries {
-    pub fn new() -> Tries {
+    fn new() -> Tries {
         Tries {
             began: Instant::now(),
             pause: Duration::from_micros(START_AGAIN.0),
@@ -57,7 +57,7 @@
     }
 
     /// How long to wait before the next try, with a line that says why; the error: it has lasted too long.
-    pub fn again(&mut self, error: &StepError) -> Result<(Duration, String), String> {
+    fn again(&mut self, error: &StepError) -> Result<(Duration, String), String> {
         let tried = self.began.elapsed();
         let (text, seconds) = (error.text(), tried.as_secs_f64());
         let most = error.tries_for();
@@ -89,6 +89,23 @@
     }
 }
 
+/// The same within the runtime, which goes on meanwhile.
+pub async fn persist_awake<T>(
+    tell: impl Fn(&str),
+    mut step: impl AsyncFnMut() -> Result<T, StepError>,
+) -> Result<T, String> {
+    let mut tries = Tries::new();
+    loop {
+        let error = match step().await {
+            Ok(done) => return Ok(done),
+            Err(error) => error,
+        };
+        let (pause, why) = tries.again(&error)?;
+        tell(&why);
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// Runs what panics where the system lacks descriptors, threads or memory, and takes that for a failure that may pass.
 pub fn without_panic<T>(what: &str, step: impl FnOnce() -> io::Result<T>) -> Result<T, StepError> {
     let hook = take_hook();
