A dispatcher remembers the keyed requests that it has sent itself

Callers saw: on a busy machine, with no fault at all, a change ran twice under one key because the dispatcher that had sent it sent it again ("3.989 seat 3 is asked, sends; 5.502 seat 3 is asked; 5.510 seat 3 sends").

Cause: what a dispatcher knew of its keys stood with their replicas alone. One that was no replica asked them, waited for wait_ms and, by `unsure = send`, sent. The shared store had the same fault while it was not reached.

Change: Records, which peers and store share, remember each request of which an attempt was sent, for as long as records are kept. A repeat waits for the open one, gets the answer of a done one, and is restricted by one that may have run, at its arrival and where an attempt is decided.

--- a/crates/peers/src/decide/keyed.rs
+++ b/crates/peers/src/decide/keyed.rs
@@ -31,7 +31,7 @@
     /// An attempt of the request is sent.
     pub fn on_attempt_sent(&mut self, now: Timestamp, id: RequestId, location: (ZoneId, CellId)) {
         let token = self.new_token();
-        self.records.on_attempt_sent(id, location);
+        self.records.on_attempt_sent(now, id, location);
         let delay = match self.replicas.scope() {
             Scope::Fleet => TimeSpan::ZERO,
             Scope::Zone => SENT_UPDATE_DELAY,
@@ -225,7 +225,7 @@
             }
             ClaimOutcome::Found(asked, record) => {
                 let is_news =
-                    !self.records.is_waiting(id) && self.records.earlier_attempt(id).is_none();
+                    !self.records.is_waiting(id) && self.records.attempt_elsewhere(id).is_none();
                 let steps = self.records.on_found(now, asked, id, record);
                 let waits = self.records.is_waiting(id);
                 self.counts.joined += u64::from(steps.is_empty() && waits);
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -297,7 +297,7 @@
                 .map(|topology| Relays::new(now, topology, retention.record)),
             replicas: Replicas::new(own.topology.clone()),
             members: Members::new(now, own, &mut rng),
-            records: Records::default(),
+            records: Records::new(retention.record),
             claims: Claims::default(),
             gossip_queue: BTreeMap::new(),
             hints: BTreeMap::new(),
--- a/crates/peers/tests/scenarios.rs
+++ b/crates/peers/tests/scenarios.rs
@@ -52,6 +52,52 @@
     assert!(world.observed.sent[0].granted);
 }
 
+/// Guards against a dispatcher that sends its own key again because the others answer too late.
+#[test]
+fn a_repeat_at_the_same_member_needs_no_answer_of_the_others() {
+    let slow = LinkFault {
+        mean_extra_delay: TimeSpan::from_secs(5),
+        ..LinkFault::default()
+    };
+    let blocked = LinkFault {
+        blocked: true,
+        ..LinkFault::default()
+    };
+    for fault in [slow, blocked] {
+        // Of five members some are replicas of a key and some are not.
+        for node in 0..5 {
+            let mut world = fleet(5, 2);
+            world.set_all_links(fault);
+            world.request(node, 7);
+            world.run(WINDOW + DEADLINE + SECOND);
+            world.request(node, 7);
+            world.run(SECOND);
+            let counts = (world.observed.sent.len(), world.observed.answered);
+            assert_eq!(counts, (1, 1), "{fault:?} at {node}");
+        }
+    }
+}
+
+/// The same while the first request is still open, later than hosts recognise a repeat.
+#[test]
+fn a_repeat_at_the_same_member_is_not_sent_beside_the_first() {
+    let mut world = fleet(5, 2);
+    world.attempt_duration = WINDOW + DEADLINE + SECOND;
+    world.set_all_links(LinkFault {
+        blocked: true,
+        ..LinkFault::default()
+    });
+    for node in 0..5 {
+        world.request(node, 7 + node as u64);
+    }
+    world.run(WINDOW + DEADLINE);
+    for node in 0..5 {
+        world.request(node, 7 + node as u64);
+    }
+    world.run(TimeSpan::from_millis(500));
+    assert_eq!(world.observed.sent.len(), 5);
+}
+
 #[test]
 fn two_simultaneous_claims_lead_to_one_attempt() {
     for seed in 0..40 {
--- a/crates/shared-store/src/decide/mod.rs
+++ b/crates/shared-store/src/decide/mod.rs
@@ -10,6 +10,7 @@
 pub mod announcements;
 pub mod ops;
 pub mod records;
+pub mod sent_requests;
 pub mod trust;
 
 use announcements::{Announcement, Announcements};
@@ -192,11 +193,11 @@
         let boot = rng.u64(1..1 << 40);
         SharedState {
             announcements: Announcements::new(now, rules.purge_retention),
+            records: Records::new(rules.record_retention),
             rules,
             boot,
             rng,
             trust: TrustTracker::new(now),
-            records: Records::default(),
             mailbox: None,
             next_fetch_at: now,
             epoch: Epoch::default(),
@@ -266,7 +267,7 @@
 
     /// Handles the sending of an attempt; the first one is recorded with its location.
     pub fn on_attempt_sent(&mut self, now: Timestamp, id: RequestId, location: (ZoneId, CellId)) {
-        if let Some(key) = self.records.on_attempt_sent(id, location) {
+        if let Some(key) = self.records.on_attempt_sent(now, id, location) {
             let (token, retention) = (self.token(id), self.rules.record_retention);
             let age = TimeSpan::ZERO;
             let op = Op::Sent {
--- a/crates/shared-store/src/decide/records.rs
+++ b/crates/shared-store/src/decide/records.rs
@@ -7,6 +7,7 @@
 //! had made that attempt itself, and one about which nothing is known proceeds as it would without
 //! a store.
 
+use super::sent_requests::{OwnKnowledge, SentRequests, join_attempts};
 use std::collections::BTreeMap;
 use trailproxy::interface::PeerAttempt;
 use trailproxy::units::*;
@@ -121,10 +122,33 @@
         ask_again_at: Timestamp,
         interval: TimeSpan,
     },
+    /// Another request of this dispatcher has the key; this one waits for it, whatever the store
+    /// says.
+    JoiningOwn {
+        look_again_at: Timestamp,
+        interval: TimeSpan,
+    },
     /// Passed on to the dispatcher's decisions.
     Released,
 }
 
+impl Phase {
+    /// Whether a request waits for the store or for another dispatcher.
+    fn waits_for_others(self) -> bool {
+        matches!(self, Phase::Claiming | Phase::Joining { .. })
+    }
+
+    /// How long a request waits until it is looked at again.
+    fn next_interval(self) -> TimeSpan {
+        match self {
+            Phase::Joining { interval, .. } | Phase::JoiningOwn { interval, .. } => {
+                interval.mul_f64(2.0).min(MAX_JOIN_INTERVAL)
+            }
+            Phase::Claiming | Phase::Released => FIRST_JOIN_INTERVAL,
+        }
+    }
+}
+
 /// One keyed request of this dispatcher.
 #[derive(Clone, Debug)]
 struct OpenRequest {
@@ -139,9 +163,10 @@
 }
 
 /// The open keyed requests of this dispatcher.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Records {
     requests: BTreeMap<RequestId, OpenRequest>,
+    sent: SentRequests,
     /// When each request is to be looked at again.
     deadlines: std::collections::BTreeSet<(Timestamp, RequestId)>,
 }
@@ -156,6 +181,15 @@
 }
 
 impl Records {
+    /// No requests. `retention` is how long a request that was sent matters.
+    pub fn new(retention: TimeSpan) -> Records {
+        Records {
+            requests: BTreeMap::new(),
+            sent: SentRequests::new(retention),
+            deadlines: std::collections::BTreeSet::new(),
+        }
+    }
+
     /// Number of open requests.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
@@ -180,8 +214,17 @@
             .is_some_and(|requests| requests.phase != Phase::Released)
     }
 
-    /// The attempt that another dispatcher made under the key of this request.
+    /// The attempt that another request made under the key of this request, here or at another
+    /// dispatcher.
     pub fn earlier_attempt(&self, id: RequestId) -> Option<PeerAttempt> {
+        let request = self.requests.get(&id)?;
+        let here = self.sent.earlier_attempt(request.key, id);
+        let elsewhere = request.earlier_attempt;
+        here.into_iter().chain(elsewhere).reduce(join_attempts)
+    }
+
+    /// The attempt that another dispatcher made under the key of this request.
+    pub fn attempt_elsewhere(&self, id: RequestId) -> Option<PeerAttempt> {
         self.requests.get(&id)?.earlier_attempt
     }
 
@@ -218,12 +261,37 @@
             self.deadlines.insert((wait_until, id));
         }
         let mut steps = vec![RecordStep::Claim(id, key)];
-        if !waits {
+        if let Some(known) = self.use_own_knowledge(now, id) {
+            steps.extend(known);
+        } else if !waits {
             steps.push(RecordStep::Decided(id, RecordDecision::Proceed));
         }
         steps
     }
 
+    /// Lets a request wait for another one of this dispatcher under the same key, or be answered
+    /// as that one was. `None`: nothing of the kind is known.
+    fn use_own_knowledge(&mut self, now: Timestamp, id: RequestId) -> Option<Vec<RecordStep>> {
+        let request = self.requests.get_mut(&id)?;
+        match self.sent.knowledge(now, request.key, id)? {
+            OwnKnowledge::Answer(body) => {
+                request.phase = Phase::Released;
+                Some(vec![RecordStep::Decided(id, RecordDecision::Answer(body))])
+            }
+            OwnKnowledge::Open if now < request.join_until => {
+                let interval = request.phase.next_interval();
+                let look_again_at = (now + interval).min(request.join_until);
+                request.phase = Phase::JoiningOwn {
+                    look_again_at,
+                    interval,
+                };
+                self.deadlines.insert((look_again_at, id));
+                Some(Vec::new())
+            }
+            OwnKnowledge::Open | OwnKnowledge::MayHaveRun => None,
+        }
+    }
+
     /// Handles a successful claim: no other dispatcher has the key.
     pub fn on_claimed(&mut self, id: RequestId) -> Vec<RecordStep> {
         let Some(requests) = self.requests.get_mut(&id) else {
@@ -274,11 +342,9 @@
                 requests.phase = Phase::Released;
                 vec![RecordStep::Decided(id, RecordDecision::Answer(body))]
             }
+            _ if matches!(requests.phase, Phase::JoiningOwn { .. }) => Vec::new(),
             (RecordStatus::Claimed | RecordStatus::Sent, _) if now < requests.join_until => {
-                let interval = match requests.phase {
-                    Phase::Joining { interval, .. } => interval.mul_f64(2.0).min(MAX_JOIN_INTERVAL),
-                    _ => FIRST_JOIN_INTERVAL,
-                };
+                let interval = requests.phase.next_interval();
                 let ask_again_at = (now + interval).min(requests.join_until);
                 requests.phase = Phase::Joining {
                     ask_again_at,
@@ -291,12 +357,44 @@
         }
     }
 
+    /// The next step of a request that has waited for another dispatcher.
+    fn ask_again(&mut self, now: Timestamp, id: RequestId) -> Vec<RecordStep> {
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        if now >= request.join_until {
+            return self.proceed(id);
+        }
+        // Without an answer it proceeds when the time to wait for the other dispatcher is over.
+        self.deadlines.insert((request.join_until, id));
+        vec![RecordStep::Claim(id, request.key)]
+    }
+
+    /// The next step of a request that has waited for another one of this dispatcher.
+    fn look_again(&mut self, now: Timestamp, id: RequestId) -> Vec<RecordStep> {
+        if let Some(known) = self.use_own_knowledge(now, id) {
+            return known;
+        }
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
+        // From here on it is treated as one that waited for another dispatcher.
+        request.phase = Phase::Joining {
+            ask_again_at: now,
+            interval: FIRST_JOIN_INTERVAL,
+        };
+        match self.sent.knowledge(now, request.key, id) {
+            Some(_) => self.proceed(id),
+            None => self.ask_again(now, id),
+        }
+    }
+
     /// Lets all waiting requests proceed without the store.
     pub fn proceed_all(&mut self) -> Vec<RecordStep> {
         let waiting = self
             .requests
             .iter()
-            .filter(|(_, requests)| requests.phase != Phase::Released);
+            .filter(|(_, requests)| requests.phase.waits_for_others());
         let waiting: Vec<RequestId> = waiting.map(|(&id, _)| id).collect();
         waiting
             .into_iter()
@@ -306,7 +404,7 @@
 
     /// Lets a request proceed whose question can't be answered.
     pub fn proceed(&mut self, id: RequestId) -> Vec<RecordStep> {
-        let waits = |requests: &&mut OpenRequest| requests.phase != Phase::Released;
+        let waits = |requests: &&mut OpenRequest| requests.phase.waits_for_others();
         match self.requests.get_mut(&id).filter(waits) {
             Some(requests) => {
                 requests.phase = Phase::Released;
@@ -318,8 +416,14 @@
 
     /// Handles the sending of an attempt. Returns the key if it is the first one, whose location
     /// has to be recorded.
-    pub fn on_attempt_sent(&mut self, id: RequestId, location: (ZoneId, CellId)) -> Option<Key> {
+    pub fn on_attempt_sent(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        location: (ZoneId, CellId),
+    ) -> Option<Key> {
         let requests = self.requests.get_mut(&id)?;
+        self.sent.on_attempt_sent(now, requests.key, id, location);
         let first = requests.location.is_none() && requests.earlier_attempt.is_none();
         requests.location = requests.location.or(Some(location));
         first.then_some(requests.key)
@@ -333,6 +437,7 @@
         completion: &Completion,
     ) -> Option<(Key, Option<(ZoneId, CellId)>)> {
         let requests = self.requests.remove(&id)?;
+        self.sent.on_request_ended(requests.key, id, completion);
         // The result of an attempt that another dispatcher sent first is recorded by that one,
         // unless this one learned that the request is done.
         let others =
@@ -347,11 +452,13 @@
 
     /// The next time at which [`Records::advance`] has work to do.
     pub fn next_deadline(&self) -> Option<Timestamp> {
-        self.deadlines.first().map(|&(at, _)| at)
+        let open = self.deadlines.first().map(|&(at, _)| at);
+        open.into_iter().chain(self.sent.next_deadline()).min()
     }
 
     /// Returns the steps that are due by now.
     pub fn advance(&mut self, now: Timestamp) -> Vec<RecordStep> {
+        self.sent.drop_expired(now);
         let mut steps = Vec::new();
         while let Some(&(at, id)) = self.deadlines.first().filter(|(at, _)| *at <= now) {
             self.deadlines.remove(&(at, id));
@@ -361,14 +468,10 @@
             match requests.phase {
                 Phase::Claiming if now >= requests.wait_until => steps.extend(self.proceed(id)),
                 Phase::Joining { ask_again_at, .. } if now >= ask_again_at => {
-                    if now >= requests.join_until {
-                        steps.extend(self.proceed(id));
-                    } else {
-                        steps.push(RecordStep::Claim(id, requests.key));
-                        // Without an answer it proceeds when the time to wait for the other
-                        // dispatcher is over.
-                        self.deadlines.insert((requests.join_until, id));
-                    }
+                    steps.extend(self.ask_again(now, id));
+                }
+                Phase::JoiningOwn { look_again_at, .. } if now >= look_again_at => {
+                    steps.extend(self.look_again(now, id));
                 }
                 _ => {}
             }
--- a/crates/shared-store/tests/scenarios.rs
+++ b/crates/shared-store/tests/scenarios.rs
@@ -50,6 +50,35 @@
     );
 }
 
+/// Guards against a dispatcher that sends its own key again because the store is gone.
+#[test]
+fn a_retry_at_the_same_dispatcher_needs_no_store() {
+    let mut world = pair(2);
+    world.disconnect(0);
+    let first = world.send_request(0, "order-1", TIME_LEFT);
+    assert_eq!(world.decision(0, first), Some(&RecordDecision::Proceed));
+    world.send_attempt(0, first, 0);
+    let second = world.send_request(0, "order-1", TIME_LEFT);
+    assert_eq!(world.decision(0, second), None, "it waits for the first");
+    world.end_request(0, first, done(b"accepted"));
+    world.run(TimeSpan::from_millis(200));
+    let answer = RecordDecision::Answer(b"accepted".to_vec());
+    assert_eq!(world.decision(0, second), Some(&answer));
+    let third = world.send_request(0, "order-1", TIME_LEFT);
+    assert_eq!(world.decision(0, third), Some(&answer));
+    let unknown = world.send_request(0, "order-2", TIME_LEFT);
+    world.send_attempt(0, unknown, 0);
+    world.end_request(0, unknown, Completion::Unknown);
+    let fourth = world.send_request(0, "order-2", TIME_LEFT);
+    assert!(world.earlier_attempt(0, fourth).is_some());
+    let never_ran = world.send_request(0, "order-3", TIME_LEFT);
+    world.send_attempt(0, never_ran, 0);
+    world.end_request(0, never_ran, Completion::NeverRan);
+    let fifth = world.send_request(0, "order-3", TIME_LEFT);
+    assert_eq!(world.decision(0, fifth), Some(&RecordDecision::Proceed));
+    assert!(world.earlier_attempt(0, fifth).is_none());
+}
+
 #[test]
 fn a_retry_elsewhere_joins_what_is_under_way() {
     let mut world = pair(3);
--- a/crates/shared-store/tests/world/mod.rs
+++ b/crates/shared-store/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, VecDeque};
+use trailproxy::interface::PeerAttempt;
 use trailproxy::units::*;
 use trailproxy_budgets::decide::shares::{self, BudgetShares, NamedBudget};
 use trailproxy_budgets::decide::{BootId, BudgetId, Division, HolderId};
@@ -256,6 +257,11 @@
         Some(&all[0].1)
     }
 
+    /// The earlier attempt under the key of a request, if one is known.
+    pub fn earlier_attempt(&self, nth: usize, id: RequestId) -> Option<PeerAttempt> {
+        self.members[nth].state.earlier_attempt(id)
+    }
+
     pub fn trust(&self, nth: usize) -> Trust {
         self.members[nth].state.trust()
     }
