Rigs give each program an address that nobody else can take

Seen: two of some 250 trials played six to ten at a time ended with "no dispatcher answers on 127.0.0.1:44621"; in a test that is a panic. The dispatcher's log says "Address already in use" for 2 s; another log says it of the address for peers. No fault that reaches callers.

Cause: the laboratory, the trials, the live measurement and a test asked the system for a free port, gave it back and told the dispatcher to listen there; meanwhile the system gave it away.

Change: the soak's way for all (standins/src/addresses.rs): a loopback address of each process, each port once, nothing listens.

The client's messages of the soak move to a file of their own, so that client and process no longer import each other.

The collision itself is rare and was not made to come in a test.

--- a/crates/capacity-live/src/dispatcher.rs
+++ b/crates/capacity-live/src/dispatcher.rs
@@ -4,12 +4,13 @@
 use crate::usage::Usage;
 use serde_json::json;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use trailproxy_peers::sites::Site;
+use trailproxy_standins::addresses::{free_datagram_address, free_stream_address};
 use trailproxy_standins::client::Caller;
 
 /// A dispatcher that does not answer a heartbeat by then has not come up.
@@ -135,20 +136,18 @@
     command.spawn().map_err(unstarted)
 }
 
-fn free_stream_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
-/// Addresses that no datagram socket has; all are held until all are known, so that no two are the same.
+/// Addresses that no datagram socket has.
 pub fn free_datagram_addresses(n: usize) -> io::Result<Vec<SocketAddrV4>> {
-    let open = |_| UdpSocket::bind((Ipv4Addr::LOCALHOST, 0));
-    let sockets: Vec<UdpSocket> = (0..n).map(open).collect::<io::Result<_>>()?;
-    sockets.iter().map(bound_to).collect()
+    (0..n).map(|_| v4(free_datagram_address()?)).collect()
 }
 
 /// Where a datagram socket of loopback is bound to.
 pub fn bound_to(socket: &UdpSocket) -> io::Result<SocketAddrV4> {
-    match socket.local_addr()? {
+    v4(socket.local_addr()?)
+}
+
+fn v4(address: SocketAddr) -> io::Result<SocketAddrV4> {
+    match address {
         SocketAddr::V4(address) => Ok(address),
         SocketAddr::V6(_) => Err(io::ErrorKind::AddrNotAvailable.into()),
     }
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -360,7 +360,7 @@
 }
 
 fn start(program: &Path, folder: &Path, hosts: &[SocketAddr]) -> io::Result<(Program, SocketAddr)> {
-    let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let address = trailproxy_standins::addresses::free_stream_address()?;
     let members: Vec<_> = hosts
         .iter()
         .enumerate()
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -26,6 +26,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::interface::{Effect, RepeatGroup};
 use trailproxy::units::*;
+use trailproxy_standins::addresses::free_stream_address;
 use trailproxy_standins::client::{Caller, Reply};
 use trailproxy_standins::fleet::Fleet;
 use trailproxy_standins::loopback::{Clock, Seen, Stage, Wanted, Wire};
@@ -316,9 +317,7 @@
         seed: u64,
         around: &Around,
     ) -> io::Result<Seat> {
-        let free = std::net::TcpListener::bind("127.0.0.1:0")?;
-        let address = free.local_addr()?;
-        drop(free);
+        let address = free_stream_address()?;
         let known: serde_json::Value =
             serde_json::from_str(&stage.known).map_err(io::Error::other)?;
         let mut config = json!({
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::oracle::{ANSWER_WITHIN, Asking, NOISE, Oracle, Promise};
 use crate::process::Dispatcher;
+use crate::wire::message;
 use rmpv::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -419,21 +420,3 @@
         Value::Array(vec![number.into()]),
     ])
 }
-
-/// A heartbeat as it goes over the wire.
-pub fn heartbeat(number: u64) -> Vec<u8> {
-    let parameters = Value::Array(vec![Value::Map(Vec::new())]);
-    message(vec![
-        0.into(),
-        number.into(),
-        "heartbeat".into(),
-        parameters,
-    ])
-}
-
-fn message(parts: Vec<Value>) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    // Writing to memory does not fail.
-    let _ = rmpv::encode::write_value(&mut bytes, &Value::Array(parts));
-    bytes
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod proxy;
 pub mod rogue;
 pub mod run;
+pub mod wire;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,7 +1,7 @@
 //! One dispatcher: its process, its faults, and what is owed for how it ends.
 
-use crate::client::heartbeat;
 use crate::oracle::{Oracle, Promise};
+use crate::wire::heartbeat;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read};
@@ -10,13 +10,13 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 use trailproxy::units::{TimeSpan, Timestamp};
 use trailproxy_fault_control::{Control, VARIABLE};
+use trailproxy_standins::addresses::free_stream_address;
 
 /// A dispatcher is ready within this.
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -75,7 +75,7 @@
         longest_deadline: Duration,
         oracle: Rc<Oracle>,
     ) -> io::Result<Dispatcher> {
-        let address = free_address()?;
+        let address = free_stream_address()?;
         config["name"] = json!(format!("n{number}"));
         config["listen"] = json!(address.to_string());
         let page = place.folder.join(format!("n{number}.faults"));
@@ -295,21 +295,6 @@
     }
 }
 
-/// An address of this process alone, as the loopback net has room for all, so that nobody else takes it between two lives.
-fn free_address() -> io::Result<SocketAddr> {
-    const FIRST_PORT: u16 = 21_000;
-    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
-    let [high, middle, low] = [16, 8, 0].map(|shift| (std::process::id() >> shift) as u8);
-    let ip = [127, 128 | (high & 0x3f), middle, low];
-    let address = SocketAddr::from((ip, NEXT_PORT.fetch_add(1, Ordering::Relaxed)));
-    // Nothing listens for the answer: a child that is started in that moment has a copy of the socket for a while.
-    let tcp = socket2::Type::STREAM;
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, tcp, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    Ok(address)
-}
-
 /// Makes a folder of its own for a run.
 pub fn fresh_folder(parent: &Path, seed: u64) -> io::Result<PathBuf> {
     let folder = parent.join(format!("soak-{}-{seed}", std::process::id()));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! no socket and reads no clock, so that the same hosts serve a model in virtual time and, by [`loopback`], real
 //! dispatchers on loopback addresses. None of it is a measurement of real machines.
 
+pub mod addresses;
 pub mod client;
 pub mod fleet;
 pub mod loopback;
--- a/crates/trailproxyd/tests/peers.rs
+++ b/crates/trailproxyd/tests/peers.rs
@@ -9,12 +9,6 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-/// Returns a free UDP address.
-fn free_udp_address() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
-    socket.local_addr().expect("an address")
-}
-
 /// Builds a configuration with a `peers` section.
 fn section(listen: SocketAddr, seeds: &[SocketAddr], fleet: &str) -> Json {
     json!({"peers": {
@@ -38,7 +32,7 @@
 
 impl Fleet {
     fn new(name: &str, n: usize) -> Fleet {
-        let addresses: Vec<SocketAddr> = (0..n).map(|_| free_udp_address()).collect();
+        let addresses: Vec<SocketAddr> = (0..n).map(|_| free_address()).collect();
         let file = |index: usize| {
             let path = std::env::temp_dir()
                 .join(format!("tpp-{name}-{index}-{}.json", std::process::id()));
@@ -226,7 +220,7 @@
     ];
     let cluster = Cluster::new();
     for (change, field) in cases {
-        let at = free_udp_address();
+        let at = free_address();
         let mut all = section(at, &[at], "f");
         for (name, value) in change.as_object().expect("fields") {
             all["peers"][name] = value.clone();
@@ -246,7 +240,7 @@
 /// with only two voters, is refused.
 #[test]
 fn budgets_are_divided_and_can_be_queried() {
-    let addresses: Vec<SocketAddr> = (0..3).map(|_| free_udp_address()).collect();
+    let addresses: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
     let path = |index: usize| {
         std::env::temp_dir().join(format!("tpp-budgets-{index}-{}.json", std::process::id()))
     };
--- a/crates/trials/src/play.rs
+++ b/crates/trials/src/play.rs
@@ -8,7 +8,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use trailproxy::units::*;
@@ -17,6 +17,7 @@
 use trailproxy_lab::model::CROSSED_STEP;
 use trailproxy_lab::rules::Final;
 use trailproxy_lab::scenario::Scenario;
+use trailproxy_standins::addresses::free_datagram_address;
 use trailproxy_standins::loopback::Seen;
 use trailproxy_standins::redis::{Delay, Redis};
 use trailproxy_standins::redis_server::{Fault, RedisServer};
@@ -159,15 +160,6 @@
     }
 }
 
-/// Free UDP addresses, all different.
-fn free_udp_addresses(n: usize) -> io::Result<Vec<SocketAddr>> {
-    // All sockets stay open until all addresses are known, so that no two addresses are the same.
-    let sockets: Vec<UdpSocket> = (0..n)
-        .map(|_| UdpSocket::bind("127.0.0.1:0"))
-        .collect::<io::Result<_>>()?;
-    sockets.iter().map(UdpSocket::local_addr).collect()
-}
-
 /// The section `peers` of one dispatcher's configuration.
 fn peers_section(trial: &Trial, listen: SocketAddr, own: SocketAddr, all: &[SocketAddr]) -> Value {
     let seeds: Vec<String> = all.iter().take(3).map(SocketAddr::to_string).collect();
@@ -336,7 +328,9 @@
 /// Runs the trial. An error is one of this machine, such as a socket that can't be opened, not one of the dispatchers.
 pub fn play(scenario: &Scenario, trial: &Trial, place: &Place, seed: u64) -> io::Result<Outcome> {
     let seats: usize = scenario.seats.iter().map(|&n| n as usize).sum();
-    let dispatchers = free_udp_addresses(seats)?;
+    let dispatchers: Vec<SocketAddr> = (0..seats)
+        .map(|_| free_datagram_address())
+        .collect::<io::Result<_>>()?;
     let relays = Relays::start(dispatchers.clone(), seed)?;
     set_distances(trial, &relays, seats);
     let store = match trial.store {
