--- a/crates/capacity-live/src/lib.rs
+++ b/crates/capacity-live/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod load;
 pub mod member;
+pub mod order;
 pub mod plan;
 
 pub mod processes;
--- a/crates/capacity-live/src/member.rs
+++ b/crates/capacity-live/src/member.rs
@@ -1,7 +1,7 @@
 //! One member of the fleet without a dispatcher behind it: the real core, the real form of messages and a real socket.
 
+use crate::order::{Hollow, Order};
 use crate::surroundings::FLEET;
-use crate::worker::{Hollow, Order};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
--- a/crates/capacity-live/src/worker.rs
+++ b/crates/capacity-live/src/worker.rs
@@ -4,10 +4,10 @@
 //! standard output. It ends when its input ends, so that nothing is left behind by a parent that dies.
 
 use crate::member::{Member, Shared, Traffic, UnixClock, run};
+pub use crate::order::{Hollow, Order};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddrV4;
 use std::path::Path;
 use std::process::Stdio;
 use std::rc::Rc;
@@ -16,42 +16,12 @@
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use trailproxy::units::TimeSpan;
-use trailproxy_peers::decide::PeersSettings;
-use trailproxy_peers::sites::Site;
 
 /// A worker that does not answer by then is taken for dead.
 const ANSWER_WITHIN: Duration = Duration::from_secs(20);
 /// A worker that is killed is gone by then.
 const GONE_WITHIN: Duration = Duration::from_secs(2);
 
-/// One hollow member, as all workers know it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Hollow {
-    pub name: String,
-    pub address: SocketAddrV4,
-    pub life: u64,
-}
-
-/// What a worker is to run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Order {
-    /// Those that it runs.
-    pub own: Vec<Hollow>,
-    /// All hollow members of the fleet, in this worker and in others: they know each other from the start, so that the
-    /// cores of one worker do not hold each other up while hundreds join.
-    pub known: Vec<Hollow>,
-    pub seeds: Vec<SocketAddrV4>,
-    /// Where all members are; empty: they do not say.
-    pub sites: Vec<Site>,
-    /// Traffic with these is counted for each by itself.
-    pub watched: Vec<SocketAddrV4>,
-    pub keep_s: f64,
-    pub wait_ms: f64,
-    /// After so long every copy from before a purge is gone.
-    pub purges_last_s: f64,
-}
-
 /// What a worker is asked, one line each.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Question {
@@ -84,22 +54,6 @@
     }
 }
 
-impl Order {
-    /// By what its members run.
-    pub fn rules(&self) -> PeersSettings {
-        PeersSettings {
-            records: true,
-            purges: true,
-            hosts: true,
-            hints: true,
-            refuse_unconfirmed: false,
-            max_wait: TimeSpan::from_secs_f64(self.wait_ms / 1_000.0),
-            record_retention: TimeSpan::from_secs_f64(self.keep_s),
-            purge_retention: TimeSpan::from_secs_f64(self.purges_last_s),
-        }
-    }
-}
-
 /// The worker's side: runs until its input ends.
 pub async fn serve() -> io::Result<()> {
     let mut input = BufReader::new(tokio::io::stdin()).lines();
--- a/crates/peers/src/decide/clocks.rs
+++ b/crates/peers/src/decide/clocks.rs
@@ -8,6 +8,7 @@
 //! receipt is never more than the offset; the largest difference is the best estimate. A converted
 //! timestamp is therefore never too early, and too late by the delay of the fastest message.
 
+use super::clock_offset::{ClockOffset, OffsetEstimate};
 use super::facts::{Claim, Fact};
 use super::messages::{BootId, Message, MessagePart, PeerId, TimeRange};
 use super::{MAX_MESSAGE_DELAY, MAX_TIMESTAMP_ERROR};
@@ -17,89 +18,12 @@
 /// The period of the estimates of members' clocks: a clock that is a percent fast is off by less
 /// than [`MAX_TIMESTAMP_ERROR`] in two of them.
 const SAMPLE_PERIOD: TimeSpan = TimeSpan::from_secs(30);
-/// Offsets up to this one count as none. In a fleet with synchronised clocks all copies of a fact
-/// then have the same timestamp.
-const NEGLIGIBLE_OFFSET: TimeSpan = TimeSpan::from_millis(50);
 /// After a pause of this process, messages that waited meanwhile are read within this time. Their
 /// stamps say little about a clock that was not known before.
 const BACKLOG_PERIOD: TimeSpan = TimeSpan::from_millis(200);
 /// Processes whose clocks are remembered. Of more, the one that was silent for longest is forgotten.
 const MAX_SENDERS: usize = 2_048;
 
-/// How far another clock is ahead of the own one, in microseconds; negative if it is behind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ClockOffset(i64);
-
-impl ClockOffset {
-    /// The difference between a time stamp of the other clock and the time of its receipt.
-    fn sample(received_at: Timestamp, stamp: Timestamp) -> ClockOffset {
-        let difference = i128::from(stamp.0) - i128::from(received_at.0);
-        let limit = i128::from(i64::MAX);
-        ClockOffset(difference.clamp(-limit, limit) as i64)
-    }
-
-    /// The own clock's time at which the other clock shows `at`.
-    pub fn to_local(self, at: Timestamp) -> Timestamp {
-        Timestamp(at.0.saturating_add_signed(-self.0))
-    }
-
-    /// How much later than this offset suggests a message with this sample arrived.
-    fn delay_of(self, sample: ClockOffset) -> TimeSpan {
-        TimeSpan(u64::try_from(self.0.saturating_sub(sample.0)).unwrap_or(0))
-    }
-
-    /// This offset, or none if it is too small to matter.
-    fn without_negligible(self) -> ClockOffset {
-        match self.0.unsigned_abs() <= NEGLIGIBLE_OFFSET.0 {
-            true => ClockOffset::default(),
-            false => self,
-        }
-    }
-}
-
-/// The estimated offset of one other clock.
-#[derive(Clone, Copy, Debug)]
-pub struct OffsetEstimate {
-    period: TimeSpan,
-    period_start: Timestamp,
-    last_sample_at: Timestamp,
-    /// The largest sample of the current period.
-    current: ClockOffset,
-    /// The largest sample of the period before.
-    previous: Option<ClockOffset>,
-}
-
-impl OffsetEstimate {
-    /// An estimate from a first stamp, received now. Later ones are made from the samples of one to
-    /// two periods, so that they follow a clock that runs faster or slower than the own one.
-    pub fn new(now: Timestamp, stamp: Timestamp, period: TimeSpan) -> OffsetEstimate {
-        OffsetEstimate {
-            period,
-            period_start: now,
-            last_sample_at: now,
-            current: ClockOffset::sample(now, stamp),
-            previous: None,
-        }
-    }
-
-    /// Takes a stamp into account that was received now.
-    pub fn observe(&mut self, now: Timestamp, stamp: Timestamp) {
-        let sample = ClockOffset::sample(now, stamp);
-        self.last_sample_at = now;
-        if now.since(self.period_start) >= self.period {
-            self.previous = Some(self.current);
-            (self.period_start, self.current) = (now, sample);
-        }
-        self.current = self.current.max(sample);
-    }
-
-    /// The estimated offset.
-    pub fn offset(&self) -> ClockOffset {
-        self.previous
-            .map_or(self.current, |previous| previous.max(self.current))
-    }
-}
-
 /// The estimated offsets of the clocks of all processes that send messages.
 #[derive(Clone, Debug)]
 pub struct SenderClocks {
@@ -173,7 +97,7 @@
         let oldest = self
             .estimates
             .iter()
-            .min_by_key(|(_, estimate)| estimate.last_sample_at)
+            .min_by_key(|(_, estimate)| estimate.last_sample_at())
             .map(|(&sender, _)| sender);
         if let Some(oldest) = oldest {
             self.estimates.remove(&oldest);
--- a/crates/peers/src/decide/facts.rs
+++ b/crates/peers/src/decide/facts.rs
@@ -10,36 +10,14 @@
 //! | a purge, by object or group | the later time |
 //! | a change of a host, by host | the later start; of one start, the later journal position; of one position, the more restricted state |
 
-use super::clocks::OffsetEstimate;
-use super::messages::TimeRange;
+use super::clock_offset::OffsetEstimate;
+use super::ids::TimeRange;
+pub use super::ids::{COMMON_SLOTS, RECORD_SLOTS, Slot, mix};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use trailproxy::units::*;
 use trailproxy_shared_store::decide::records::{Record, RecordStatus};
 
-/// A part of all facts. Every member holds the common slots, and a few members hold each of the
-/// others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Slot(pub u16);
-
-/// The number of slots for records, which are assigned by key. More slots make lists of checksums
-/// longer; with fewer slots, one differing record causes more data to be fetched.
-pub const RECORD_SLOTS: u16 = 256;
-/// The number of slots for purges and hosts; their numbers follow those of the record slots.
-pub const COMMON_SLOTS: u16 = 8;
-
-impl Slot {
-    /// All slots.
-    pub fn all() -> impl Iterator<Item = Slot> {
-        (0..RECORD_SLOTS + COMMON_SLOTS).map(Slot)
-    }
-
-    /// Whether every member holds the slot.
-    pub fn is_common(self) -> bool {
-        self.0 >= RECORD_SLOTS
-    }
-}
-
 /// Identifies one claim of one dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Token(pub u64);
@@ -227,15 +205,6 @@
     }
 }
 
-/// Mixes the bits of a number so that results are evenly distributed.
-pub fn mix(n: u64) -> u64 {
-    let mut x = n.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    for factor in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
-        x = (x ^ (x >> 30)).wrapping_mul(factor);
-    }
-    x ^ (x >> 31)
-}
-
 /// Merges two copies of one claim.
 fn merge_claim(one: Claim, other: Claim) -> Claim {
     Claim {
--- a/crates/peers/src/decide/messages.rs
+++ b/crates/peers/src/decide/messages.rs
@@ -4,28 +4,12 @@
 //! are by the sender's clock, in microseconds of Unix time, and are converted to the reader's clock
 //! when the message is read (see [`super::clocks`]).
 
-use super::facts::{Claim, Fact, FactId, Slot};
+use super::facts::{Claim, Fact, FactId};
+pub use super::ids::{BootId, PeerId, TimeRange};
+use super::ids::{GroupNo, Slot};
 use super::locality::Locality;
-use super::replicas::GroupNo;
 use serde::{Deserialize, Serialize};
-use trailproxy::units::{TimeSpan, Timestamp};
-
-/// A member of the fleet, identified by its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct PeerId(pub u64);
-
-impl PeerId {
-    /// The member with this name.
-    pub fn of_name(name: &str) -> PeerId {
-        PeerId(trailproxy::units::HostId::of_name(name).0)
-    }
-}
-
-/// The number of one process under a member's name; a later process has a higher number.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct BootId(pub u64);
+use trailproxy::units::TimeSpan;
 
 /// The IPv4 address to which a member's messages are sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -185,22 +169,6 @@
     ChecksumsInRange(TimeRange, Vec<(Slot, u64)>),
 }
 
-/// A range of timestamps by the sender's clock: `from` is included, `until` is not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TimeRange {
-    /// The first timestamp in the range.
-    pub from: u64,
-    /// The first timestamp after the range.
-    pub until: u64,
-}
-
-impl TimeRange {
-    /// Whether a timestamp is in the range.
-    pub fn contains(&self, at: Timestamp) -> bool {
-        (self.from..self.until).contains(&at.0)
-    }
-}
-
 /// A replica's log of claims. A new log starts with each process and whenever a member becomes a
 /// replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -31,10 +31,14 @@
 
 /// Claims of this dispatcher's own requests.
 pub mod claims;
+/// The offset of one other clock.
+pub mod clock_offset;
 /// Offsets between the clocks of members.
 pub mod clocks;
 /// Shared facts and how copies of them are merged.
 pub mod facts;
+/// Identifiers that all parts share.
+pub mod ids;
 mod keyed;
 /// Sites, zones and regions of members.
 pub mod locality;
--- a/crates/peers/src/decide/replicas.rs
+++ b/crates/peers/src/decide/replicas.rs
@@ -5,10 +5,9 @@
 //! If every member reports its location, each zone has its own replicas, so that a claim waits only
 //! for members nearby; claims of other zones arrive through [`super::relay`].
 
-use super::facts::{RECORD_SLOTS, Slot, mix};
+pub use super::ids::{GroupNo, SLOTS_IN_GROUP};
+use super::ids::{PeerId, RECORD_SLOTS, Slot, mix};
 use super::locality::{Locality, PeerZoneId, Topology};
-use super::messages::PeerId;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use trailproxy::units::{TimeSpan, Timestamp};
 
@@ -18,32 +17,6 @@
 /// How long former replicas are asked as well after the fleet has changed: they know what the new
 /// replicas are still fetching.
 const FORMER_REPLICA_PERIOD: TimeSpan = TimeSpan::from_secs(5);
-/// The number of record slots that have the same replicas within a zone. Fewer groups mean fewer
-/// members to relay claims to.
-pub const SLOTS_IN_GROUP: u16 = 16;
-
-/// A group of slots with the same replicas.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct GroupNo(pub u8);
-
-impl GroupNo {
-    /// The group of a slot; `None` for a common slot, which all members hold.
-    pub fn of(slot: Slot) -> Option<GroupNo> {
-        (!slot.is_common()).then_some(GroupNo((slot.0 / SLOTS_IN_GROUP) as u8))
-    }
-
-    /// All groups.
-    pub fn all() -> impl Iterator<Item = GroupNo> {
-        (0..RECORD_SLOTS / SLOTS_IN_GROUP).map(|nth| GroupNo(nth as u8))
-    }
-
-    /// The slots of the group.
-    pub fn slots(self) -> impl Iterator<Item = Slot> {
-        let first = u16::from(self.0) * SLOTS_IN_GROUP;
-        (first..first + SLOTS_IN_GROUP).map(Slot)
-    }
-}
-
 /// From which members replicas are chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Scope {
