--- a/crates/peers/src/decide/clocks.rs
+++ b/crates/peers/src/decide/clocks.rs
@@ -25,7 +25,7 @@
 const MAX_SENDERS: usize = 2_048;
 
 /// The estimated offsets of the clocks of all processes that send messages.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct SenderClocks {
     estimates: BTreeMap<(PeerId, BootId), OffsetEstimate>,
     /// When this process was last run again after a pause.
@@ -33,14 +33,6 @@
 }
 
 impl SenderClocks {
-    /// No senders are known.
-    pub fn new() -> SenderClocks {
-        SenderClocks {
-            estimates: BTreeMap::new(),
-            resumed_at: None,
-        }
-    }
-
     /// This process was paused, and runs again.
     pub fn on_pause_ended(&mut self, now: Timestamp) {
         self.resumed_at = Some(now);
@@ -105,12 +97,6 @@
     }
 }
 
-impl Default for SenderClocks {
-    fn default() -> SenderClocks {
-        SenderClocks::new()
-    }
-}
-
 fn convert(at: &mut u64, offset: ClockOffset) {
     *at = offset.to_local(Timestamp(*at)).0;
 }
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -316,7 +316,7 @@
             state: PeerState::Alone,
             in_minority_partition: false,
             lost: 0,
-            sender_clocks: SenderClocks::new(),
+            sender_clocks: SenderClocks::default(),
             counts: Counts::default(),
             actions: Vec::new(),
             settings,
--- a/crates/shared-store/src/decide/sent_requests.rs
+++ b/crates/shared-store/src/decide/sent_requests.rs
@@ -58,16 +58,6 @@
         }
     }
 
-    /// The number of remembered requests.
-    pub fn len(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Whether none are remembered.
-    pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
-    }
-
     /// Handles an attempt of a request that is being sent.
     pub fn on_attempt_sent(
         &mut self,
