Hold a record with many claims from its latest claim on

Callers could see: a key with more than twelve claims was forgotten up to the whole retention too early, so that a later repeat could run again. Found in rereading; no such run was seen.

Cause: took a copy that differs in converted timestamps only for no news. Beyond twelve claims a record keeps the bounds of their times and nothing else, so that a further claim changes times only, and was ignored.

Change: a copy that is to be held for longer than the error of a timestamp is news. Conversions differ by less, so that equal copies are still not passed on again.

--- a/crates/peers/src/decide/facts.rs
+++ b/crates/peers/src/decide/facts.rs
@@ -178,6 +178,13 @@
         fact
     }
 
+    /// Whether a merged copy says anything new. Two conversions of one timestamp may differ; that is
+    /// no news unless the merged copy is to be held for longer than the error of a timestamp.
+    fn differs_from(&self, merged: &Fact) -> bool {
+        merged.at() > self.at() + super::MAX_TIMESTAMP_ERROR
+            || self.without_converted_times() != merged.without_converted_times()
+    }
+
     /// The approximate encoded size in bytes.
     pub fn size(&self) -> usize {
         match self {
@@ -467,8 +474,7 @@
             None => fact,
             Some(known) => {
                 let merged = merge(known.clone(), fact);
-                // Two conversions of one timestamp may differ; that is no news.
-                if known.without_converted_times() == merged.without_converted_times() {
+                if !known.differs_from(&merged) {
                     return Some(false);
                 }
                 merged
