--- a/crates/peers/tests/clocks.rs
+++ b/crates/peers/tests/clocks.rs
@@ -3,8 +3,14 @@
 mod world;
 
 use trailproxy::units::*;
+use trailproxy_peers::decide::clocks::SenderClocks;
+use trailproxy_peers::decide::facts::{
+    Claim, ClaimLocation, Fact, ListedState, Slot, Stage, Token,
+};
 use trailproxy_peers::decide::locality::{Locality, PeerZoneId};
-use trailproxy_peers::decide::messages::{BootId, Message, MessagePart, PeerId};
+use trailproxy_peers::decide::messages::{
+    BootId, Completeness, InquiryId, Message, MessagePart, PeerId, TimeRange,
+};
 use trailproxy_peers::decide::{PeerState, PeersSettings};
 use world::*;
 
@@ -187,3 +193,92 @@
         Some(PeerState::Alone)
     );
 }
+
+/// One part of each kind that carries timestamps, all of them `at`, and a purge with the journal service's stamp.
+fn parts_with_timestamps(at: Timestamp) -> Vec<MessagePart> {
+    let at = at.0;
+    let (inquiry_id, key, slot) = (InquiryId(1), 7, Slot(3));
+    let claim = Claim {
+        token: Token(20),
+        at,
+        stage: Stage::Sent,
+        location: ClaimLocation::Anywhere,
+        body: None,
+    };
+    let claims = vec![claim.clone()];
+    let record = Fact::Record {
+        key,
+        claims: claims.clone(),
+    };
+    let host = Fact::Host {
+        host: 1,
+        started: 2,
+        journal_position: 3,
+        listed: ListedState::Gone,
+        at,
+    };
+    let purge = Fact::Purge {
+        object: None,
+        group: 4,
+        at: START_TIME.0,
+    };
+    let facts = vec![record, host, purge];
+    let range = TimeRange {
+        from: at,
+        until: at,
+    };
+    vec![
+        MessagePart::BreakerOpened {
+            host: 1,
+            started: 2,
+            at,
+        },
+        MessagePart::Gossip(facts.clone()),
+        MessagePart::Store(inquiry_id, facts.clone()),
+        MessagePart::Claim {
+            inquiry_id,
+            key,
+            claim: Some(claim.clone()),
+        },
+        MessagePart::ClaimInZone {
+            inquiry_id,
+            key,
+            claim: Some(claim),
+        },
+        MessagePart::ClaimStatus {
+            inquiry_id,
+            sure: true,
+            claims,
+        },
+        MessagePart::Page {
+            slot,
+            after: None,
+            facts,
+            end: true,
+            completeness: Completeness::Complete,
+        },
+        MessagePart::ChecksumsInRange(range, vec![(slot, 5)]),
+    ]
+}
+
+/// Guards against a part whose timestamps are read by the wrong clock, among them the range over which two members
+/// compare copies: they would fetch them again and again.
+#[test]
+fn every_timestamp_in_a_message_is_converted() {
+    let hour = TimeSpan::from_secs(3_600);
+    for (stamp, at) in [
+        (START_TIME + hour, START_TIME + hour - SECOND),
+        (START_TIME - hour, START_TIME - hour - SECOND),
+    ] {
+        let message = Message {
+            from: PeerId(1),
+            boot_id: BootId(1),
+            incarnation: 0,
+            stamp: stamp.0,
+            parts: parts_with_timestamps(at),
+        };
+        let local = SenderClocks::default().to_local_time(START_TIME, message);
+        let parts = local.expect("a message that took no time").parts;
+        assert_eq!(parts, parts_with_timestamps(START_TIME - SECOND));
+    }
+}
