Keep the later of two latest times when records with many claims merge

Cause: a claim's time is merged to the earlier of two, which is right for a claim and for the earliest of the summary, and wrong for the latest.

Change: the summary's latest time is merged to the later of two. merged_records_with_too_many_claims_keep_the_latest_time failed before and passes now; merges stay commutative and associative (merges.rs). claims, merges, clocks and scenarios of peers pass.

--- a/crates/peers/src/decide/facts.rs
+++ b/crates/peers/src/decide/facts.rs
@@ -214,9 +214,14 @@
 
 /// Merges two copies of one claim.
 fn merge_claim(one: Claim, other: Claim) -> Claim {
+    let [_, latest] = OVERFLOW_TOKENS;
+    let at = match one.token == latest {
+        true => one.at.max(other.at),
+        false => one.at.min(other.at),
+    };
     Claim {
         token: one.token,
-        at: one.at.min(other.at),
+        at,
         stage: one.stage.max(other.stage),
         location: one.location.join(other.location),
         body: one.body.max(other.body),
--- a/crates/peers/tests/claims.rs
+++ b/crates/peers/tests/claims.rs
@@ -5,7 +5,7 @@
 use trailproxy_peers::decide::claims::Claims;
 use trailproxy_peers::decide::facts::{
     Claim, ClaimLocation, Fact, FactId, Facts, ListedState, MAX_CLAIMS_PER_KEY, Retention, Stage,
-    Token,
+    Token, merge,
 };
 use trailproxy_peers::decide::messages::{InquiryId, PeerId};
 use trailproxy_shared_store::decide::records::Key;
@@ -129,6 +129,22 @@
     assert!(held.get(FactId::Record(KEY)).is_none());
 }
 
+/// Guards against two copies of such a record that are held by the earlier of their latest claims.
+#[test]
+fn merged_records_with_too_many_claims_keep_the_latest_time() {
+    let many = |last: Timestamp| {
+        let first = record(vec![claim(20, START)]);
+        let further = (21..40).map(|token| record(vec![claim(token, last)]));
+        further.fold(first, merge)
+    };
+    let (earlier, later) = (
+        START + TimeSpan::from_secs(2),
+        START + TimeSpan::from_secs(5),
+    );
+    assert_eq!(merge(many(earlier), many(later)).at(), later);
+    assert_eq!(merge(many(later), many(earlier)).at(), later);
+}
+
 /// Guards against a purge that is never dropped because it turned out to be younger than it first seemed.
 #[test]
 fn a_purge_that_turns_out_to_be_younger_is_dropped_later() {
