Read what other dispatchers answered before a wait for them ends

A repeat at a dispatcher that had not sent the key went out 6 to 31 ms after it was asked.

Cause: a dispatcher that is run late finds the answers of the replicas and its own deadline at once. The task that owns the decisions is polled before the one that reads the socket, so that the wait ended, and the request was sent, while the answers lay in the socket.

Change: before anything of the peers that is due, the socket is read to its end, asking the system itself. The runtime knows of datagrams only since it last looked.

--- a/crates/trailproxyd/src/dispatch/sections.rs
+++ b/crates/trailproxyd/src/dispatch/sections.rs
@@ -3,12 +3,13 @@
 
 use super::Dispatch;
 use crate::operator::{OperatorConfig, ResolvedPeers, longest_window};
-use crate::peers_runtime::PeersRuntime;
-use crate::peers_socket;
+use crate::peers_runtime::{PeersConnection, PeersRuntime};
+use crate::peers_socket::{self, MessageReader};
 use crate::store_connection;
 use crate::subsystems::StoreClient;
 use local_channel::mpsc;
 use slog::{info, warn};
+use std::rc::Rc;
 use tokio::time::Instant;
 use trailproxy::interface::{CrossingLimits, DispatcherSettings, Event, HostListKind};
 use trailproxy::units::Timestamp;
@@ -77,8 +78,8 @@
             present.leave(now);
             // The socket is kept if the address stays the same.
             let listen = section.as_ref().map(|section| section.addresses.listen);
-            socket = Some(present.socket.clone())
-                .filter(|_| listen == Some(present.section.addresses.listen));
+            socket =
+                Some(present.socket()).filter(|_| listen == Some(present.section.addresses.listen));
             present.stop()
         });
         for arrival in ended.into_iter().flatten() {
@@ -116,18 +117,24 @@
             "site" => site.map_or("none", |site| &site.name));
         let (to, orders) = mpsc::channel();
         let seal = Seal::new(&config.fleet, &section.secret);
+        let reader = MessageReader::new(socket.clone(), seal.clone(), log.clone());
+        let reader = Rc::new(reader);
         let queue = self.pools.shared.queue.clone();
         tokio::task::spawn_local(peers_socket::run(
             socket.clone(),
             seal,
+            reader.clone(),
             queue,
             orders,
-            log.clone(),
         ));
+        let connection = PeersConnection {
+            socket,
+            reader,
+            orders: to,
+        };
         let targets = settings.classes.iter().map(|class| class.target).collect();
         let decisions = Peers::new(now, own, rules, seed);
-        let mut runtime =
-            PeersRuntime::new(*section, decisions, (socket, to), targets, log.clone());
+        let mut runtime = PeersRuntime::new(*section, decisions, connection, targets, log.clone());
         let (kind, entries) = (HostListKind::Full, self.pools.host_entries());
         runtime.on_host_list(now, &entries, self.state.journal_position);
         runtime.on_event(&Event::HostList { kind, entries });
--- a/crates/trailproxyd/src/dispatch/sharing.rs
+++ b/crates/trailproxyd/src/dispatch/sharing.rs
@@ -5,10 +5,15 @@
 use crate::buffered::CountedBytes;
 use crate::held_requests::SubsystemEvent;
 use crate::messages::Reply;
+use crate::peers_socket::Received;
 use slog::info;
+use tokio::time::Instant;
 use trailproxy::interface::{Arrival, Event, HostListKind, HostState};
 use trailproxy::units::{HostId, Timestamp};
 
+/// Datagrams that are read in a row before something that is due. The receive buffer of a socket holds fewer by default.
+const MAX_READS_BEFORE_DEADLINE: usize = 1_024;
+
 impl Dispatch {
     /// Passes a request to the decisions, with the time that is left until its deadline.
     pub(super) fn submit_arrival(&mut self, now: Timestamp, mut arrival: Arrival) {
@@ -19,8 +24,24 @@
         }
     }
 
+    /// Handles the messages of other dispatchers that arrived before what is due by `now`. A process that is run late
+    /// finds both at once, and a wait for an answer must not end while the answer lies in the socket.
+    fn handle_unread_messages(&mut self, now: Timestamp) {
+        for _ in 0..MAX_READS_BEFORE_DEADLINE {
+            match self.decisions.crossings.read_before_deadline(now) {
+                Received::Message(message) => {
+                    let read_at = self.clock.timestamp(Instant::now());
+                    self.decisions.crossings.on_message(read_at, message);
+                }
+                Received::Unreadable => {}
+                Received::Nothing => return,
+            }
+        }
+    }
+
     /// Lets time pass in the subsystems and applies what they report.
     pub(super) fn apply_subsystem_events(&mut self, now: Timestamp) {
+        self.handle_unread_messages(now);
         self.decisions.crossings.advance(now);
         if let Some((caches, parents)) = self.decisions.crossings.take_slow_start_shares() {
             self.decisions.set_slow_start_shares(now, caches, parents);
--- a/crates/trailproxyd/src/peers_socket.rs
+++ b/crates/trailproxyd/src/peers_socket.rs
@@ -7,7 +7,9 @@
 use crate::system_calls::{RESOURCE_RETRY_DELAY, errno};
 use local_channel::mpsc;
 use slog::{Logger, info};
+use socket2::SockRef;
 use std::cell::Cell;
+use std::mem::MaybeUninit;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -58,15 +60,96 @@
     SocketAddrV4::new(Ipv4Addr::from(at.ip), at.port).into()
 }
 
+/// The result of one read.
+pub enum Received {
+    /// A message of another dispatcher.
+    Message(FromPeers),
+    /// Something that is no message; the next one may follow.
+    Unreadable,
+    /// No datagram has arrived.
+    Nothing,
+}
+
+/// Reads messages of other dispatchers from the socket.
+pub struct MessageReader {
+    socket: Rc<UdpSocket>,
+    seal: Seal,
+    unreadable: UnreadableCounts,
+    log: Logger,
+}
+
+impl MessageReader {
+    /// Reads from this socket what was sealed by the same fleet.
+    pub fn new(socket: Rc<UdpSocket>, seal: Seal, log: Logger) -> MessageReader {
+        MessageReader {
+            socket,
+            seal,
+            unreadable: UnreadableCounts::default(),
+            log,
+        }
+    }
+
+    /// Reads the next datagram that the system has received, without waiting. It asks the system itself, so that it also
+    /// finds what arrived after the runtime last looked for events.
+    pub fn read_next(&self) -> Received {
+        let mut bytes = [MaybeUninit::uninit(); MAX_DATAGRAM_BYTES + 1];
+        match SockRef::from(&*self.socket).recv_from(&mut bytes) {
+            Ok((size, from)) => {
+                // SAFETY: the call has initialised the first `size` bytes.
+                let bytes = unsafe { bytes[..size].assume_init_ref() };
+                let message = from.as_socket().and_then(|from| self.decode(bytes, from));
+                message.map_or(Received::Unreadable, Received::Message)
+            }
+            Err(error) => match classify_stream_error(errno(&error)) {
+                StreamError::WhenReady | StreamError::RetryLater => Received::Nothing,
+                // It concerns a datagram sent earlier, or the call was interrupted.
+                StreamError::RetryNow | StreamError::Permanent => Received::Unreadable,
+            },
+        }
+    }
+
+    /// Decodes a datagram; one that is not readable is counted and logged.
+    fn decode(&self, bytes: &[u8], from: SocketAddr) -> Option<FromPeers> {
+        let SocketAddr::V4(from) = from else {
+            return None;
+        };
+        let add = |count: &Cell<u64>, by: usize| count.set(count.get() + by as u64);
+        let unreadable = &self.unreadable;
+        match self.seal.read(bytes) {
+            Ok((message, unknown)) => {
+                if unknown > 0 {
+                    add(&unreadable.unknown_notes, unknown);
+                    unreadable.log(&self.log);
+                }
+                let from = Address {
+                    ip: from.ip().octets(),
+                    port: from.port(),
+                };
+                Some(FromPeers { from, message })
+            }
+            Err(cause) => {
+                let count = match cause {
+                    ReadError::Foreign => &unreadable.foreign,
+                    ReadError::Newer => &unreadable.newer,
+                    ReadError::Garbled => &unreadable.garbled,
+                };
+                add(count, 1);
+                unreadable.log(&self.log);
+                None
+            }
+        }
+    }
+}
+
 /// Sends and receives until it is told to stop.
 pub async fn run(
     socket: Rc<UdpSocket>,
     seal: Seal,
+    reader: Rc<MessageReader>,
     queue: InboundSender,
     mut orders: mpsc::Receiver<ToPeers>,
-    log: Logger,
 ) {
-    let receiving = tokio::task::spawn_local(receive(socket.clone(), seal.clone(), queue, log));
+    let receiving = tokio::task::spawn_local(receive(reader, queue));
     while let Some(ToPeers::Send(to, message)) = orders.recv().await {
         if let Some(bytes) = seal.write(&message) {
             let _ = socket.try_send_to(&bytes, to_socket(to));
@@ -76,13 +159,11 @@
 }
 
 /// Receives datagrams and passes their messages on.
-async fn receive(socket: Rc<UdpSocket>, seal: Seal, queue: InboundSender, log: Logger) {
-    let mut bytes = vec![0; MAX_DATAGRAM_BYTES + 1];
-    let (unreadable, mut reads) = (UnreadableCounts::default(), 0);
-    let add = |count: &Cell<u64>, by: usize| count.set(count.get() + by as u64);
+async fn receive(reader: Rc<MessageReader>, queue: InboundSender) {
+    let (mut bytes, mut reads) = (vec![0; MAX_DATAGRAM_BYTES + 1], 0);
     loop {
-        let (size, from) = match socket.recv_from(&mut bytes).await {
-            Ok((size, SocketAddr::V4(from))) => (size, from),
+        let (size, from) = match reader.socket.recv_from(&mut bytes).await {
+            Ok(received) => received,
             // The system lacks a resource for the moment.
             Err(e) if classify_stream_error(errno(&e)) == StreamError::RetryLater => {
                 tokio::time::sleep(RESOURCE_RETRY_DELAY).await;
@@ -90,7 +171,7 @@
             }
             // Any other error concerns a datagram sent earlier: a port on which nobody listens any more is reported
             // here.
-            Ok(_) | Err(_) => {
+            Err(_) => {
                 tokio::task::yield_now().await;
                 continue;
             }
@@ -99,32 +180,11 @@
         if reads % MAX_READS_IN_A_ROW == 0 {
             tokio::task::yield_now().await;
         }
-        match seal.read(&bytes[..size]) {
-            Ok((message, unknown)) => {
-                if unknown > 0 {
-                    add(&unreadable.unknown_notes, unknown);
-                    unreadable.log(&log);
-                }
-                let from = Address {
-                    ip: from.ip().octets(),
-                    port: from.port(),
-                };
-                let received = FromPeers { from, message };
-                if queue.send(Inbound::Peers(received)).is_err() {
-                    return;
-                }
-            }
-            Err(cause) => {
-                add(
-                    match cause {
-                        ReadError::Foreign => &unreadable.foreign,
-                        ReadError::Newer => &unreadable.newer,
-                        ReadError::Garbled => &unreadable.garbled,
-                    },
-                    1,
-                );
-                unreadable.log(&log);
-            }
+        let message = reader.decode(&bytes[..size], from);
+        if let Some(message) = message
+            && queue.send(Inbound::Peers(message)).is_err()
+        {
+            return;
         }
     }
 }
--- a/crates/trailproxyd/src/subsystems.rs
+++ b/crates/trailproxyd/src/subsystems.rs
@@ -5,6 +5,7 @@
 use crate::held_requests::{HeldRequests, SubsystemEvent};
 use crate::messages::{FromPeers, FromStore, ToStore};
 use crate::peers_runtime::PeersRuntime;
+use crate::peers_socket::Received;
 use local_channel::mpsc;
 use slog::{Logger, info};
 use trailproxy::interface::*;
@@ -94,6 +95,12 @@
         self.advance_budgets(now);
     }
 
+    /// If the peers have something due by `now`, reads the next datagram of another dispatcher that has arrived.
+    pub fn read_before_deadline(&self, now: Timestamp) -> Received {
+        let peers = self.peers.as_ref();
+        peers.map_or(Received::Nothing, |peers| peers.read_before_deadline(now))
+    }
+
     /// Handles a message of another dispatcher, or a query from the command line.
     pub fn on_message(&mut self, now: Timestamp, received: FromPeers) {
         let Some(peers) = &mut self.peers else {
--- a/crates/trailproxyd/tests/harness/mod.rs
+++ b/crates/trailproxyd/tests/harness/mod.rs
@@ -480,6 +480,16 @@
         assert!(sent.expect("a shell").success());
     }
 
+    /// Stops the daemon, and waits until the system has done so. It continues with `-CONT`.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let status = format!("/proc/{}/status", self.child.id());
+        wait_for("the daemon is stopped", || {
+            let status = std::fs::read_to_string(&status);
+            status.is_ok_and(|status| status.contains("State:\tT"))
+        });
+    }
+
     /// Waits until the daemon exits.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
