Begin a wait for other dispatchers anew when it is ended late

Cause: a dispatcher that is not run in time takes its own delay for that of the others. Its wait of 5 ms ended whenever it was run next, also where its question had left only then, and the request was sent by unsure = send.

Change: a wait that is ended over 2 ms late, which is more than the resolution of timers, begins anew; it ends for good after a quarter of the time to the target, as a wait for another dispatcher does. One that is run in time waits no longer than before. The store has the same fault and the same mend, as both use these records.

Tests: three, for peers and store, in virtual time; all failed before. No test was changed.

--- a/crates/peers/tests/scenarios.rs
+++ b/crates/peers/tests/scenarios.rs
@@ -98,6 +98,45 @@
     assert_eq!(world.observed.sent.len(), 5);
 }
 
+/// How late a dispatcher on a busy machine looks at a deadline.
+const LATE: TimeSpan = TimeSpan::from_millis(3);
+
+/// Guards against a change that runs twice because a dispatcher that was not run in time takes its own delay for that of
+/// the others.
+#[test]
+fn a_wait_that_is_ended_late_begins_anew() {
+    // Of five members some are replicas of a key and some are not.
+    for node in 0..5 {
+        let mut world = fleet(5, 2);
+        world.request((node + 1) % 5, 7);
+        world.run(WINDOW + DEADLINE + SECOND);
+        world.request(node, 7);
+        world.with_peers(node, |peers, now| peers.advance(now + MAX_WAIT + LATE));
+        world.run(SECOND);
+        let counts = (world.observed.sent.len(), world.observed.answered);
+        assert_eq!(counts, (1, 1), "at {node}");
+    }
+}
+
+/// The same dispatcher does not wait longer than it would for another one that has the key.
+#[test]
+fn a_dispatcher_that_is_always_late_sends_after_a_quarter_of_the_time() {
+    let quarter = TimeSpan::from_millis(250);
+    let mut world = fleet(5, 2);
+    world.set_all_links(LinkFault {
+        blocked: true,
+        ..LinkFault::default()
+    });
+    world.request(0, 7);
+    let mut waited = TimeSpan::ZERO;
+    while world.observed.sent.is_empty() {
+        assert!(waited <= quarter, "{waited:?}");
+        waited += MAX_WAIT + LATE;
+        world.with_peers(0, |peers, now| peers.advance(now + waited));
+    }
+    assert!(waited > quarter, "{waited:?}");
+}
+
 #[test]
 fn two_simultaneous_claims_lead_to_one_attempt() {
     for seed in 0..40 {
--- a/crates/shared-store/src/decide/records.rs
+++ b/crates/shared-store/src/decide/records.rs
@@ -107,6 +107,9 @@
 /// First and longest interval between two questions of a request that waits for another dispatcher.
 const FIRST_JOIN_INTERVAL: TimeSpan = TimeSpan::from_millis(10);
 const MAX_JOIN_INTERVAL: TimeSpan = TimeSpan::from_millis(160);
+/// How late a dispatcher looks at a deadline although it is run in time: the timers of its runtime
+/// have a resolution of a millisecond.
+const MAX_TIMER_DELAY: TimeSpan = TimeSpan::from_millis(2);
 /// By how much the clocks of a store and of its replacement may differ.
 pub const MAX_CLOCK_DIFFERENCE: TimeSpan = TimeSpan::from_millis(500);
 /// Longer answers are not kept.
@@ -154,6 +157,8 @@
 struct OpenRequest {
     key: Key,
     phase: Phase,
+    /// The longest wait for the first answer.
+    wait: TimeSpan,
     /// Time at which it proceeds without an answer.
     wait_until: Timestamp,
     join_until: Timestamp,
@@ -238,10 +243,10 @@
         wait: Option<TimeSpan>,
     ) -> Vec<RecordStep> {
         let left = target.since(now);
-        let wait_until = now
-            + wait.map_or(TimeSpan::ZERO, |most| {
-                most.min(left.mul_f64(WAIT_SHARE_OF_TARGET))
-            });
+        let wait = wait.map_or(TimeSpan::ZERO, |longest| {
+            longest.min(left.mul_f64(WAIT_SHARE_OF_TARGET))
+        });
+        let wait_until = now + wait;
         let waits = wait_until > now;
         let requests = OpenRequest {
             key,
@@ -250,6 +255,7 @@
             } else {
                 Phase::Released
             },
+            wait,
             wait_until,
             join_until: now + left.mul_f64(JOIN_SHARE_OF_TARGET),
             is_claimed: false,
@@ -357,6 +363,22 @@
         }
     }
 
+    /// The next step of a request whose wait for the first answer is over. If this dispatcher was not
+    /// run in time, its question may have left only now, and it can't tell that the others are slow:
+    /// the wait begins anew, and ends for good when a wait for another dispatcher would.
+    fn end_wait(&mut self, now: Timestamp, id: RequestId) -> Vec<RecordStep> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
+        let in_time = now.since(request.wait_until) <= MAX_TIMER_DELAY;
+        if in_time || now >= request.join_until {
+            return self.proceed(id);
+        }
+        request.wait_until = (now + request.wait).min(request.join_until);
+        self.deadlines.insert((request.wait_until, id));
+        Vec::new()
+    }
+
     /// The next step of a request that has waited for another dispatcher.
     fn ask_again(&mut self, now: Timestamp, id: RequestId) -> Vec<RecordStep> {
         let Some(request) = self.requests.get(&id) else {
@@ -466,7 +488,9 @@
                 continue;
             };
             match requests.phase {
-                Phase::Claiming if now >= requests.wait_until => steps.extend(self.proceed(id)),
+                Phase::Claiming if now >= requests.wait_until => {
+                    steps.extend(self.end_wait(now, id))
+                }
                 Phase::Joining { ask_again_at, .. } if now >= ask_again_at => {
                     steps.extend(self.ask_again(now, id));
                 }
--- a/crates/shared-store/tests/scenarios.rs
+++ b/crates/shared-store/tests/scenarios.rs
@@ -50,6 +50,26 @@
     );
 }
 
+/// Guards against a change that runs twice because a dispatcher that was not run in time takes its own delay for that of
+/// the store.
+#[test]
+fn a_wait_for_the_store_that_is_ended_late_begins_anew() {
+    let mut world = pair(2);
+    let first = world.send_request(0, "order-1", TIME_LEFT);
+    world.run(TimeSpan::from_millis(2));
+    world.send_attempt(0, first, 0);
+    world.end_request(0, first, done(b"accepted"));
+    world.run(TimeSpan::from_millis(2));
+    let repeats = world.send_request(1, "order-1", TIME_LEFT);
+    let late = world.now + rules().max_wait + TimeSpan::from_millis(3);
+    world.members[1].state.advance(late);
+    world.run(TimeSpan::from_millis(2));
+    assert_eq!(
+        world.decision(1, repeats),
+        Some(&RecordDecision::Answer(b"accepted".to_vec()))
+    );
+}
+
 /// Guards against a dispatcher that sends its own key again because the store is gone.
 #[test]
 fn a_retry_at_the_same_dispatcher_needs_no_store() {
