--- a/crates/shared-store/src/decide/records.rs
+++ b/crates/shared-store/src/decide/records.rs
@@ -202,21 +202,21 @@
 
     /// The key of an open request.
     pub fn key(&self, id: RequestId) -> Option<Key> {
-        self.requests.get(&id).map(|requests| requests.key)
+        self.requests.get(&id).map(|request| request.key)
     }
 
     /// Whether the store confirmed that no other dispatcher has its key.
     pub fn is_claimed(&self, id: RequestId) -> bool {
         self.requests
             .get(&id)
-            .is_some_and(|requests| requests.is_claimed)
+            .is_some_and(|request| request.is_claimed)
     }
 
     /// Whether it waits for the store.
     pub fn is_waiting(&self, id: RequestId) -> bool {
         self.requests
             .get(&id)
-            .is_some_and(|requests| requests.phase != Phase::Released)
+            .is_some_and(|request| request.phase != Phase::Released)
     }
 
     /// The attempt that another request made under the key of this request, here or at another
@@ -248,7 +248,7 @@
         });
         let wait_until = now + wait;
         let waits = wait_until > now;
-        let requests = OpenRequest {
+        let request = OpenRequest {
             key,
             phase: if waits {
                 Phase::Claiming
@@ -262,7 +262,7 @@
             location: None,
             earlier_attempt: None,
         };
-        self.requests.insert(id, requests);
+        self.requests.insert(id, request);
         if waits {
             self.deadlines.insert((wait_until, id));
         }
@@ -300,18 +300,18 @@
 
     /// Handles a successful claim: no other dispatcher has the key.
     pub fn on_claimed(&mut self, id: RequestId) -> Vec<RecordStep> {
-        let Some(requests) = self.requests.get_mut(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
         };
-        requests.is_claimed = true;
+        request.is_claimed = true;
         self.proceed(id)
     }
 
     /// Handles the release of the key by the dispatcher that had it. The request never ran there,
     /// so nothing restricts this one any more.
     pub fn on_released(&mut self, id: RequestId) {
-        if let Some(requests) = self.requests.get_mut(&id) {
-            requests.earlier_attempt = None;
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.earlier_attempt = None;
         }
     }
 
@@ -324,7 +324,7 @@
         id: RequestId,
         record: Record,
     ) -> Vec<RecordStep> {
-        let Some(requests) = self.requests.get_mut(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
         };
         // Assumed to be as old as possible, so that its window ends here no later than at the
@@ -335,24 +335,24 @@
                 .saturating_sub((record.age + MAX_CLOCK_DIFFERENCE).0),
         );
         let location = record.location;
-        requests.earlier_attempt = Some(PeerAttempt {
+        request.earlier_attempt = Some(PeerAttempt {
             location,
             first_sent,
         });
         // A request that was passed on is never answered from the record.
-        if requests.phase == Phase::Released {
+        if request.phase == Phase::Released {
             return Vec::new();
         }
         match (record.status, record.body) {
             (RecordStatus::Done, Some(body)) => {
-                requests.phase = Phase::Released;
+                request.phase = Phase::Released;
                 vec![RecordStep::Decided(id, RecordDecision::Answer(body))]
             }
-            _ if matches!(requests.phase, Phase::JoiningOwn { .. }) => Vec::new(),
-            (RecordStatus::Claimed | RecordStatus::Sent, _) if now < requests.join_until => {
-                let interval = requests.phase.next_interval();
-                let ask_again_at = (now + interval).min(requests.join_until);
-                requests.phase = Phase::Joining {
+            _ if matches!(request.phase, Phase::JoiningOwn { .. }) => Vec::new(),
+            (RecordStatus::Claimed | RecordStatus::Sent, _) if now < request.join_until => {
+                let interval = request.phase.next_interval();
+                let ask_again_at = (now + interval).min(request.join_until);
+                request.phase = Phase::Joining {
                     ask_again_at,
                     interval,
                 };
@@ -416,7 +416,7 @@
         let waiting = self
             .requests
             .iter()
-            .filter(|(_, requests)| requests.phase.waits_for_others());
+            .filter(|(_, request)| request.phase.waits_for_others());
         let waiting: Vec<RequestId> = waiting.map(|(&id, _)| id).collect();
         waiting
             .into_iter()
@@ -426,10 +426,10 @@
 
     /// Lets a request proceed whose question can't be answered.
     pub fn proceed(&mut self, id: RequestId) -> Vec<RecordStep> {
-        let waits = |requests: &&mut OpenRequest| requests.phase.waits_for_others();
+        let waits = |request: &&mut OpenRequest| request.phase.waits_for_others();
         match self.requests.get_mut(&id).filter(waits) {
-            Some(requests) => {
-                requests.phase = Phase::Released;
+            Some(request) => {
+                request.phase = Phase::Released;
                 vec![RecordStep::Decided(id, RecordDecision::Proceed)]
             }
             None => Vec::new(),
@@ -444,11 +444,11 @@
         id: RequestId,
         location: (ZoneId, CellId),
     ) -> Option<Key> {
-        let requests = self.requests.get_mut(&id)?;
-        self.sent.on_attempt_sent(now, requests.key, id, location);
-        let first = requests.location.is_none() && requests.earlier_attempt.is_none();
-        requests.location = requests.location.or(Some(location));
-        first.then_some(requests.key)
+        let request = self.requests.get_mut(&id)?;
+        self.sent.on_attempt_sent(now, request.key, id, location);
+        let first = request.location.is_none() && request.earlier_attempt.is_none();
+        request.location = request.location.or(Some(location));
+        first.then_some(request.key)
     }
 
     /// Handles the final answer. Returns the key and the location of the first attempt if the
@@ -458,17 +458,17 @@
         id: RequestId,
         completion: &Completion,
     ) -> Option<(Key, Option<(ZoneId, CellId)>)> {
-        let requests = self.requests.remove(&id)?;
-        self.sent.on_request_ended(requests.key, id, completion);
+        let request = self.requests.remove(&id)?;
+        self.sent.on_request_ended(request.key, id, completion);
         // The result of an attempt that another dispatcher sent first is recorded by that one,
         // unless this one learned that the request is done.
         let others =
-            requests.earlier_attempt.is_some() && !matches!(completion, Completion::Done(_));
+            request.earlier_attempt.is_some() && !matches!(completion, Completion::Done(_));
         (!others).then_some((
-            requests.key,
-            requests
+            request.key,
+            request
                 .location
-                .or(requests.earlier_attempt.and_then(|e| e.location)),
+                .or(request.earlier_attempt.and_then(|e| e.location)),
         ))
     }
 
@@ -484,11 +484,11 @@
         let mut steps = Vec::new();
         while let Some(&(at, id)) = self.deadlines.first().filter(|(at, _)| *at <= now) {
             self.deadlines.remove(&(at, id));
-            let Some(requests) = self.requests.get_mut(&id) else {
+            let Some(request) = self.requests.get_mut(&id) else {
                 continue;
             };
-            match requests.phase {
-                Phase::Claiming if now >= requests.wait_until => {
+            match request.phase {
+                Phase::Claiming if now >= request.wait_until => {
                     steps.extend(self.end_wait(now, id))
                 }
                 Phase::Joining { ask_again_at, .. } if now >= ask_again_at => {
