Test the reading before a wait ends where a renewed wait can't stand in for it

Now a second test stops the program until no wait is left. It fails without the reading, and when something unreadable in front of the answer ends it; the first test stays and asks for the same answer. What the tests stop, they stop while the change waits, told by the time of its claim; one that was stopped too late is asked for again.

--- a/crates/trailproxyd/tests/late_answers.rs
+++ b/crates/trailproxyd/tests/late_answers.rs
@@ -16,10 +16,12 @@
 use trailproxy_peers::wire::{MAX_DATAGRAM_BYTES, Seal};
 
 const FLEET: &str = "late";
-/// The time to the target of a change. A fiftieth of it is [`LONGEST_WAIT`].
-const CHANGE_TARGET: Duration = Duration::from_secs(20);
-/// The longest wait for the first answer.
-const LONGEST_WAIT: Duration = Duration::from_millis(400);
+/// The share of the time to the target of a change for which it waits for the first answer.
+const WAIT_SHARE: f64 = 0.02;
+/// The share for which it waits at most, however late the dispatcher is run.
+const LONGEST_WAIT_SHARE: f64 = 0.25;
+/// The operator's limit of the wait for the first answer. It is so long that [`WAIT_SHARE`] decides.
+const WAIT_LIMIT_MS: f64 = 400.0;
 /// The body of the answer in the record.
 const RECORDED_BODY: &[u8] = b"done before";
 
@@ -142,23 +144,32 @@
 struct Pair {
     cluster: Cluster,
     other: OtherMember,
+    /// The time to the target of a change.
+    target: Duration,
     file: std::path::PathBuf,
 }
 
+/// A change that waits in a stopped dispatcher for the answer to its claim.
+struct WaitingChange {
+    client: Client,
+    dispatcher: Address,
+    claim: MessagePart,
+}
+
 impl Pair {
-    fn new(name: &str) -> Pair {
+    fn new(name: &str, target: Duration) -> Pair {
         let listen = free_address();
         let mut other = OtherMember::new(listen);
         let seed = other.socket.local_addr().expect("an address");
         let section = json!({"peers": {
             "file": "operator.star", "place": [1, 1], "fleet": FLEET, "secret_file": "", "listen": listen.to_string(),
-            "advertise": "", "seeds": [seed.to_string()], "wait_ms": LONGEST_WAIT.as_millis() as f64, "keep_s": 60.0,
+            "advertise": "", "seeds": [seed.to_string()], "wait_ms": WAIT_LIMIT_MS, "keep_s": 60.0,
             "records": true, "purges": true, "hosts": true, "hints": true
         }});
         let file = std::env::temp_dir().join(format!("tpl-{name}-{}.json", std::process::id()));
         std::fs::write(&file, section.to_string()).expect("a file");
         let cluster = Cluster::with_config(|config, _| {
-            let target_us = CHANGE_TARGET.as_micros() as u64;
+            let target_us = target.as_micros() as u64;
             config["settings"]["classes"][1]["on_time_us"] = json!(target_us);
             config["settings"]["classes"][1]["hard_limit_us"] = json!(target_us);
             config["operator"] = json!(file);
@@ -170,21 +181,62 @@
         Pair {
             cluster,
             other,
+            target,
             file,
         }
     }
 
     /// A client asks the dispatcher for a change that was done before, elsewhere. Returns the client once the claim has
     /// reached the other member.
-    fn request_change(&mut self) -> (Client, Address, MessagePart) {
+    fn request_change(&mut self, key: &str) -> (Client, Address, MessagePart) {
         let mut client = self.cluster.client();
-        let mut fields = keyed_fields("k1");
+        let mut fields = keyed_fields(key);
         let allow = fields.iter_mut().find(|(name, _)| name == "allow");
-        allow.expect("a field").1 = CHANGE_TARGET.as_millis().to_string();
+        allow.expect("a field").1 = self.target.as_millis().to_string();
         client.request_with("change", fields, b"new address");
         let (from, claim) = self.other.run(MAX_WAIT).expect("a claim");
         (client, from, claim)
     }
+
+    /// Stops the dispatcher while a change waits for the answer to its claim. On a busy machine the wait may be over
+    /// before the dispatcher is stopped; then another change is asked for.
+    fn stop_while_waiting(&mut self) -> WaitingChange {
+        for attempt in 0..50 {
+            let (client, dispatcher, claim) = self.request_change(&format!("k{attempt}"));
+            self.cluster.program.stop();
+            let MessagePart::Claim {
+                claim: Some(Claim { at, .. }),
+                ..
+            } = claim
+            else {
+                panic!("the claim of a request");
+            };
+            let wait = TimeSpan::from_secs_f64(self.target.as_secs_f64() * WAIT_SHARE);
+            if OtherMember::now().since(Timestamp(at)) < wait {
+                return WaitingChange {
+                    client,
+                    dispatcher,
+                    claim,
+                };
+            }
+            self.cluster.program.signal("-CONT");
+            self.cluster.next_request();
+        }
+        panic!("the dispatcher is never stopped in time");
+    }
+
+    /// Answers the claim while the dispatcher is stopped, and lets it continue after `stop`, so that it finds the answer
+    /// and the end of its wait at once. Returns whether it sends the change.
+    fn answer_while_stopped(&mut self, change: &WaitingChange, stop: Duration) -> bool {
+        // What is no message does not hide the answer behind it.
+        let to = SocketAddr::from((change.dispatcher.ip, change.dispatcher.port));
+        self.other.socket.send_to(b"garbage", to).expect("sent");
+        self.other.answer_done(change.dispatcher, &change.claim);
+        std::thread::sleep(stop);
+        self.cluster.program.signal("-CONT");
+        let sent = self.cluster.next_request_within(Duration::from_millis(100));
+        sent.is_some()
+    }
 }
 
 impl Drop for Pair {
@@ -193,18 +245,32 @@
     }
 }
 
-/// The answer arrives in time, and the dispatcher is not run before the wait for it is over: it finds the answer and its
-/// own deadline at once. Guards against a change that runs twice because the deadline is handled first.
+/// The answer arrives in time, and the dispatcher is not run before its wait for the first answer is over. Guards against
+/// a change that runs twice because the dispatcher takes its own delay for that of the others.
 #[test]
 fn an_answer_that_arrived_in_time_counts_however_late_the_dispatcher_is_run() {
-    let mut pair = Pair::new("in-time");
-    let (mut client, from, claim) = pair.request_change();
-    pair.cluster.program.stop();
-    pair.other.answer_done(from, &claim);
-    // The bad order: the wait ends while the answer lies in the socket.
-    std::thread::sleep(LONGEST_WAIT + Duration::from_millis(50));
-    pair.cluster.program.signal("-CONT");
-    let sent = pair.cluster.next_request_within(Duration::from_millis(100));
-    assert!(sent.is_none(), "the change is sent again");
-    assert_done(client.next_answer().1, RECORDED_BODY);
+    let target = Duration::from_secs(20);
+    let mut pair = Pair::new("in-time", target);
+    let mut change = pair.stop_while_waiting();
+    let stop = target.mul_f64(WAIT_SHARE) + Duration::from_millis(50);
+    assert!(
+        !pair.answer_while_stopped(&change, stop),
+        "it is sent again"
+    );
+    assert_done(change.client.next_answer().1, RECORDED_BODY);
+}
+
+/// The same, and no time is left to wait once the dispatcher is run. Guards against a change that runs twice because the
+/// end of the wait is handled before the answer in the socket is read.
+#[test]
+fn an_answer_counts_also_when_no_wait_is_left() {
+    let target = Duration::from_millis(2_800);
+    let mut pair = Pair::new("no-wait", target);
+    let mut change = pair.stop_while_waiting();
+    let stop = target.mul_f64(LONGEST_WAIT_SHARE) + Duration::from_millis(50);
+    assert!(
+        !pair.answer_while_stopped(&change, stop),
+        "it is sent again"
+    );
+    change.client.next_answer();
 }
