Count no operation of the store as late when the dispatcher itself is late

Callers: changes that may run twice with a shared store, on a machine that does not run its dispatcher in time.

Cause: an operation whose end a late dispatcher handled, or whose answer it read late, counted as late. Three of the last sixteen end the trust in the store, and all requests that wait for it are sent, so that the renewed wait did not help as soon as three requests waited.

Evidence: four repeats at a dispatcher that looks 3 ms late were sent, with the store well and its answers under a millisecond away in virtual time.

Change: such an operation has its time again. An answer that is read over 2 ms late counts neither for the store nor against it; refusals and losses count as before. Each operation keeps its deadline, which was computed in three places.

Test: a_dispatcher_that_is_run_late_does_not_doubt_the_store fails without either half.

--- a/crates/shared-store/src/decide/mod.rs
+++ b/crates/shared-store/src/decide/mod.rs
@@ -15,7 +15,7 @@
 
 use announcements::{Announcement, Announcements};
 use ops::{Answer, MailboxId, Op, OpResult};
-use records::{Completion, Key, RecordDecision, RecordStep, Records};
+use records::{Completion, Key, RecordDecision, RecordStep, Records, is_in_time};
 use std::collections::{BTreeMap, BTreeSet};
 use trailproxy::interface::{HostEntry, PeerAttempt};
 use trailproxy::units::*;
@@ -127,11 +127,24 @@
 /// How long the answer of an operation is awaited, to learn its result.
 const RESULT_TIMEOUT: TimeSpan = TimeSpan::from_secs(4);
 
+/// How an operation that ends now counts for the trust in the store. `None`: this dispatcher reads
+/// the answer so late that it may have arrived in time.
+fn judge(now: Timestamp, deadline: Timestamp, reply: &Reply) -> Option<Ending> {
+    match reply {
+        Reply::Refused => Some(Ending::Refused),
+        Reply::Lost => Some(Ending::Late),
+        Reply::Result(_) if now <= deadline => Some(Ending::InTime),
+        Reply::Result(_) => is_in_time(now, deadline).then_some(Ending::Late),
+    }
+}
+
 /// One operation that was sent and has no answer yet.
 #[derive(Clone, Debug)]
 struct Pending {
     purpose: Purpose,
     sent_at: Timestamp,
+    /// When it counts as late; once it does, when its answer is no longer awaited.
+    deadline: Timestamp,
     /// Operations of the epoch that were known when this one was sent.
     count: u64,
     /// Whether it already counted as late for the trust in the store.
@@ -392,25 +405,10 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
-        let timeout = if pending.is_counted_late {
-            RESULT_TIMEOUT
-        } else {
-            self.rules.max_wait
-        };
-        self.op_deadlines.remove(&(pending.sent_at + timeout, id));
+        self.op_deadlines.remove(&(pending.deadline, id));
         self.trust.on_reply(now, !self.pending.is_empty());
-        let ending = match &reply {
-            Reply::Result(_) => Ending::InTime,
-            Reply::Refused => Ending::Refused,
-            Reply::Lost => Ending::Late,
-        };
-        if !pending.is_counted_late {
-            let late = now.since(pending.sent_at) > self.rules.max_wait;
-            let ending = if late && ending == Ending::InTime {
-                Ending::Late
-            } else {
-                ending
-            };
+        let ending = judge(now, pending.deadline, &reply).filter(|_| !pending.is_counted_late);
+        if let Some(ending) = ending {
             self.counts.late += u64::from(ending == Ending::Late);
             self.counts.refused += u64::from(ending == Ending::Refused);
             let cause = self.trust.on_operation_ended(now, ending);
@@ -572,16 +570,18 @@
         self.counts.asked += 1;
         let (id, count) = (OpId(self.next_op), self.epoch.count);
         let (sent_at, is_counted_late) = (now, false);
+        let deadline = now + self.rules.max_wait;
         self.pending.insert(
             id,
             Pending {
                 purpose,
                 sent_at,
+                deadline,
                 count,
                 is_counted_late,
             },
         );
-        self.op_deadlines.insert((now + self.rules.max_wait, id));
+        self.op_deadlines.insert((deadline, id));
         self.trust.on_operation_sent(now);
         // The server's clock had reached this value when the answer was received, so it is no
         // earlier now.
@@ -636,9 +636,14 @@
                 self.pending.remove(&id);
                 continue;
             }
+            if !is_in_time(now, at) {
+                pending.deadline = now + self.rules.max_wait;
+                self.op_deadlines.insert((pending.deadline, id));
+                continue;
+            }
             pending.is_counted_late = true;
-            self.op_deadlines
-                .insert((pending.sent_at + RESULT_TIMEOUT, id));
+            pending.deadline = pending.sent_at + RESULT_TIMEOUT;
+            self.op_deadlines.insert((pending.deadline, id));
             self.counts.late += 1;
             let cause = self.trust.on_operation_ended(now, Ending::Late);
             self.apply_trust_change(now, cause);
--- a/crates/shared-store/src/decide/records.rs
+++ b/crates/shared-store/src/decide/records.rs
@@ -110,6 +110,13 @@
 /// How late a dispatcher looks at a deadline although it is run in time: the timers of its runtime
 /// have a resolution of a millisecond.
 const MAX_TIMER_DELAY: TimeSpan = TimeSpan::from_millis(2);
+
+/// Whether a dispatcher that looks at a deadline at `now` was run in time. One that was not can't
+/// tell its own delay from that of others.
+pub(super) fn is_in_time(now: Timestamp, deadline: Timestamp) -> bool {
+    now.since(deadline) <= MAX_TIMER_DELAY
+}
+
 /// By how much the clocks of a store and of its replacement may differ.
 pub const MAX_CLOCK_DIFFERENCE: TimeSpan = TimeSpan::from_millis(500);
 /// Longer answers are not kept.
@@ -370,8 +377,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
         };
-        let in_time = now.since(request.wait_until) <= MAX_TIMER_DELAY;
-        if in_time || now >= request.join_until {
+        if is_in_time(now, request.wait_until) || now >= request.join_until {
             return self.proceed(id);
         }
         request.wait_until = (now + request.wait).min(request.join_until);
--- a/crates/shared-store/tests/scenarios.rs
+++ b/crates/shared-store/tests/scenarios.rs
@@ -70,6 +70,44 @@
     );
 }
 
+/// Guards against a store that is left, and against changes that run twice then, because a dispatcher that was not run in
+/// time counts its own delay as the store's: at the end of the waits, or when it reads the answers.
+#[test]
+fn a_dispatcher_that_is_run_late_does_not_doubt_the_store() {
+    for is_late_at_deadline in [true, false] {
+        let keys = ["order-1", "order-2", "order-3", "order-4"];
+        let mut world = pair(2);
+        for key in keys {
+            let first = world.send_request(0, key, TIME_LEFT);
+            world.run(TimeSpan::from_millis(2));
+            world.send_attempt(0, first, 0);
+            world.end_request(0, first, done(b"accepted"));
+        }
+        world.run(TimeSpan::from_millis(2));
+        let repeats = keys.map(|key| world.send_request(1, key, TIME_LEFT));
+        let late = rules().max_wait + TimeSpan::from_millis(3);
+        if is_late_at_deadline {
+            let now = world.now + late;
+            world.members[1].state.advance(now);
+        } else {
+            // The answers are there long before they are read.
+            while world.apply_next(1) {}
+            world.now = world.now + late;
+            while world.answer_next(1, false) {}
+        }
+        world.run(TimeSpan::from_millis(2));
+        let answer = RecordDecision::Answer(b"accepted".to_vec());
+        for id in repeats {
+            assert_eq!(
+                world.decision(1, id),
+                Some(&answer),
+                "{is_late_at_deadline}"
+            );
+        }
+        assert_eq!(world.trust(1), Trust::Together, "{is_late_at_deadline}");
+    }
+}
+
 /// Guards against a dispatcher that sends its own key again because the store is gone.
 #[test]
 fn a_retry_at_the_same_dispatcher_needs_no_store() {
