--- a/crates/trailproxyd/src/dispatch/sections.rs
+++ b/crates/trailproxyd/src/dispatch/sections.rs
@@ -3,8 +3,8 @@
 
 use super::Dispatch;
 use crate::operator::{OperatorConfig, ResolvedPeers, longest_window};
-use crate::peers_runtime::{PeersConnection, PeersRuntime};
-use crate::peers_socket::{self, MessageReader};
+use crate::peers_runtime::PeersRuntime;
+use crate::peers_socket::{self, PeersSocket};
 use crate::store_connection;
 use crate::subsystems::StoreClient;
 use local_channel::mpsc;
@@ -117,24 +117,13 @@
             "site" => site.map_or("none", |site| &site.name));
         let (to, orders) = mpsc::channel();
         let seal = Seal::new(&config.fleet, &section.secret);
-        let reader = MessageReader::new(socket.clone(), seal.clone(), log.clone());
-        let reader = Rc::new(reader);
+        let socket = Rc::new(PeersSocket::new(socket, seal, log.clone()));
         let queue = self.pools.shared.queue.clone();
-        tokio::task::spawn_local(peers_socket::run(
-            socket.clone(),
-            seal,
-            reader.clone(),
-            queue,
-            orders,
-        ));
-        let connection = PeersConnection {
-            socket,
-            reader,
-            orders: to,
-        };
+        tokio::task::spawn_local(peers_socket::run(socket.clone(), queue, orders));
         let targets = settings.classes.iter().map(|class| class.target).collect();
         let decisions = Peers::new(now, own, rules, seed);
-        let mut runtime = PeersRuntime::new(*section, decisions, connection, targets, log.clone());
+        let mut runtime =
+            PeersRuntime::new(*section, decisions, (socket, to), targets, log.clone());
         let (kind, entries) = (HostListKind::Full, self.pools.host_entries());
         runtime.on_host_list(now, &entries, self.state.journal_position);
         runtime.on_event(&Event::HostList { kind, entries });
--- a/crates/trailproxyd/src/peers_runtime.rs
+++ b/crates/trailproxyd/src/peers_runtime.rs
@@ -4,7 +4,7 @@
 use crate::held_requests::{HeldRequests, SubsystemEvent};
 use crate::messages::ToPeers;
 use crate::operator::ResolvedPeers;
-use crate::peers_socket::{MessageReader, Received};
+use crate::peers_socket::{PeersSocket, Received};
 use local_channel::mpsc;
 use slog::{Logger, info};
 use std::rc::Rc;
@@ -16,23 +16,15 @@
 use trailproxy_peers::decide::{Action, Peers};
 use trailproxy_shared_store::decide::records::{Completion, KeyHasher};
 
-/// The connection to the other dispatchers.
-pub struct PeersConnection {
-    /// The socket, which a new section with the same address takes over.
-    pub socket: Rc<UdpSocket>,
-    /// Reads what the socket has received.
-    pub reader: Rc<MessageReader>,
-    /// Messages to the task that sends.
-    pub orders: mpsc::Sender<ToPeers>,
-}
-
 /// State held together with the other dispatchers, with the requests that are held for it.
 pub struct PeersRuntime {
     /// The section that is in force.
     pub section: ResolvedPeers,
     key_hasher: KeyHasher,
     peers: Peers,
-    connection: PeersConnection,
+    socket: Rc<PeersSocket>,
+    /// Messages to the task that sends.
+    orders: mpsc::Sender<ToPeers>,
     held: HeldRequests,
     /// Messages of other dispatchers for other subsystems: sender, number of the subsystem and bytes.
     received: Vec<(PeerId, u8, Vec<u8>)>,
@@ -44,7 +36,7 @@
     pub fn new(
         section: ResolvedPeers,
         peers: Peers,
-        connection: PeersConnection,
+        (socket, orders): (Rc<PeersSocket>, mpsc::Sender<ToPeers>),
         targets: Vec<TimeSpan>,
         log: Logger,
     ) -> PeersRuntime {
@@ -52,7 +44,8 @@
             key_hasher: KeyHasher::new(&section.config.fleet),
             section,
             peers,
-            connection,
+            socket,
+            orders,
             held: HeldRequests::new(targets),
             received: Vec::new(),
             log,
@@ -69,13 +62,13 @@
 
     /// The socket, which a new section with the same address takes over.
     pub fn socket(&self) -> Rc<UdpSocket> {
-        self.connection.socket.clone()
+        self.socket.socket()
     }
 
     /// If something is due by `now`, reads the next datagram that has arrived.
     pub fn read_before_deadline(&self, now: Timestamp) -> Received {
         match self.peers.next_deadline() <= now {
-            true => self.connection.reader.read_next(),
+            true => self.socket.read_next(),
             false => Received::Nothing,
         }
     }
@@ -192,7 +185,7 @@
 
     /// Stops, and returns the requests that waited, which may continue.
     pub fn stop(self) -> impl Iterator<Item = Arrival> {
-        let _ = self.connection.orders.send(ToPeers::Stop);
+        let _ = self.orders.send(ToPeers::Stop);
         self.held.into_arrivals()
     }
 
@@ -205,9 +198,7 @@
     fn apply_actions(&mut self) {
         for action in self.peers.take_actions() {
             match action {
-                Action::Send(to, message) => {
-                    drop(self.connection.orders.send(ToPeers::Send(to, message)))
-                }
+                Action::Send(to, message) => drop(self.orders.send(ToPeers::Send(to, message))),
                 Action::Decided { id, verdict } => self.held.on_decided(id, verdict),
                 Action::Purged { object, group, at } => {
                     // The age follows from the stamp: the task that owns the decisions knows how far the clocks are
--- a/crates/trailproxyd/src/peers_socket.rs
+++ b/crates/trailproxyd/src/peers_socket.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 use trailproxy::policy::system_errors::{StreamError, classify_stream_error};
-use trailproxy_peers::decide::messages::Address;
+use trailproxy_peers::decide::messages::{Address, Message};
 use trailproxy_peers::wire::{MAX_DATAGRAM_BYTES, ReadError, Seal};
 
 /// How often unreadable datagrams are logged at most.
@@ -70,18 +70,18 @@
     Nothing,
 }
 
-/// Reads messages of other dispatchers from the socket.
-pub struct MessageReader {
+/// The socket to the other dispatchers, with the seal of the fleet's messages.
+pub struct PeersSocket {
     socket: Rc<UdpSocket>,
     seal: Seal,
     unreadable: UnreadableCounts,
     log: Logger,
 }
 
-impl MessageReader {
-    /// Reads from this socket what was sealed by the same fleet.
-    pub fn new(socket: Rc<UdpSocket>, seal: Seal, log: Logger) -> MessageReader {
-        MessageReader {
+impl PeersSocket {
+    /// Sends and receives what is sealed by the fleet.
+    pub fn new(socket: Rc<UdpSocket>, seal: Seal, log: Logger) -> PeersSocket {
+        PeersSocket {
             socket,
             seal,
             unreadable: UnreadableCounts::default(),
@@ -89,6 +89,18 @@
         }
     }
 
+    /// The system's socket, which a new section with the same address takes over.
+    pub fn socket(&self) -> Rc<UdpSocket> {
+        self.socket.clone()
+    }
+
+    /// Sends a message. One that cannot be sent at once is lost.
+    fn send(&self, to: Address, message: &Message) {
+        if let Some(bytes) = self.seal.write(message) {
+            let _ = self.socket.try_send_to(&bytes, to_socket(to));
+        }
+    }
+
     /// Reads the next datagram that the system has received, without waiting. It asks the system itself, so that it also
     /// finds what arrived after the runtime last looked for events.
     pub fn read_next(&self) -> Received {
@@ -143,26 +155,22 @@
 
 /// Sends and receives until it is told to stop.
 pub async fn run(
-    socket: Rc<UdpSocket>,
-    seal: Seal,
-    reader: Rc<MessageReader>,
+    socket: Rc<PeersSocket>,
     queue: InboundSender,
     mut orders: mpsc::Receiver<ToPeers>,
 ) {
-    let receiving = tokio::task::spawn_local(receive(reader, queue));
+    let receiving = tokio::task::spawn_local(receive(socket.clone(), queue));
     while let Some(ToPeers::Send(to, message)) = orders.recv().await {
-        if let Some(bytes) = seal.write(&message) {
-            let _ = socket.try_send_to(&bytes, to_socket(to));
-        }
+        socket.send(to, &message);
     }
     receiving.abort();
 }
 
 /// Receives datagrams and passes their messages on.
-async fn receive(reader: Rc<MessageReader>, queue: InboundSender) {
+async fn receive(socket: Rc<PeersSocket>, queue: InboundSender) {
     let (mut bytes, mut reads) = (vec![0; MAX_DATAGRAM_BYTES + 1], 0);
     loop {
-        let (size, from) = match reader.socket.recv_from(&mut bytes).await {
+        let (size, from) = match socket.socket.recv_from(&mut bytes).await {
             Ok(received) => received,
             // The system lacks a resource for the moment.
             Err(e) if classify_stream_error(errno(&e)) == StreamError::RetryLater => {
@@ -180,7 +188,7 @@
         if reads % MAX_READS_IN_A_ROW == 0 {
             tokio::task::yield_now().await;
         }
-        let message = reader.decode(&bytes[..size], from);
+        let message = socket.decode(&bytes[..size], from);
         if let Some(message) = message
             && queue.send(Inbound::Peers(message)).is_err()
         {
