Review: end everything also when a script is ended, and one line for each entry

No variable of the caller reaches a dispatcher, and case 1 can't hold while a client's outcome is unknown. The checks and bounds are as they were.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -245,5 +245,8 @@
         record.say("BROKEN");
         std::process::exit(1);
     }
+    if of(&tally.served) + of(&tally.errors) != of(&tally.sent) {
+        cannot_run("a client ended without telling what became of its requests");
+    }
     record.say("held");
 }
--- a/review/lib/common.rs
+++ b/review/lib/common.rs
@@ -89,6 +89,9 @@
         let log = File::create(temporary().join(format!("{name}.log"))).unwrap();
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(run_command()).current_dir(root());
+        for inherited in ["OPERATOR", "PEERS", "READER", "TRACE", "CLOCK"] {
+            command.env_remove(format!("RELAY_{inherited}"));
+        }
         command.env("RELAY_NAME", name).env("RELAY_LISTEN", listen.to_string()).env("RELAY_CONFIG", &path);
         command.envs(more.iter().map(|(key, value)| (key, value)));
         command.stdin(Stdio::null()).stderr(log.try_clone().unwrap()).stdout(log);
--- a/review/lib/run.sh
+++ b/review/lib/run.sh
@@ -9,11 +9,22 @@
 fi
 REVIEW_TMP=$(mktemp -d) || exit 2
 export REVIEW_CASE REVIEW_ROOT REVIEW_TMP TROUBLE="${TROUBLE:-1}"
-timeout -k 5 110 "$program"
+# Ends what is left, also where this script or the program was itself ended, and removes the temporary folder.
+end() {
+    [ -n "$running" ] && kill -TERM "$running" 2>/dev/null && wait "$running"
+    for pid in $(cat "$REVIEW_TMP"/*.pid 2>/dev/null); do
+        case $(readlink "/proc/$pid/exe") in
+            "$REVIEW_ROOT"/target/release/trailproxyd*) kill -KILL "$pid" 2>/dev/null ;;
+        esac
+    done
+    rm -rf "$REVIEW_TMP"
+}
+running=
+trap end EXIT
+trap 'exit 2' HUP INT TERM
+timeout -k 5 110 "$program" &
+running=$!
+wait "$running"
 code=$?
-# The program ends what it started; this is for one that was itself ended.
-for pid in $(cat "$REVIEW_TMP"/*.pid 2>/dev/null); do
-    [ "$(readlink "/proc/$pid/exe")" = "$REVIEW_ROOT/target/release/trailproxyd" ] && kill -KILL "$pid" 2>/dev/null
-done
-rm -rf "$REVIEW_TMP"
-case $code in 0|1) exit "$code";; *) exit 2;; esac
+running=
+case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
