--- a/crates/capacity-live/src/cost.rs
+++ b/crates/capacity-live/src/cost.rs
@@ -136,16 +136,11 @@
 }
 
 fn rules() -> PeersSettings {
-    PeersSettings {
-        records: true,
-        purges: true,
-        hosts: true,
-        hints: true,
-        refuse_unconfirmed: false,
-        max_wait: TimeSpan::from_millis(5),
-        record_retention: TimeSpan::from_secs(10),
-        purge_retention: TimeSpan::from_secs(3),
-    }
+    PeersSettings::sharing_all(
+        TimeSpan::from_millis(5),
+        TimeSpan::from_secs(10),
+        TimeSpan::from_secs(3),
+    )
 }
 
 fn other(nth: u16) -> MemberUpdate {
--- a/crates/capacity-live/src/order.rs
+++ b/crates/capacity-live/src/order.rs
@@ -36,15 +36,10 @@
 impl Order {
     /// By what its members run.
     pub fn rules(&self) -> PeersSettings {
-        PeersSettings {
-            records: true,
-            purges: true,
-            hosts: true,
-            hints: true,
-            refuse_unconfirmed: false,
-            max_wait: TimeSpan::from_secs_f64(self.wait_ms / 1_000.0),
-            record_retention: TimeSpan::from_secs_f64(self.keep_s),
-            purge_retention: TimeSpan::from_secs_f64(self.purges_last_s),
-        }
+        PeersSettings::sharing_all(
+            TimeSpan::from_secs_f64(self.wait_ms / 1_000.0),
+            TimeSpan::from_secs_f64(self.keep_s),
+            TimeSpan::from_secs_f64(self.purges_last_s),
+        )
     }
 }
--- a/crates/capacity-live/tests/parts.rs
+++ b/crates/capacity-live/tests/parts.rs
@@ -57,16 +57,11 @@
 }
 
 fn rules() -> PeersSettings {
-    PeersSettings {
-        records: true,
-        purges: true,
-        hosts: true,
-        hints: true,
-        refuse_unconfirmed: false,
-        max_wait: TimeSpan::from_millis(5),
-        record_retention: TimeSpan::from_secs(10),
-        purge_retention: TimeSpan::from_secs(3),
-    }
+    PeersSettings::sharing_all(
+        TimeSpan::from_millis(5),
+        TimeSpan::from_secs(10),
+        TimeSpan::from_secs(3),
+    )
 }
 
 /// What is read is what the core writes, so that another wording there is noticed here.
--- a/crates/capacity/src/fleet/member.rs
+++ b/crates/capacity/src/fleet/member.rs
@@ -145,13 +145,7 @@
 
 pub fn rules(demand: &Demand) -> PeersSettings {
     PeersSettings {
-        records: true,
-        purges: true,
-        hosts: true,
-        hints: true,
         refuse_unconfirmed: demand.refuse,
-        max_wait: demand.wait,
-        record_retention: demand.keep,
-        purge_retention: demand.purges_last,
+        ..PeersSettings::sharing_all(demand.wait, demand.keep, demand.purges_last)
     }
 }
--- a/crates/peers/src/decide/mod.rs
+++ b/crates/peers/src/decide/mod.rs
@@ -125,6 +125,27 @@
     pub purge_retention: TimeSpan,
 }
 
+impl PeersSettings {
+    /// Every kind of state is shared, and a request is also sent if nobody confirmed that it is new:
+    /// what an operator's section says by default.
+    pub fn sharing_all(
+        max_wait: TimeSpan,
+        record_retention: TimeSpan,
+        purge_retention: TimeSpan,
+    ) -> PeersSettings {
+        PeersSettings {
+            records: true,
+            purges: true,
+            hosts: true,
+            hints: true,
+            refuse_unconfirmed: false,
+            max_wait,
+            record_retention,
+            purge_retention,
+        }
+    }
+}
+
 /// The state of this dispatcher among its peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerState {
--- a/crates/peers/tests/world/mod.rs
+++ b/crates/peers/tests/world/mod.rs
@@ -23,16 +23,7 @@
 pub const START_TIME: Timestamp = Timestamp(1_700_000_000_000_000);
 
 pub fn settings() -> PeersSettings {
-    PeersSettings {
-        records: true,
-        purges: true,
-        hosts: true,
-        hints: true,
-        refuse_unconfirmed: false,
-        max_wait: MAX_WAIT,
-        record_retention: TimeSpan::from_secs(8),
-        purge_retention: TimeSpan::from_secs(30),
-    }
+    PeersSettings::sharing_all(MAX_WAIT, TimeSpan::from_secs(8), TimeSpan::from_secs(30))
 }
 
 /// Faults of the link from one node to another.
--- a/crates/shared-store/tests/scenarios.rs
+++ b/crates/shared-store/tests/scenarios.rs
@@ -20,6 +20,15 @@
     world
 }
 
+/// A request with this key is sent and done by the first dispatcher.
+fn complete_request(world: &mut World, key: &str) {
+    let first = world.send_request(0, key, TIME_LEFT);
+    world.run(TimeSpan::from_millis(2));
+    world.send_attempt(0, first, 0);
+    world.end_request(0, first, done(b"accepted"));
+    world.run(TimeSpan::from_millis(2));
+}
+
 fn done(body: &[u8]) -> Completion {
     Completion::Done(Some(body.to_vec()))
 }
@@ -55,11 +64,7 @@
 #[test]
 fn a_wait_for_the_store_that_is_ended_late_begins_anew() {
     let mut world = pair(2);
-    let first = world.send_request(0, "order-1", TIME_LEFT);
-    world.run(TimeSpan::from_millis(2));
-    world.send_attempt(0, first, 0);
-    world.end_request(0, first, done(b"accepted"));
-    world.run(TimeSpan::from_millis(2));
+    complete_request(&mut world, "order-1");
     let repeats = world.send_request(1, "order-1", TIME_LEFT);
     let late = world.now + rules().max_wait + TimeSpan::from_millis(3);
     world.members[1].state.advance(late);
@@ -78,12 +83,8 @@
         let keys = ["order-1", "order-2", "order-3", "order-4"];
         let mut world = pair(2);
         for key in keys {
-            let first = world.send_request(0, key, TIME_LEFT);
-            world.run(TimeSpan::from_millis(2));
-            world.send_attempt(0, first, 0);
-            world.end_request(0, first, done(b"accepted"));
+            complete_request(&mut world, key);
         }
-        world.run(TimeSpan::from_millis(2));
         let repeats = keys.map(|key| world.send_request(1, key, TIME_LEFT));
         let late = rules().max_wait + TimeSpan::from_millis(3);
         if is_late_at_deadline {
--- a/crates/trailproxyd/tests/late_answers.rs
+++ b/crates/trailproxyd/tests/late_answers.rs
@@ -54,16 +54,11 @@
             seeds: vec![to_address(dispatcher)],
             topology: None,
         };
-        let settings = PeersSettings {
-            records: true,
-            purges: true,
-            hosts: true,
-            hints: true,
-            refuse_unconfirmed: false,
-            max_wait: TimeSpan::from_millis(5),
-            record_retention: TimeSpan::from_secs(60),
-            purge_retention: TimeSpan::from_secs(60),
-        };
+        let settings = PeersSettings::sharing_all(
+            TimeSpan::from_millis(5),
+            TimeSpan::from_secs(60),
+            TimeSpan::from_secs(60),
+        );
         OtherMember {
             socket,
             seal: Seal::new(FLEET, b""),
