--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -91,11 +91,22 @@
 /// As `writev(2)`.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn writev(fd: c_int, parts: *const iovec, count: c_int) -> ssize_t {
-    if write_bytes_allowed(fd, usize::MAX).is_none() {
+    let Some(len) = write_bytes_allowed(fd, usize::MAX) else {
         return FAILED as ssize_t;
-    }
+    };
     let next: unsafe extern "C" fn(c_int, *const iovec, c_int) -> ssize_t = real!(c"writev");
-    unsafe { next(fd, parts, count) }
+    let all = unsafe { std::slice::from_raw_parts(parts, count as usize) };
+    let Some(first) = all.iter().find(|part| part.iov_len > 0) else {
+        return unsafe { next(fd, parts, count) };
+    };
+    if len >= first.iov_len {
+        return unsafe { next(fd, parts, count) };
+    }
+    let shortened = iovec {
+        iov_base: first.iov_base,
+        iov_len: len,
+    };
+    unsafe { next(fd, &shortened, 1) }
 }
 
 /// # Safety
--- a/crates/lab/src/bin/bare-relay.rs
+++ b/crates/lab/src/bin/bare-relay.rs
@@ -15,7 +15,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use trailproxy_lab::chance::mix;
 use trailproxy_standins::client::writer;
-use trailproxyd::buffered::BufferedBytes;
+use trailproxyd::memory::{MemoryAccount, MemoryUse};
 use trailproxyd::msgpack::{self, ParseError, Value};
 use trailproxyd::resp;
 use trailproxyd::ring::Ring;
@@ -69,7 +69,7 @@
 }
 
 async fn requests(mut read: OwnedReadHalf, out: Out, hosts: Rc<Vec<Out>>, waiting: Waiting) {
-    let mut ring = Ring::new(BufferedBytes::default());
+    let mut ring = Ring::new(&MemoryAccount::unlimited(), MemoryUse::Answers);
     loop {
         match read.read(ring.free_space()).await {
             Ok(n) if n > 0 => ring.commit(n),
@@ -157,7 +157,7 @@
 }
 
 async fn answers(mut read: OwnedReadHalf, waiting: Waiting) {
-    let mut ring = Ring::new(BufferedBytes::default());
+    let mut ring = Ring::new(&MemoryAccount::unlimited(), MemoryUse::Answers);
     loop {
         match read.read(ring.free_space()).await {
             Ok(n) if n > 0 => ring.commit(n),
--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -86,8 +86,10 @@
     places_wanted,
     /// Failed accepts of client connections.
     accepts_failed,
-    /// Times that a connection to a host was not read because too many bytes were buffered.
+    /// Times that a connection to a host was not read because there was no memory for the answer.
     reading_paused,
+    /// Messages of clients that were skipped because there was no memory for them.
+    messages_skipped,
     /// Requests given up because their deadline had passed.
     gave_up_deadline_passed,
     /// Requests given up because all their attempts were used.
@@ -102,6 +104,8 @@
     gave_up_not_permitted,
     /// Requests refused because too many are open.
     gave_up_table_full,
+    /// Requests refused because the memory limit leaves no room for them.
+    gave_up_memory_full,
     /// A request got a second final answer. This counter and those below must stay zero.
     broken_two_finals,
     /// An attempt was to start for a request that had its final answer.
@@ -138,6 +142,7 @@
             GiveUpReason::NoHostInTime => &self.gave_up_no_host_in_time,
             GiveUpReason::NotPermitted => &self.gave_up_not_permitted,
             GiveUpReason::TableFull => &self.gave_up_table_full,
+            GiveUpReason::MemoryFull => &self.gave_up_memory_full,
         }
     }
 }
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -3,12 +3,13 @@
 //! One task accepts connections and one task serves each of them. A connection task reads requests and passes them to
 //! the dispatcher's queue, writes answers, and decides when the connection closes.
 
-use crate::buffered::BufferedBytes;
 use crate::checks::{Counts, check_invariant, count};
 use crate::client_slots::{Availability, ClientSlots, SlotUse};
 use crate::journal_client::object_id;
+use crate::memory::{Charge, CountedBytes, MemoryAccount, MemoryUse};
 use crate::messages::*;
 use crate::msgpack::{self, ParseError, Value};
+use crate::outgoing::OutgoingBytes;
 use crate::ring::Ring;
 use crate::stall_detector::StallDetector;
 use crate::system_calls::{self, RESOURCE_RETRY_DELAY, Transfer, errno};
@@ -22,6 +23,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until};
+use trailproxy::policy::memory::{CONNECTION_BYTES, REQUEST_OVERHEAD_BYTES};
 use trailproxy::policy::permits::{self, CloseFacts};
 use trailproxy::policy::system_errors::{AcceptError, classify_accept_error};
 use trailproxy::units::*;
@@ -37,7 +39,10 @@
 /// The longest message: a body and its fields.
 const MAX_MESSAGE_BYTES: usize = MAX_BODY_BYTES + 16 * 1024;
 /// Answers are encoded until the output buffer has this size, so that small answers are written together.
-const WRITE_BATCH_BYTES: usize = 16 * 1024;
+const WRITE_BATCH_BYTES: usize = 2 * 1024;
+/// By how much the input buffer grows at a time for a message that is not complete: a client may announce a long body
+/// and send little of it.
+const READ_STEP_BYTES: usize = 16 * 1024;
 /// A request with more time left is malformed: no client waits that long.
 const MAX_TIME_LEFT_MS: f64 = 3_600_000.0;
 /// How many reads a connection does before other tasks run.
@@ -70,8 +75,8 @@
     pub max_deadline: Duration,
     /// Whether the process was asked to end.
     pub ending: Cell<bool>,
-    /// The number of bytes buffered for all connections.
-    pub buffered: BufferedBytes,
+    /// The memory that requests and answers use.
+    pub memory: MemoryAccount,
     /// Detects that the whole process did not run for a while.
     pub stall_detector: Rc<StallDetector>,
     /// The counters of the process.
@@ -199,12 +204,14 @@
     incoming: Ring,
     /// The next message has at least this many bytes.
     min_message_bytes: usize,
+    /// The message of which the rest is skipped, because there is no memory for it.
+    skipped: Option<SkippedMessage>,
     /// Encoded answers that are not written yet.
-    outgoing: Ring,
+    outgoing: OutgoingBytes<CountedBytes>,
     /// Requests without an answer so far, by message number, each with the flag that says that the request is closed.
     owed: BTreeMap<u32, Rc<Cell<bool>>>,
     /// Answers that are not encoded yet.
-    replies: VecDeque<(u32, Reply)>,
+    replies: VecDeque<OutgoingAnswer>,
     /// For each encoded answer that is not fully written, its end as a position in the stream of all answers.
     reply_ends: VecDeque<u64>,
     /// The number of bytes of answers written so far.
@@ -239,6 +246,24 @@
     closes_at: Option<Instant>,
     /// Nothing is read or written before this time because the system was short of a resource.
     paused_until: Option<Instant>,
+    /// Counts the memory of the connection.
+    _memory: Charge,
+}
+
+/// A message that is read without its body.
+struct SkippedMessage {
+    /// What is handled once the message has arrived.
+    message: Message,
+    /// How many of its bytes are still to come.
+    bytes_left: usize,
+}
+
+/// An answer that waits to be encoded.
+enum OutgoingAnswer {
+    /// To the request with this number.
+    Reply(u32, Reply),
+    /// To the heartbeat with this number, with whether the process accepts more requests.
+    Heartbeat(u32, bool),
 }
 
 /// Why a connection closes.
@@ -265,9 +290,10 @@
             id,
             stream,
             orders,
-            incoming: Ring::new(shared.buffered.clone()),
+            incoming: Ring::new(&shared.memory, MemoryUse::Requests),
             min_message_bytes: 1,
-            outgoing: Ring::new(shared.buffered.clone()),
+            skipped: None,
+            outgoing: OutgoingBytes::new(&shared.memory),
             owed: BTreeMap::new(),
             replies: VecDeque::new(),
             reply_ends: VecDeque::new(),
@@ -287,6 +313,7 @@
             half_closed: false,
             closes_at: None,
             paused_until: None,
+            _memory: Charge::new(&shared.memory, MemoryUse::Connections, CONNECTION_BYTES),
             shared,
         }
     }
@@ -332,11 +359,16 @@
         self.owed.len() + self.replies.len() + self.reply_ends.len()
     }
 
+    /// Returns whether a part of the next message has arrived.
+    fn is_within_message(&self) -> bool {
+        !self.incoming.is_empty() || self.skipped.is_some()
+    }
+
     /// Returns how the connection uses its slot, and until when it may use it so.
     fn slot_use(&self) -> (SlotUse, Instant) {
         match (
             self.open_count(),
-            self.has_received_message && self.incoming.is_empty(),
+            self.has_received_message && !self.is_within_message(),
         ) {
             (1.., _) => (SlotUse::Busy, self.unused_since),
             (0, false) => (
@@ -440,6 +472,9 @@
             if self.eof_at.is_some() {
                 break;
             }
+            if self.incoming.len() == self.incoming.capacity() {
+                self.make_room()?;
+            }
             match system_calls::read(&self.stream, self.incoming.free_space()) {
                 Transfer::Bytes(0) => {
                     let closed_at = self.earliest_arrival(first_read);
@@ -449,7 +484,7 @@
                     self.state.closed_at.set(Some(closed_at));
                 }
                 Transfer::Bytes(n) => {
-                    if self.has_received_message && self.incoming.is_empty() {
+                    if self.has_received_message && !self.is_within_message() {
                         self.unused_since = Instant::now();
                     }
                     self.incoming.commit(n);
@@ -472,6 +507,58 @@
         Ok(())
     }
 
+    /// Makes room for more of an incomplete message, or skips the rest of it if there is no memory.
+    fn make_room(&mut self) -> Result<(), CloseReason> {
+        let received = self.incoming.len();
+        let wanted = self
+            .min_message_bytes
+            .clamp(received + 1, received + READ_STEP_BYTES);
+        match self.incoming.try_reserve(wanted) {
+            true => Ok(()),
+            false => self.skip_message(),
+        }
+    }
+
+    /// Releases the received part of a message, and remembers how it is answered once the rest has arrived. A message is
+    /// answered when it is complete, because its client does not expect an answer before.
+    fn skip_message(&mut self) -> Result<(), CloseReason> {
+        count(&self.shared.counts.messages_skipped);
+        let received = self.incoming.as_contiguous();
+        let (value, length) = msgpack::read_without_last_binary(received, MAX_MESSAGE_BYTES)
+            .map_err(|_| CloseReason::Broken("no memory for a message"))?;
+        let message = read_message(self.id, &value, &self.shared.classes, |_| None);
+        self.skipped = Some(SkippedMessage {
+            message,
+            bytes_left: length - received.len(),
+        });
+        self.incoming.consume(self.incoming.len());
+        self.incoming.release_memory(false);
+        self.min_message_bytes = 1;
+        Ok(())
+    }
+
+    /// Drops received bytes of a message that is skipped, and handles the message once it has ended.
+    fn drop_skipped_bytes(&mut self) -> Result<(), CloseReason> {
+        let Some(mut skipped) = self.skipped.take() else {
+            return Ok(());
+        };
+        let n = skipped.bytes_left.min(self.incoming.len());
+        self.incoming.consume(n);
+        skipped.bytes_left -= n;
+        if skipped.bytes_left > 0 {
+            self.skipped = Some(skipped);
+            return Ok(());
+        }
+        self.on_message_end();
+        self.handle_message(skipped.message)
+    }
+
+    /// Records that a message has arrived and another one may begin.
+    fn on_message_end(&mut self) {
+        self.min_message_bytes = 1;
+        (self.has_received_message, self.unused_since) = (true, Instant::now());
+    }
+
     /// Returns when the system received the last data of this connection.
     fn last_data_at(&self) -> Option<Instant> {
         let age = system_calls::time_since_last_data(&self.stream)?;
@@ -521,22 +608,22 @@
     /// Queues the answer to a request, unless the client has revoked the request.
     fn reply(&mut self, number: u32, reply: Reply) {
         if self.owed.remove(&number).is_some() {
-            self.replies.push_back((number, reply));
+            self.replies.push_back(OutgoingAnswer::Reply(number, reply));
         }
     }
 
     /// Encodes and writes answers until the socket accepts no more.
     fn write(&mut self) -> Result<(), CloseReason> {
         loop {
-            while self.outgoing.len() < WRITE_BATCH_BYTES {
-                let Some((number, reply)) = self.replies.pop_front() else {
+            while self.outgoing.len() < WRITE_BATCH_BYTES && !self.outgoing.has_body() {
+                let Some(answer) = self.replies.pop_front() else {
                     break;
                 };
                 if self.outgoing.is_empty() {
                     self.last_progress = Instant::now();
                 }
                 let before = self.outgoing.len();
-                encode_reply(number, reply, &mut self.outgoing);
+                encode_answer(answer, &mut self.outgoing);
                 self.encoded += (self.outgoing.len() - before) as u64;
                 self.reply_ends.push_back(self.encoded);
             }
@@ -544,7 +631,7 @@
                 self.outgoing.release_memory(self.replies.is_empty());
                 return Ok(());
             }
-            match system_calls::write(&self.stream, self.outgoing.as_slices().0) {
+            match system_calls::write(&self.stream, &self.outgoing.parts()) {
                 Transfer::Bytes(n) => {
                     self.outgoing.consume(n);
                     self.written += n as u64;
@@ -570,10 +657,15 @@
 
     /// Handles all complete messages in the input buffer.
     fn parse(&mut self, first_read: bool) -> Result<(), CloseReason> {
+        if !self.half_closed {
+            self.drop_skipped_bytes()?;
+        }
         while self.incoming.len() >= self.min_message_bytes && !self.half_closed {
+            let shared = &self.shared;
+            let admit = |bytes| shared.memory.try_charge(MemoryUse::Requests, bytes);
             let bytes = self.incoming.as_contiguous();
             let (mut message, n) = match msgpack::read(bytes, MAX_MESSAGE_BYTES) {
-                Ok((value, n)) => (read_message(self.id, &value, &self.shared.classes), n),
+                Ok((value, n)) => (read_message(self.id, &value, &shared.classes, admit), n),
                 Err(ParseError::Incomplete(min_bytes)) => {
                     self.min_message_bytes = min_bytes;
                     break;
@@ -581,8 +673,7 @@
                 Err(ParseError::Malformed(why)) => (Message::Malformed(why), 0),
             };
             self.incoming.consume(n);
-            self.min_message_bytes = 1;
-            (self.has_received_message, self.unused_since) = (true, Instant::now());
+            self.on_message_end();
             if let Message::Request(request) = &mut message {
                 request.arrived_at = self.sent_at(first_read);
                 request.client = self.state.clone();
@@ -600,9 +691,20 @@
         };
         match message {
             Message::Malformed(why) => return malformed(why),
-            Message::Request(_) if self.open_count() >= MAX_OPEN_REQUESTS => {
+            Message::Request(_) | Message::NotAdmitted(..)
+                if self.open_count() >= MAX_OPEN_REQUESTS =>
+            {
                 return malformed("too many open requests");
             }
+            Message::NotAdmitted(id, class) => {
+                if self.owed.insert(id.number, Rc::default()).is_some() {
+                    return malformed("a request number is used twice");
+                }
+                let _ = self
+                    .shared
+                    .queue
+                    .send(Inbound::Client(FromClient::NotAdmitted(id, class)));
+            }
             Message::Request(request) => {
                 let owed = self.owed.insert(request.id.number, request.closed.clone());
                 if owed.is_some() {
@@ -613,7 +715,7 @@
                 let _ = self
                     .shared
                     .queue
-                    .send(Inbound::Client(FromClient::Requested(*request)));
+                    .send(Inbound::Client(FromClient::Requested(request)));
             }
             Message::Revoke(number) => {
                 if let Some(closed) = self.owed.remove(&number) {
@@ -634,10 +736,9 @@
                 return malformed("too many unread answers");
             }
             Message::Heartbeat(number) => {
-                let before = self.outgoing.len();
-                encode_heartbeat(number, !self.shared.ending.get(), &mut self.outgoing);
-                self.encoded += (self.outgoing.len() - before) as u64;
-                self.reply_ends.push_back(self.encoded);
+                let is_ready = !self.shared.ending.get();
+                self.replies
+                    .push_back(OutgoingAnswer::Heartbeat(number, is_ready));
                 self.write()?;
             }
             Message::Invalid(number) => {
@@ -659,22 +760,24 @@
     socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
 }
 
+/// Appends an answer.
+fn encode_answer(answer: OutgoingAnswer, out: &mut OutgoingBytes<CountedBytes>) {
+    match answer {
+        OutgoingAnswer::Reply(number, reply) => encode_reply(number, reply, out),
+        OutgoingAnswer::Heartbeat(number, is_ready) => encode_heartbeat(number, is_ready, out),
+    }
+}
+
 /// Appends an answer with its body or its error.
-fn encode_reply(number: u32, reply: Reply, out: &mut Ring) {
+fn encode_reply(number: u32, reply: Reply, out: &mut OutgoingBytes<CountedBytes>) {
     let mut head = Vec::with_capacity(64);
     msgpack::put_array(&mut head, 4);
     msgpack::put_int(&mut head, 1);
     msgpack::put_int(&mut head, number);
-    let mut done = |body: &[u8], fields: &[(&str, &str)]| {
-        msgpack::put_nil(&mut head);
-        msgpack::put_array(&mut head, 2);
-        msgpack::put_bin_head(&mut head, body.len());
-        out.reserve(out.len() + head.len() + body.len() + FIELDS_RESERVE_BYTES);
-        out.push(&head);
-        out.push(body);
-        let mut encoded_fields = Vec::new();
-        msgpack::put_map(&mut encoded_fields, fields);
-        out.push(&encoded_fields);
+    let put_done = |head: &mut Vec<u8>, body_length: usize| {
+        msgpack::put_nil(head);
+        msgpack::put_array(head, 2);
+        msgpack::put_bin_head(head, body_length);
     };
     let failed = |head: &mut Vec<u8>, error_name: &str, fields: &[(&str, &str)]| {
         msgpack::put_array(head, 2);
@@ -683,8 +786,15 @@
         msgpack::put_nil(head);
     };
     match reply {
-        Reply::Served(body) => return done(body.bytes(), &[]),
-        Reply::NotModified => return done(&[], &[("same", "1")]),
+        Reply::Served(body) => {
+            put_done(&mut head, body.bytes().len());
+            out.push(&head);
+            return out.push_body(body, EMPTY_MAP);
+        }
+        Reply::NotModified => {
+            put_done(&mut head, 0);
+            msgpack::put_map(&mut head, &[("same", "1")]);
+        }
         Reply::Refused { retry_after: None } => failed(&mut head, "Throttled", &[]),
         Reply::Refused {
             retry_after: Some(span),
@@ -697,18 +807,18 @@
     out.push(&head);
 }
 
-/// The space reserved for the fields that follow a body.
-const FIELDS_RESERVE_BYTES: usize = 64;
+/// An encoded map without entries: the fields that follow a body.
+const EMPTY_MAP: &[u8] = &[0x80];
 
 /// Appends the answer to a heartbeat, which says whether the process accepts more requests.
-fn encode_heartbeat(number: u32, ready: bool, out: &mut Ring) {
+fn encode_heartbeat(number: u32, is_ready: bool, out: &mut OutgoingBytes<CountedBytes>) {
     let mut bytes = Vec::new();
     msgpack::put_array(&mut bytes, 4);
     msgpack::put_int(&mut bytes, 1);
     msgpack::put_int(&mut bytes, number);
     msgpack::put_nil(&mut bytes);
     msgpack::put_array(&mut bytes, 2);
-    msgpack::put_bool(&mut bytes, ready);
+    msgpack::put_bool(&mut bytes, is_ready);
     msgpack::put_map(&mut bytes, &[]);
     out.push(&bytes);
 }
@@ -717,6 +827,8 @@
 enum Message {
     /// A valid request.
     Request(Box<ClientRequest>),
+    /// A valid request of this class, for which there is no memory.
+    NotAdmitted(ClientRequestId, ClassId),
     /// The client no longer waits for the answer to this request.
     Revoke(u32),
     /// A heartbeat with this message number.
@@ -745,8 +857,13 @@
     }
 }
 
-/// Interprets a MessagePack-RPC message.
-fn read_message(client: ClientId, value: &Value, classes: &HashMap<String, ClassId>) -> Message {
+/// Interprets a MessagePack-RPC message. `admit` counts the memory of a request, and returns `None` if there is none.
+fn read_message(
+    client: ClientId,
+    value: &Value,
+    classes: &HashMap<String, ClassId>,
+    admit: impl FnOnce(usize) -> Option<Charge>,
+) -> Message {
     let Value::Array(items) = value else {
         return Message::Malformed("a message is not an array");
     };
@@ -760,10 +877,8 @@
                 Some("heartbeat") => Message::Heartbeat(number),
                 Some(method) => classes
                     .get(method)
-                    .and_then(|&class| read_request(id, class, params))
-                    .map_or(Message::Invalid(number), |request| {
-                        Message::Request(Box::new(request))
-                    }),
+                    .and_then(|&class| read_request(id, class, params, admit))
+                    .unwrap_or(Message::Invalid(number)),
                 None => Message::Invalid(number),
             }
         }
@@ -776,7 +891,12 @@
 }
 
 /// Reads the parameters of a request; `None` if they are invalid.
-fn read_request(id: ClientRequestId, class: ClassId, params: &Value) -> Option<ClientRequest> {
+fn read_request(
+    id: ClientRequestId,
+    class: ClassId,
+    params: &Value,
+    admit: impl FnOnce(usize) -> Option<Charge>,
+) -> Option<Message> {
     let Value::Array(params) = params else {
         return None;
     };
@@ -804,24 +924,35 @@
         .all(|name| field(name).as_ref().is_none_or(is_safe));
     let time_left_ms: f64 = field("allow")?.parse().ok()?;
     let size: Option<f64> = field("room").map(str::parse).transpose().ok()?;
-    let request = ClientRequest {
+    let reference = text_field("ref")?;
+    let object_name = text_field("lookup")?;
+    let object = object_id(field("lookup")?)?;
+    let group = GroupId(field("group").unwrap_or("0").parse().ok()?);
+    let part = field("part").unwrap_or("0").parse().ok()?;
+    let within_limits =
+        body.len() <= MAX_BODY_BYTES && (0.0..=MAX_TIME_LEFT_MS).contains(&time_left_ms);
+    if !all_safe || !within_limits {
+        return None;
+    }
+    let Some(memory) = admit(REQUEST_OVERHEAD_BYTES + body.len()) else {
+        return Some(Message::NotAdmitted(id, class));
+    };
+    Some(Message::Request(Box::new(ClientRequest {
         id,
         arrived_at: Instant::now(),
-        reference: text_field("ref")?.into(),
+        reference: reference.into(),
         time_left: TimeSpan::from_secs_f64(time_left_ms / 1000.0),
         class,
-        object: object_id(field("lookup")?)?,
-        object_name: text_field("lookup")?,
-        group: GroupId(field("group").unwrap_or("0").parse().ok()?),
-        part: field("part").unwrap_or("0").parse().ok()?,
+        object,
+        object_name,
+        group,
+        part,
         size_kb: size.filter(|kb| kb.is_finite() && *kb > 0.0),
         idempotency_key: text_field("replay"),
         held_etag: text_field("have"),
         body: body.into(),
+        _memory: memory,
         closed: Rc::default(),
         client: Rc::default(),
-    };
-    let within_limits =
-        body.len() <= MAX_BODY_BYTES && (0.0..=MAX_TIME_LEFT_MS).contains(&time_left_ms);
-    (all_safe && within_limits).then_some(request)
+    })))
 }
--- a/crates/trailproxyd/src/dispatch/clients.rs
+++ b/crates/trailproxyd/src/dispatch/clients.rs
@@ -1,8 +1,10 @@
 //! Events of client connections, and the replies sent to them.
 
 use super::{Client, Dispatch};
+use crate::checks::count;
 use crate::messages::{ClientId, ClientRequestId, FromClient, Reply, ToClient};
 use trailproxy::interface::Event;
+use trailproxy::policy::refusals::GiveUpReason;
 use trailproxy::units::{RequestId, Timestamp};
 
 impl Dispatch {
@@ -21,7 +23,11 @@
                 };
                 self.state.clients.insert(client, opened);
             }
-            FromClient::Requested(request) => self.on_request(now, request),
+            FromClient::Requested(request) => self.on_request(now, *request),
+            FromClient::NotAdmitted(request, class) => {
+                count(&self.counts.accesses);
+                self.refuse_unread(now, request, class, GiveUpReason::MemoryFull);
+            }
             FromClient::Cancelled(request) => self.on_request_cancelled(now, request),
             FromClient::HalfClosed(client) => self.on_client_half_closed(now, client),
             FromClient::Closed(client) => {
--- a/crates/trailproxyd/src/dispatch/figures.rs
+++ b/crates/trailproxyd/src/dispatch/figures.rs
@@ -1,6 +1,7 @@
 //! Periodic log lines: counts, sizes and the account of traffic between zones.
 
 use super::Dispatch;
+use crate::memory::{MemoryAccount, MemoryUse};
 use slog::info;
 use tokio::time::Instant;
 
@@ -31,8 +32,9 @@
         let state = &self.state;
         info!(self.log, "figures"; "counts" => self.counts.summary(), "open" => state.requests.len(),
             "calls" => state.client_requests.len(), "clients" => state.clients.len(), "out" => attempts,
-            "lines" => connections, "pools" => pools, "ids" => state.references.len(), "timers" => state.deadlines.len() + state.timers.len(),
-            "held" => self.pools.shared.buffered.bytes(), "process" => process_figures());
+            "lines" => connections, "pools" => pools, "ids" => state.ids.len(), "timers" => state.deadlines.len() + state.timers.len(),
+            "held" => held_bytes(&self.pools.shared.memory), "memory" => memory_figures(&self.pools.shared.memory),
+            "process" => process_figures());
         if let Some(store) = &self.decisions.crossings.store {
             info!(self.log, "store counts"; "what" => store.summary());
         }
@@ -53,6 +55,23 @@
     }
 }
 
+/// The bytes that requests and answers use.
+fn held_bytes(memory: &MemoryAccount) -> usize {
+    memory.used(MemoryUse::Requests) + memory.used(MemoryUse::Answers)
+}
+
+/// The memory by its use, with the estimate of what is not counted.
+fn memory_figures(memory: &MemoryAccount) -> String {
+    let [connections, requests, answers] = [
+        MemoryUse::Connections,
+        MemoryUse::Requests,
+        MemoryUse::Answers,
+    ]
+    .map(|kind| memory.used(kind));
+    let overhead = memory.overhead();
+    format!("connections={connections} requests={requests} answers={answers} overhead={overhead}")
+}
+
 /// Resident memory with its peak, open descriptors and processor time, as the kernel reports them.
 fn process_figures() -> String {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/crates/trailproxyd/src/dispatch/mod.rs
+++ b/crates/trailproxyd/src/dispatch/mod.rs
@@ -17,10 +17,11 @@
     ClientId, ClientRequest, ClientRequestId, Clock, ConnectionId, FromHost, Inbound, JournalEntry,
     ToClient, next_queued,
 };
+use crate::request_ids::RequestIds;
 use crate::subsystems::Subsystems;
 use local_channel::mpsc;
 use slog::{Logger, info, warn};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
@@ -104,11 +105,8 @@
     requests: BTreeMap<RequestId, PendingRequest>,
     /// Requests without a final answer, by client and number.
     client_requests: BTreeMap<ClientRequestId, RequestId>,
-    /// Ids of open requests, under which hosts send their answers, and ids that were open so recently that a host may
-    /// still know them: a host would treat a second request under such an id as another copy of the first.
-    references: BTreeSet<Rc<str>>,
-    /// Ids of removed requests, each with the time until which it stays reserved.
-    retired_references: VecDeque<(Timestamp, Rc<str>)>,
+    /// The ids under which hosts know requests.
+    ids: RequestIds,
     clients: BTreeMap<ClientId, Client>,
     /// Deadlines of requests without a final answer.
     deadlines: BTreeSet<(Timestamp, RequestId)>,
--- a/crates/trailproxyd/src/dispatch/requests.rs
+++ b/crates/trailproxyd/src/dispatch/requests.rs
@@ -8,7 +8,7 @@
 use trailproxy::interface::{Arrival, Effect, Event};
 use trailproxy::policy::permits;
 use trailproxy::policy::refusals::GiveUpReason;
-use trailproxy::units::{RequestId, TimeSpan, Timestamp};
+use trailproxy::units::{ClassId, RequestId, TimeSpan, Timestamp};
 
 impl Dispatch {
     /// Cancels the attempts of a request that are not written yet, also where the settings do not allow the
@@ -26,22 +26,30 @@
         any_pending
     }
 
+    /// Refuses a new request that the decisions have not seen, and tells its client when to come back.
+    pub(super) fn refuse_unread(
+        &mut self,
+        now: Timestamp,
+        request: ClientRequestId,
+        class: ClassId,
+        reason: GiveUpReason,
+    ) {
+        count(&self.counts.rejected);
+        count(self.counts.given_up(reason));
+        let retry_after = self.decisions.retry_after(now, class);
+        self.send_reply(request, Reply::Refused { retry_after });
+    }
+
     /// Takes a new request: refuses it if the table is full, fails it if its id is in use, and otherwise hands it to
     /// the decisions, or first to the subsystem that knows earlier attempts under its key.
     pub(super) fn on_request(&mut self, now: Timestamp, client_request: ClientRequest) {
         count(&self.counts.accesses);
         let max_open = self.pools.shared.bounds.max_open;
         if !permits::may_take(self.state.requests.len(), max_open) {
-            count(&self.counts.rejected);
-            count(self.counts.given_up(GiveUpReason::TableFull));
-            let retry_after = self.decisions.retry_after(now, client_request.class);
-            return self.send_reply(client_request.id, Reply::Refused { retry_after });
+            let (id, class) = (client_request.id, client_request.class);
+            return self.refuse_unread(now, id, class, GiveUpReason::TableFull);
         }
-        if !self
-            .state
-            .references
-            .insert(client_request.reference.clone())
-        {
+        if !self.state.ids.reserve(&client_request.reference) {
             count(&self.counts.bad_clients);
             count(&self.counts.ids_again);
             return self.send_reply(client_request.id, Reply::Failed);
@@ -125,18 +133,13 @@
         if self.state.requests.get(&id).is_some_and(finished)
             && let Some(request) = self.state.requests.remove(&id)
         {
-            let reference = request.client_request.reference.clone();
             // No host keeps a request longer than its own deadline or the longest deadline of any class. The second
             // bound matters because a client may state a wait of an hour, and that must not keep all ids that end
             // behind it.
             let until = request.deadline.min(now + max_deadline) + max_deadline;
-            self.state.retired_references.push_back((until, reference));
             let max_open = self.pools.shared.bounds.max_open;
-            if self.state.retired_references.len() > max_open
-                && let Some((_, oldest)) = self.state.retired_references.pop_front()
-            {
-                self.state.references.remove(&oldest);
-            }
+            let reference = &request.client_request.reference;
+            self.state.ids.retire(reference, until, max_open);
         }
     }
 
--- a/crates/trailproxyd/src/dispatch/sharing.rs
+++ b/crates/trailproxyd/src/dispatch/sharing.rs
@@ -2,8 +2,8 @@
 //! dispatchers know to be restricted.
 
 use super::Dispatch;
-use crate::buffered::CountedBytes;
 use crate::held_requests::SubsystemEvent;
+use crate::memory::CountedBytes;
 use crate::messages::Reply;
 use crate::peers_socket::Received;
 use slog::info;
@@ -50,7 +50,7 @@
             match event {
                 SubsystemEvent::MayStart(arrival) => self.submit_arrival(now, arrival),
                 SubsystemEvent::AnsweredFromRecord(id, body) => {
-                    let body = CountedBytes::new(&body, &self.pools.shared.buffered);
+                    let body = CountedBytes::new(&body, &self.pools.shared.memory);
                     self.answer(now, id, Reply::Served(body), "from_record");
                     self.remove_if_finished(now, id);
                 }
--- a/crates/trailproxyd/src/dispatch/timers.rs
+++ b/crates/trailproxyd/src/dispatch/timers.rs
@@ -40,13 +40,7 @@
     /// timers.
     pub(super) fn advance_timers(&mut self, now: Timestamp) {
         self.pools.expire(self.clock.instant(now));
-        while let Some((_, id)) = self
-            .state
-            .retired_references
-            .pop_front_if(|(until, _)| *until <= now)
-        {
-            self.state.references.remove(&id);
-        }
+        self.state.ids.expire(now);
         let due: Vec<RequestId> = {
             let due = self.state.deadlines.iter().take_while(|(at, _)| *at <= now);
             due.map(|&(_, id)| id).collect()
--- a/crates/trailproxyd/src/host_connection.rs
+++ b/crates/trailproxyd/src/host_connection.rs
@@ -3,13 +3,14 @@
 //! Each connection is served by a task of its own, which receives attempts from the pool and reports their answers to
 //! the dispatcher's queue.
 
-use crate::buffered::{BufferedBytes, CountedBytes};
 use crate::checks::{check_invariant, count};
 use crate::host_context::HostContext;
+use crate::memory::{Charge, CountedBytes, MemoryAccount, MemoryUse};
 use crate::messages::*;
 use crate::msgpack::ParseError;
+use crate::outgoing::OutgoingBytes;
 use crate::resp;
-use crate::ring::Ring;
+use crate::ring::{MIN_CAPACITY_BYTES, Ring};
 use crate::stall_detector::Stall;
 use crate::system_calls::{self, RESOURCE_RETRY_DELAY, Transfer};
 use local_channel::mpsc;
@@ -22,6 +23,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::interface::{Ending, Note};
+use trailproxy::policy::memory::CONNECTION_BYTES;
 use trailproxy::policy::permits;
 use trailproxy::units::{HostId, TimeSpan, Timestamp};
 
@@ -31,13 +33,24 @@
 const STRINGS_PER_MESSAGE: usize = 4;
 /// The prefix of a probe's tag. It differs from every request id, because those are hex digits.
 const PROBE_PREFIX: &str = "probe-";
-/// How often a connection that has stopped reading checks whether buffer memory is free again.
+/// How often a connection that has stopped reading checks whether there is memory again.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+/// How much of the answers a connection reads at once, if there is memory for it.
+const READ_BYTES: usize = 16 * 1024;
 
 /// How long the message that cancels a request may be in transit. Until then the host may still process the request,
 /// and sending the same request to another host would make a second copy.
 const CANCEL_TRANSIT_TIME: Duration = Duration::from_millis(5);
 
+/// The body of a request, which is kept with the request.
+struct RequestBody(Rc<ClientRequest>);
+
+impl AsRef<[u8]> for RequestBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.0.body
+    }
+}
+
 /// A message that waits to be written.
 enum OutgoingMessage {
     /// A request for the host.
@@ -69,7 +82,7 @@
     /// The next message has at least this many bytes.
     min_message_bytes: usize,
     /// The message that is being written, if any. A message of which no byte could be written is taken out again.
-    outgoing: Ring,
+    outgoing: OutgoingBytes<RequestBody>,
     /// The attempt whose request is in `outgoing`.
     attempt_in_outgoing: Option<AttemptRequest>,
     /// Whether a byte of the message in `outgoing` was written.
@@ -95,6 +108,8 @@
     paused_until: Option<Instant>,
     /// The last stall of the process after which client connections were read first.
     last_yielded_stall: Option<Stall>,
+    /// Counts the memory of the connection.
+    _memory: Charge,
 }
 
 /// Why the connection closes. The text goes to the log, and some texts choose a counter.
@@ -114,9 +129,9 @@
             id,
             stream,
             orders,
-            incoming: Ring::new(shared.buffered.clone()),
+            incoming: Ring::new(&shared.memory, MemoryUse::Answers),
             min_message_bytes: 1,
-            outgoing: Ring::new(shared.buffered.clone()),
+            outgoing: OutgoingBytes::new(&shared.memory),
             attempt_in_outgoing: None,
             has_begun: false,
             last_write_at: Instant::now(),
@@ -130,6 +145,7 @@
             unusable_reported: false,
             paused_until: None,
             last_yielded_stall: None,
+            _memory: Charge::new(&shared.memory, MemoryUse::Connections, CONNECTION_BYTES),
             shared,
         }
     }
@@ -256,10 +272,8 @@
         }
         self.yield_after_stall().await;
         // Read before writing, so that a close by the host is known before anything more is sent.
-        let may_read = self.shared.buffered.bytes() < self.shared.max_buffered_bytes;
-        if may_read {
-            self.read()?;
-        } else {
+        let may_read = self.read()?;
+        if !may_read {
             count(&self.shared.counts.reading_paused);
         }
         self.write()?;
@@ -276,7 +290,7 @@
         // From then on the connection is unusable: the rest of a partial answer has not arrived for a dial timeout, and
         // it would delay the answers to later requests as well.
         let stuck_at = self.last_received_at + self.shared.dial_timeout();
-        let has_partial_answer = !self.incoming.is_empty() && !self.unusable_reported;
+        let has_partial_answer = may_read && !self.incoming.is_empty() && !self.unusable_reported;
         if idle && self.retired {
             return Err("retired");
         }
@@ -375,7 +389,8 @@
         }
         if let Some(attempt) = self.attempt_in_outgoing.take() {
             self.open.remove(&attempt.request.reference);
-            self.outgoing.consume(self.outgoing.len());
+            self.outgoing.clear();
+            self.outgoing.release_memory(true);
             self.unsent.push_front(OutgoingMessage::Attempt(attempt));
         }
     }
@@ -419,7 +434,7 @@
             } else if self.is_stalled(now) {
                 return Err("write stalled within a request");
             }
-            match system_calls::write(&self.stream, self.outgoing.as_slices().0) {
+            match system_calls::write(&self.stream, &self.outgoing.parts()) {
                 Transfer::Bytes(n) => {
                     if !std::mem::replace(&mut self.has_begun, true) {
                         self.check_begun(now);
@@ -460,12 +475,14 @@
                 resp::put_array(&mut out, 2);
                 resp::put_word(&mut out, b"KILL");
                 resp::put_word(&mut out, reference.as_bytes());
+                self.outgoing.push(&out);
             }
             OutgoingMessage::Probe(id) => {
                 let tag = format!("{PROBE_PREFIX}{}", id.0);
                 resp::put_array(&mut out, 2);
                 resp::put_word(&mut out, b"METER");
                 resp::put_word(&mut out, tag.as_bytes());
+                self.outgoing.push(&out);
                 self.probe = Some(id);
             }
             OutgoingMessage::Attempt(attempt) => {
@@ -481,7 +498,10 @@
                 resp::put_word(&mut out, request.reference.as_bytes());
                 let timestamp = self.shared.clock.timestamp(now);
                 resp::put_word(&mut out, encode_fields(&attempt, timestamp).as_bytes());
-                resp::put_word(&mut out, &request.body);
+                resp::put_word_head(&mut out, request.body.len());
+                self.outgoing.push(&out);
+                self.outgoing
+                    .push_body(RequestBody(request.clone()), resp::WORD_END);
                 let open = OpenAttempt {
                     id: attempt.id,
                     sent_at: now,
@@ -492,39 +512,48 @@
                 self.attempt_in_outgoing = Some(attempt);
             }
         }
-        self.outgoing.push(&out);
     }
 
-    /// Reads and handles answers until nothing more is available or too many bytes are buffered.
-    fn read(&mut self) -> Result<(), CloseReason> {
+    /// Reserves the memory for the next answer as far as its length is known, and returns whether it could. An answer
+    /// whose memory is reserved can always be read to its end, so that others do not wait for each other's memory.
+    fn make_room(&mut self) -> bool {
+        let wanted = self.min_message_bytes.max(self.incoming.len() + 1);
+        self.incoming.try_reserve(wanted.max(READ_BYTES)) || self.incoming.try_reserve(wanted)
+    }
+
+    /// Reads and handles answers until nothing more is available, or until there is no memory for the next one. Returns
+    /// whether there was memory.
+    fn read(&mut self) -> Result<bool, CloseReason> {
         loop {
-            self.incoming.reserve(self.min_message_bytes);
+            if !self.parse()? || !self.make_room() {
+                return Ok(false);
+            }
             match system_calls::read(&self.stream, self.incoming.free_space()) {
                 Transfer::Bytes(0) => return Err("closed"),
                 Transfer::Bytes(n) => {
                     self.incoming.commit(n);
                     (self.last_received_at, self.last_active_at) = (Instant::now(), Instant::now());
-                    self.parse()?;
-                    if self.shared.buffered.bytes() >= self.shared.max_buffered_bytes {
-                        return Ok(());
-                    }
                 }
                 Transfer::NotReady => {
                     self.incoming.release_memory(true);
-                    return Ok(());
+                    return Ok(true);
                 }
                 Transfer::ResourceShortage => {
                     self.pause();
-                    return Ok(());
+                    return Ok(true);
                 }
                 Transfer::Failed(_) => return Err("reset"),
             }
         }
     }
 
-    /// Handles all complete answers in the input buffer.
-    fn parse(&mut self) -> Result<(), CloseReason> {
+    /// Handles all complete answers in the input buffer. Returns false if there is no memory for the next one.
+    ///
+    /// A body is copied from the buffer. Where memory is short, it gets that of the buffer, unless the buffer has only
+    /// the minimum, which was reserved without asking.
+    fn parse(&mut self) -> Result<bool, CloseReason> {
         while self.incoming.len() >= self.min_message_bytes {
+            let is_minimal = self.incoming.capacity() <= MIN_CAPACITY_BYTES;
             let (strings, n) = match resp::read(
                 self.incoming.as_contiguous(),
                 STRINGS_PER_MESSAGE,
@@ -533,9 +562,9 @@
                 Ok(read) => read,
                 Err(ParseError::Incomplete(min_bytes)) => {
                     self.min_message_bytes = min_bytes;
-                    return Ok(());
+                    return Ok(true);
                 }
-                Err(ParseError::Malformed(why)) => return self.malformed(why),
+                Err(ParseError::Malformed(why)) => return Err(self.malformed(why)),
             };
             let first_string = strings
                 .first()
@@ -551,17 +580,23 @@
                 continue;
             }
             let [reference, status, fields, body] = strings.as_slice() else {
-                return self.malformed("an answer does not have four strings");
+                return Err(self.malformed("an answer does not have four strings"));
             };
-            let attempt = std::str::from_utf8(reference)
-                .ok()
-                .and_then(|reference| self.open.remove(reference));
+            let reference = std::str::from_utf8(reference).ok();
+            let has_memory = self.shared.memory.may_add(MemoryUse::Answers, body.len());
+            if !has_memory && is_minimal {
+                return Ok(false);
+            }
+            let attempt = reference.and_then(|reference| self.open.remove(reference));
             let strings = [*status, *fields, *body];
             let answer = attempt
                 .as_ref()
-                .map(|attempt| read_answer(strings, attempt, &self.shared.buffered));
+                .map(|attempt| read_answer(strings, attempt, &self.shared.memory));
             self.incoming.consume(n);
             self.min_message_bytes = 1;
+            if !has_memory {
+                self.incoming.shrink();
+            }
             match (attempt, answer) {
                 (Some(attempt), Some(Some(answer))) => {
                     self.shared
@@ -569,21 +604,21 @@
                 }
                 (Some(attempt), _) => {
                     self.end(attempt.id, Ending::ConnectionLost);
-                    return self.malformed("an answer has an unknown or invalid form");
+                    return Err(self.malformed("an answer has an unknown or invalid form"));
                 }
                 // The attempt was cancelled before.
                 (None, _) => count(&self.shared.counts.late_answers),
             }
         }
-        Ok(())
+        Ok(true)
     }
 
-    /// Logs an answer that can't be read, and returns the reason as an error.
-    fn malformed(&self, why: CloseReason) -> Result<(), CloseReason> {
+    /// Logs an answer that can't be read, and returns the reason.
+    fn malformed(&self, why: CloseReason) -> CloseReason {
         count(&self.shared.counts.bad_hosts);
         let host = format!("{:x}", self.host.0);
         warn!(self.shared.log, "host said what can't be read"; "host" => host, "why" => why);
-        Err(why)
+        why
     }
 }
 
@@ -668,7 +703,7 @@
 fn read_answer(
     strings: [&[u8]; 3],
     attempt: &OpenAttempt,
-    buffered: &BufferedBytes,
+    memory: &MemoryAccount,
 ) -> Option<Answer> {
     let [status, fields, body] = strings;
     let fields = std::str::from_utf8(fields).ok()?;
@@ -703,7 +738,7 @@
             .filter(|ms| *ms > 0.0)
             .map(|ms: f64| TimeSpan::from_secs_f64(ms / 1000.0)),
         load_report: read_report(fields),
-        body: (status == b"data").then(|| CountedBytes::new(body, buffered)),
+        body: (status == b"data").then(|| CountedBytes::new(body, memory)),
         issued_at: field("minted").and_then(stamp_of_ms),
     })
 }
--- a/crates/trailproxyd/src/host_context.rs
+++ b/crates/trailproxyd/src/host_context.rs
@@ -1,7 +1,7 @@
 //! The state and helpers that the pools of host connections and each connection share.
 
-use crate::buffered::BufferedBytes;
 use crate::checks::Counts;
+use crate::memory::MemoryAccount;
 use crate::messages::*;
 use crate::stall_detector::StallDetector;
 use crate::trace::Trace;
@@ -20,10 +20,9 @@
     pub clock: Clock,
     /// The number of connections that all pools together may hold.
     pub max_connections: usize,
-    pub buffered: BufferedBytes,
+    /// The memory that requests and answers use. A host is not read from while there is none for its answer.
+    pub memory: MemoryAccount,
     pub stall_detector: Rc<StallDetector>,
-    /// Hosts are not read from while at least this many bytes are buffered.
-    pub max_buffered_bytes: usize,
     pub counts: Rc<Counts>,
     pub log: Logger,
     pub trace: Trace,
--- a/crates/trailproxyd/src/journal_client.rs
+++ b/crates/trailproxyd/src/journal_client.rs
@@ -12,6 +12,7 @@
 use serde_json::Value;
 use slog::{Logger, info, warn};
 use std::collections::HashMap;
+use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -227,7 +228,7 @@
                 .await
                 .map_err(timed_out)?
                 .map_err(failed)?;
-            match system_calls::write(&stream, unsent) {
+            match system_calls::write(&stream, &[IoSlice::new(unsent)]) {
                 Transfer::Bytes(n) => unsent = &unsent[n..],
                 Transfer::NotReady => {}
                 Transfer::ResourceShortage => sleep(RESOURCE_RETRY_DELAY).await,
--- a/crates/trailproxyd/src/lib.rs
+++ b/crates/trailproxyd/src/lib.rs
@@ -1,9 +1,11 @@
-//! Parsers, buffers and the stall detector of the daemon, without I/O and bounded in memory. They are a library so that
+//! Parsers, buffers, the account of memory and the stall detector of the daemon, without connections and bounded in
+//! memory. They are a library so that
 //! tests and other programs that speak the same protocols can use them.
 
-pub mod buffered;
 pub mod http;
+pub mod memory;
 pub mod msgpack;
+pub mod outgoing;
 pub mod resp;
 pub mod ring;
 pub mod sse;
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -18,6 +18,7 @@
 mod peers_runtime;
 mod peers_socket;
 mod reload;
+mod request_ids;
 mod serving;
 mod starting;
 mod startup;
@@ -33,7 +34,7 @@
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
-use trailproxyd::{buffered, http, msgpack, resp, ring, sse, stall_detector};
+use trailproxyd::{http, memory, msgpack, outgoing, resp, ring, sse, stall_detector};
 
 /// The text of `--help`.
 const HELP: &str = "\
--- /dev/null
+++ b/crates/trailproxyd/src/memory.rs
@@ -0,0 +1,232 @@
+//! Counts the memory that requests and answers use, and asks the policy before they use more.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use trailproxy::policy::memory::{self, MemoryFacts};
+use trailproxy::units::TimeSpan;
+
+/// What counted memory is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryUse {
+    /// Connections, without their buffers.
+    Connections,
+    /// Requests, and messages of clients that are not complete.
+    Requests,
+    /// Answers, complete or not, up to their last byte that is written.
+    Answers,
+}
+
+/// The memory of the process, shared by everything that holds requests or answers.
+#[derive(Clone)]
+pub struct MemoryAccount(Rc<State>);
+
+struct State {
+    limit: usize,
+    connections: Cell<usize>,
+    requests: Cell<usize>,
+    answers: Cell<usize>,
+    /// The estimate of what the process uses besides the counted bytes.
+    overhead: Cell<usize>,
+    /// The overhead at the start, below which the estimate never falls.
+    initial_overhead: usize,
+    /// When the resident memory was read last.
+    read_at: Cell<Instant>,
+    /// The bytes that were counted anew since then.
+    added_since_reading: Cell<usize>,
+    /// When free memory was last returned to the system.
+    released_at: Cell<Option<Instant>>,
+}
+
+impl MemoryAccount {
+    /// Creates an account for a process that is killed above `limit` bytes.
+    pub fn new(limit: usize) -> MemoryAccount {
+        let overhead = resident_bytes().unwrap_or(0);
+        MemoryAccount(Rc::new(State {
+            limit,
+            connections: Cell::default(),
+            requests: Cell::default(),
+            answers: Cell::default(),
+            overhead: Cell::new(overhead),
+            initial_overhead: overhead,
+            read_at: Cell::new(Instant::now()),
+            added_since_reading: Cell::default(),
+            released_at: Cell::default(),
+        }))
+    }
+
+    /// Creates an account without a limit.
+    pub fn unlimited() -> MemoryAccount {
+        // Far above any memory, and low enough for sums.
+        MemoryAccount::new(usize::MAX / 4)
+    }
+
+    /// Whether this many more bytes may be used.
+    pub fn may_add(&self, kind: MemoryUse, bytes: usize) -> bool {
+        let age = TimeSpan::from_secs_f64(self.0.read_at.get().elapsed().as_secs_f64());
+        let added = self.0.added_since_reading.get();
+        if memory::reading_is_due(self.0.limit, age, added) {
+            self.read_resident();
+        }
+        self.allows(kind, bytes) || (self.release_free_memory() && self.allows(kind, bytes))
+    }
+
+    /// Counts bytes until the charge is dropped, if they may be used.
+    pub fn try_charge(&self, kind: MemoryUse, bytes: usize) -> Option<Charge> {
+        self.may_add(kind, bytes)
+            .then(|| Charge::new(self, kind, bytes))
+    }
+
+    /// The counted bytes of one kind.
+    pub fn used(&self, kind: MemoryUse) -> usize {
+        self.count_of(kind).get()
+    }
+
+    /// The counted bytes of all kinds.
+    pub fn counted(&self) -> usize {
+        self.0.connections.get() + self.0.requests.get() + self.0.answers.get()
+    }
+
+    /// The estimate of what the process uses besides the counted bytes.
+    pub fn overhead(&self) -> usize {
+        self.0.overhead.get()
+    }
+
+    fn count_of(&self, kind: MemoryUse) -> &Cell<usize> {
+        match kind {
+            MemoryUse::Connections => &self.0.connections,
+            MemoryUse::Requests => &self.0.requests,
+            MemoryUse::Answers => &self.0.answers,
+        }
+    }
+
+    fn allows(&self, kind: MemoryUse, bytes: usize) -> bool {
+        let facts = MemoryFacts {
+            limit: self.0.limit,
+            overhead: self.0.overhead.get(),
+            connections: self.0.connections.get(),
+            requests: self.0.requests.get(),
+            answers: self.0.answers.get(),
+        };
+        match kind {
+            // Their number has limits of its own.
+            MemoryUse::Connections => true,
+            MemoryUse::Requests => memory::may_hold_request(&facts, bytes),
+            MemoryUse::Answers => memory::may_hold_answer(&facts, bytes),
+        }
+    }
+
+    /// Reads the resident memory and derives the overhead from it.
+    fn read_resident(&self) {
+        let counted = self.counted();
+        self.0.read_at.set(Instant::now());
+        self.0.added_since_reading.set(0);
+        if let Some(resident) = resident_bytes() {
+            let initial = self.0.initial_overhead;
+            let overhead = memory::overhead_by_reading(initial, resident, counted);
+            self.0.overhead.set(overhead);
+        }
+    }
+
+    /// Returns free memory of the heap to the system, at intervals, and returns whether it did. Free memory remains
+    /// resident otherwise, and there would be no room for new requests.
+    fn release_free_memory(&self) -> bool {
+        let now = Instant::now();
+        let interval = Duration::from_micros(memory::RELEASE_INTERVAL.0);
+        let released_at = self.0.released_at.get();
+        if released_at.is_some_and(|released_at| now < released_at + interval) {
+            return false;
+        }
+        self.0.released_at.set(Some(now));
+        release_heap();
+        self.read_resident();
+        true
+    }
+}
+
+/// Bytes that count as used until this is dropped.
+pub struct Charge {
+    account: MemoryAccount,
+    kind: MemoryUse,
+    bytes: usize,
+}
+
+impl Charge {
+    /// Counts bytes, also where the policy would not allow them.
+    pub fn new(account: &MemoryAccount, kind: MemoryUse, bytes: usize) -> Charge {
+        let mut charge = Charge {
+            account: account.clone(),
+            kind,
+            bytes: 0,
+        };
+        charge.resize(bytes);
+        charge
+    }
+
+    /// Whether the charge may grow to this many bytes.
+    pub fn may_grow_to(&self, bytes: usize) -> bool {
+        self.account
+            .may_add(self.kind, bytes.saturating_sub(self.bytes))
+    }
+
+    /// Counts this many bytes instead.
+    pub fn resize(&mut self, bytes: usize) {
+        let count = self.account.count_of(self.kind);
+        count.set(count.get() + bytes - self.bytes);
+        let added = &self.account.0.added_since_reading;
+        added.set(added.get() + bytes.saturating_sub(self.bytes));
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.resize(0);
+    }
+}
+
+/// An object's body on its way from a host to a client, which counts as used until it is dropped.
+pub struct CountedBytes {
+    bytes: Vec<u8>,
+    _charge: Charge,
+}
+
+impl CountedBytes {
+    /// Copies `bytes` and counts them for an answer.
+    pub fn new(bytes: &[u8], account: &MemoryAccount) -> CountedBytes {
+        CountedBytes {
+            bytes: bytes.to_vec(),
+            _charge: Charge::new(account, MemoryUse::Answers, bytes.len()),
+        }
+    }
+
+    /// The bytes of the body.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns the resident memory of the process, if the system tells it.
+fn resident_bytes() -> Option<usize> {
+    let sizes = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: usize = sizes.split_whitespace().nth(1)?.parse().ok()?;
+    // SAFETY: the call reads a constant of the system and has no preconditions.
+    let page_bytes = unsafe { libc::sysconf(libc::_SC_PAGESIZE) };
+    Some(pages * usize::try_from(page_bytes).ok()?)
+}
+
+/// Returns free pages of the heap to the system.
+fn release_heap() {
+    #[cfg(target_env = "gnu")]
+    // SAFETY: the call has no preconditions.
+    unsafe {
+        libc::malloc_trim(0);
+    }
+}
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between the tasks of the process: from the tasks that serve clients, hosts, the journal service, the store
 //! and other dispatchers to the task that owns the decisions, and back. They are independent of the wire formats.
 
-use crate::buffered::CountedBytes;
+use crate::memory::{Charge, CountedBytes};
 use crate::operator::OperatorConfig;
 use local_channel::mpsc;
 use std::cell::Cell;
@@ -84,6 +84,8 @@
     pub held_etag: Option<String>,
     /// The bytes that a write carries.
     pub body: Vec<u8>,
+    /// Counts the memory of the request for as long as it exists.
+    pub _memory: Charge,
     /// Whether the request has its final answer or its client has gone, so that no attempt of it may start. The task
     /// that finds that out first sets this, and a connection to a host checks it before it writes. A message about it
     /// that still waits in a queue can therefore not be too late.
@@ -104,7 +106,9 @@
     /// A client connected; replies go to the sender.
     Opened(ClientId, mpsc::Sender<ToClient>),
     /// The client sent a request.
-    Requested(ClientRequest),
+    Requested(Box<ClientRequest>),
+    /// The client sent a request of this class, for which the memory limit leaves no room.
+    NotAdmitted(ClientRequestId, ClassId),
     /// The client cancelled a request.
     Cancelled(ClientRequestId),
     /// The client sends nothing more and may have gone. Attempts that have started may end; no new one starts.
--- a/crates/trailproxyd/src/msgpack.rs
+++ b/crates/trailproxyd/src/msgpack.rs
@@ -38,15 +38,35 @@
     max_length: usize,
     /// The number of values that the message may still contain.
     values_left: usize,
+    /// Whether a binary may be cut off. It is read as an empty one then.
+    may_cut_binary: bool,
 }
 
 /// Returns the first message in the bytes and its length. A message of more than `max_length` bytes is malformed.
 pub fn read(bytes: &[u8], max_length: usize) -> Result<(Value<'_>, usize), ParseError> {
+    read_with(bytes, max_length, false)
+}
+
+/// Returns the first message in the bytes and its length, also if the bytes end within its last value and that is a
+/// binary. The value of a binary that is cut off is empty.
+pub fn read_without_last_binary(
+    bytes: &[u8],
+    max_length: usize,
+) -> Result<(Value<'_>, usize), ParseError> {
+    read_with(bytes, max_length, true)
+}
+
+fn read_with(
+    bytes: &[u8],
+    max_length: usize,
+    may_cut_binary: bool,
+) -> Result<(Value<'_>, usize), ParseError> {
     let mut reader = Reader {
         bytes,
         position: 0,
         max_length,
         values_left: MAX_VALUES,
+        may_cut_binary,
     };
     let value = reader.value(MAX_DEPTH)?;
     Ok((value, reader.position))
@@ -66,6 +86,17 @@
         Ok(taken)
     }
 
+    /// Takes the bytes of a binary, or skips them if they are cut off and may be.
+    fn binary(&mut self, n: usize) -> Result<&'a [u8], ParseError> {
+        match self.take(n) {
+            Err(ParseError::Incomplete(end)) if self.may_cut_binary => {
+                self.position = end;
+                Ok(&[])
+            }
+            taken => taken,
+        }
+    }
+
     fn number(&mut self, n: usize) -> Result<u64, ParseError> {
         let bytes = self.take(n)?;
         Ok(bytes
@@ -108,7 +139,8 @@
                 }
                 Value::Array(items)
             }
-            0xa0..=0xbf | 0xc4..=0xc6 | 0xd9..=0xdb => Value::Bytes(self.take(n)?),
+            0xc4..=0xc6 => Value::Bytes(self.binary(n)?),
+            0xa0..=0xbf | 0xd9..=0xdb => Value::Bytes(self.take(n)?),
             0xc0 => Value::Nil,
             0xc2 | 0xc3 => Value::Bool(code == 0xc3),
             0xca => Value::Float(f32::from_bits(self.number(4)? as u32).into()),
--- a/crates/trailproxyd/src/resp.rs
+++ b/crates/trailproxyd/src/resp.rs
@@ -8,6 +8,9 @@
 /// A longer header line is malformed.
 const MAX_HEADER_BYTES: usize = 16;
 
+/// What follows a bulk string.
+pub const WORD_END: &[u8] = b"\r\n";
+
 /// Returns the strings of the first array in the bytes and the array's length in bytes. An array of more than
 /// `max_strings` strings, or with a string of more than `max_string_bytes` bytes, is malformed.
 pub fn read(
@@ -71,7 +74,12 @@
 
 /// Appends a bulk string.
 pub fn put_word(out: &mut Vec<u8>, string: &[u8]) {
-    out.extend(format!("${}\r\n", string.len()).as_bytes());
+    put_word_head(out, string.len());
     out.extend(string);
-    out.extend(b"\r\n");
+    out.extend(WORD_END);
+}
+
+/// Appends the header of a bulk string of `length` bytes, which [`WORD_END`] follows.
+pub fn put_word_head(out: &mut Vec<u8>, length: usize) {
+    out.extend(format!("${length}\r\n").as_bytes());
 }
--- a/crates/trailproxyd/src/ring.rs
+++ b/crates/trailproxyd/src/ring.rs
@@ -1,27 +1,32 @@
 //! The buffer for one direction of a connection: a ring buffer that grows for a large message and releases its memory
 //! when it is empty.
 
-use crate::buffered::BufferedBytes;
+use crate::memory::{Charge, MemoryAccount, MemoryUse};
 
-/// The capacity that an empty buffer of an active connection keeps, and the step by which a buffer grows.
-pub const MIN_CAPACITY_BYTES: usize = 16 * 1024;
+/// The capacity that an empty buffer of an active connection keeps, and the step by which a buffer grows. Each
+/// connection may have it, however much memory is in use.
+pub const MIN_CAPACITY_BYTES: usize = 4 * 1024;
 
-/// A ring buffer whose capacity is included in [`BufferedBytes`].
+/// What unused space contains. Zeros would come from pages that are not resident before they are written, and what is
+/// counted has to be resident.
+const UNUSED_BYTE: u8 = 0xff;
+
+/// A ring buffer whose capacity is counted in a [`MemoryAccount`].
 pub struct Ring {
     bytes: Box<[u8]>,
     head: usize,
     len: usize,
-    buffered: BufferedBytes,
+    charge: Charge,
 }
 
 impl Ring {
     /// Creates an empty buffer that allocates nothing yet.
-    pub fn new(buffered: BufferedBytes) -> Ring {
+    pub fn new(account: &MemoryAccount, kind: MemoryUse) -> Ring {
         Ring {
             bytes: Box::default(),
             head: 0,
             len: 0,
-            buffered,
+            charge: Charge::new(account, kind, 0),
         }
     }
 
@@ -35,12 +40,17 @@
         self.len == 0
     }
 
+    /// Returns the number of bytes that the buffer can hold without growing.
+    pub fn capacity(&self) -> usize {
+        self.bytes.len()
+    }
+
     fn resize(&mut self, size: usize) {
-        let mut bytes = vec![0; size].into_boxed_slice();
+        let mut bytes = vec![UNUSED_BYTE; size].into_boxed_slice();
         let (first, second) = self.as_slices();
         bytes[..first.len()].copy_from_slice(first);
         bytes[first.len()..first.len() + second.len()].copy_from_slice(second);
-        self.buffered.change(self.bytes.len(), size);
+        self.charge.resize(size);
         (self.bytes, self.head) = (bytes, 0);
     }
 
@@ -51,6 +61,19 @@
         }
     }
 
+    /// Grows the capacity to at least `total` bytes if the memory limit allows it, and returns whether the buffer has
+    /// that capacity. [`MIN_CAPACITY_BYTES`] are always allowed.
+    pub fn try_reserve(&mut self, total: usize) -> bool {
+        let size = total.next_multiple_of(MIN_CAPACITY_BYTES);
+        let allowed = total <= self.bytes.len()
+            || size <= MIN_CAPACITY_BYTES
+            || self.charge.may_grow_to(size);
+        if allowed {
+            self.reserve(total);
+        }
+        allowed
+    }
+
     /// Returns a contiguous part of the free space. It is never empty: the buffer grows if it is full.
     pub fn free_space(&mut self) -> &mut [u8] {
         self.reserve(self.len + 1);
@@ -106,6 +129,11 @@
         };
     }
 
+    /// Releases the free space, up to a multiple of [`MIN_CAPACITY_BYTES`].
+    pub fn shrink(&mut self) {
+        self.resize(self.len.next_multiple_of(MIN_CAPACITY_BYTES));
+    }
+
     /// Releases the memory of an empty buffer: all of it if the connection is idle, otherwise what exceeds
     /// [`MIN_CAPACITY_BYTES`].
     pub fn release_memory(&mut self, idle: bool) {
@@ -115,9 +143,3 @@
         }
     }
 }
-
-impl Drop for Ring {
-    fn drop(&mut self) {
-        self.buffered.change(self.bytes.len(), 0);
-    }
-}
--- a/crates/trailproxyd/src/serving.rs
+++ b/crates/trailproxyd/src/serving.rs
@@ -1,10 +1,10 @@
 //! Builds and runs all tasks of a serving dispatcher.
 
 use crate::accounts::Accounts;
-use crate::buffered::BufferedBytes;
 use crate::checks::Counts;
 use crate::dispatch::Dispatch;
 use crate::host_pools::HostPools;
+use crate::memory::MemoryAccount;
 use crate::messages::{Clock, Inbound};
 use crate::reload::{ActiveConfig, ConfigReceivers, handle_hangups, read_operator};
 use crate::stall_detector::StallDetector;
@@ -57,7 +57,8 @@
         _ = interrupt.recv() => return Ok(()),
     };
     let (queue, inbound) = mpsc::channel();
-    let (counts, buffered) = (Rc::new(Counts::default()), BufferedBytes::default());
+    let counts = Rc::new(Counts::default());
+    let memory = MemoryAccount::new(start.memory_bytes);
     let stall_detector = Rc::new(StallDetector::default());
     // Clients of ordinary behaviour hold a third of the descriptors. Connections beyond that are closed when a slot is
     // needed.
@@ -71,7 +72,7 @@
         slots: RefCell::new(client_slots::ClientSlots::new(max_clients)),
         max_deadline: Duration::from_micros(start.bounds.max_deadline.0),
         ending: Cell::new(false),
-        buffered: buffered.clone(),
+        memory: memory.clone(),
         stall_detector: stall_detector.clone(),
         counts: counts.clone(),
         log: log.clone(),
@@ -142,9 +143,8 @@
         bounds: start.bounds,
         clock: Clock::new(),
         max_connections: max_connections.max(1),
-        buffered,
+        memory,
         stall_detector,
-        max_buffered_bytes: start.memory_bytes / 2,
         counts,
         trace: Trace::new(&log),
         log,
--- a/crates/trailproxyd/src/system_calls.rs
+++ b/crates/trailproxyd/src/system_calls.rs
@@ -1,7 +1,7 @@
 //! Non-blocking reads and writes of connections to clients, hosts and the journal service, with the meaning of their
 //! errors.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::os::fd::AsRawFd;
 use std::time::Duration;
@@ -35,9 +35,13 @@
     transfer(|| stream.try_read(buffer))
 }
 
-/// Writes as many bytes as the socket accepts now.
-pub fn write(stream: &TcpStream, bytes: &[u8]) -> Transfer {
-    transfer(|| stream.try_write(bytes))
+/// Writes as many bytes of these parts, in their order, as the socket accepts now.
+pub fn write(stream: &TcpStream, parts: &[IoSlice<'_>]) -> Transfer {
+    let mut nonempty = parts.iter().filter(|part| !part.is_empty());
+    match (nonempty.next(), nonempty.next()) {
+        (Some(only), None) => transfer(|| stream.try_write(only)),
+        _ => transfer(|| stream.try_write_vectored(parts)),
+    }
 }
 
 /// Makes a read or write call, again if it was interrupted, and classifies its error.
--- /dev/null
+++ b/crates/trailproxyd/tests/memory.rs
@@ -0,0 +1,245 @@
+//! The daemon stays under its memory limit, whatever clients send and however slowly they read. It refuses what does not
+//! fit at once.
+
+#[allow(dead_code, reason = "other test files use the rest")]
+mod harness;
+mod sockets_of_program;
+
+use harness::{Client, Cluster, FinalAnswer, HostMessage, keyed_fields, wait_for};
+use serde_json::json;
+use sockets_of_program::SocketQueues;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// The lowest memory limit that the operators set.
+const MEMORY_MB: u64 = 32;
+/// The longest body of a write.
+const MAX_BODY_BYTES: usize = 48_000;
+/// The most requests that a connection may have open.
+const MAX_OPEN: u64 = 32;
+/// The class of writes in the settings.
+const WRITES: usize = 1;
+/// How long the client of a write waits.
+const ALLOWED_MS: u64 = 60_000;
+
+/// Starts a daemon with the lowest memory limit and this many descriptors.
+fn small_cluster(descriptors: u64) -> Cluster {
+    let cluster = Cluster::with_config(|config, _| {
+        config["limits"]["memory_mb"] = json!(MEMORY_MB);
+        config["limits"]["sockets"] = json!(descriptors);
+        // All requests that are taken reach a host, and none waits in vain for a connection.
+        let ceilings = &mut config["settings"]["ceilings"];
+        ceilings["max_open"] = json!(20_000);
+        ceilings["max_streams"] = json!(20_000);
+        ceilings["dial_timeout_us"] = json!(20_000_000);
+        // No request reaches its deadline, however slow the machine is.
+        let writes = &mut config["settings"]["classes"][WRITES];
+        writes["on_time_us"] = json!(ALLOWED_MS * 1_000);
+        writes["hard_limit_us"] = json!(ALLOWED_MS * 1_000);
+    });
+    // The pages of the program are loaded once it has answered.
+    let _ = cluster.next_journal_call();
+    let mut client = cluster.client();
+    client.request("image", 1_000_000, 3000);
+    cluster.next_request().answer_hit(b"x");
+    assert!(client.next_answer().1.is_done());
+    cluster
+}
+
+/// Returns a memory figure of the daemon's process in bytes.
+fn memory_of(cluster: &Cluster, name: &str) -> u64 {
+    let path = format!("/proc/{}/status", cluster.program.child.id());
+    let status = std::fs::read_to_string(path).expect("a process");
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let kb = line.expect("a figure").trim().trim_end_matches(" kB");
+    kb.parse::<u64>().expect("a number") << 10
+}
+
+/// Fails if the daemon was ever above its memory limit.
+fn assert_stayed_within_limit(cluster: &Cluster) {
+    let peak = memory_of(cluster, "VmHWM:");
+    assert!(peak <= MEMORY_MB << 20, "the peak was {} KB", peak >> 10);
+}
+
+/// Fails unless this is a refusal that says when to come back.
+fn assert_refused(answer: &FinalAnswer) {
+    match answer {
+        FinalAnswer::Error(word, fields) if word == "Throttled" => {
+            let cooldown = fields.get("cooldown").and_then(|ms| ms.parse::<u64>().ok());
+            assert!(cooldown.is_some_and(|ms| ms > 0), "{fields:?}");
+        }
+        other => panic!("not a refusal: {other:?}"),
+    }
+}
+
+/// Encodes a write with a key of its own, and returns the key with it.
+fn encode_write(client: &mut Client, body: &[u8]) -> (String, Vec<u8>) {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let key = format!("{:032x}", NEXT.fetch_add(1, Ordering::Relaxed));
+    let mut fields = keyed_fields(&key);
+    let allowed = fields.iter_mut().find(|(name, _)| name == "allow");
+    allowed.expect("a field").1 = ALLOWED_MS.to_string();
+    (key, client.encode("change", fields, body))
+}
+
+/// Writes that no host has answered yet, and refusals.
+struct Burst {
+    clients: Vec<Client>,
+    pending: Vec<HostMessage>,
+    /// The number of refusals that each client has received.
+    refused: Vec<u64>,
+}
+
+impl Burst {
+    /// Takes refusals and requests at the hosts until each of `sent` writes is either refused or at a host. No host
+    /// answers meanwhile, so that a refusal that waits for one never comes.
+    fn collect(cluster: &Cluster, mut clients: Vec<Client>, sent: u64) -> Burst {
+        let (mut pending, mut refused) = (Vec::new(), vec![0; clients.len()]);
+        for client in &clients {
+            client.stream.set_nonblocking(true).expect("an option");
+        }
+        wait_for("each write is refused or at a host", || {
+            while let Some(request) = cluster.next_request_within(Duration::ZERO) {
+                pending.push(request);
+            }
+            for (client, refused) in clients.iter_mut().zip(&mut refused) {
+                while client.stream.peek(&mut [0; 1]).is_ok_and(|n| n > 0) {
+                    client.stream.set_nonblocking(false).expect("an option");
+                    assert_refused(&client.next_answer().1);
+                    client.stream.set_nonblocking(true).expect("an option");
+                    *refused += 1;
+                }
+            }
+            pending.len() as u64 + refused.iter().sum::<u64>() == sent
+        });
+        for client in &clients {
+            client.stream.set_nonblocking(false).expect("an option");
+        }
+        Burst {
+            clients,
+            pending,
+            refused,
+        }
+    }
+
+    /// Answers all writes at the hosts, and requires that each client gets the answers that it still waits for.
+    fn finish(mut self, sent_by_each: u64) {
+        for request in &self.pending {
+            request.answer_hit(b"changed");
+        }
+        for (client, refused) in self.clients.iter_mut().zip(&self.refused) {
+            let mut answers: BTreeMap<u64, FinalAnswer> = BTreeMap::new();
+            for _ in *refused..sent_by_each {
+                let (number, answer) = client.next_answer();
+                assert!(answers.insert(number, answer).is_none(), "a second answer");
+            }
+            assert!(answers.values().all(FinalAnswer::is_done));
+        }
+    }
+}
+
+/// Clients send many large writes at once. Guards against keeping all bodies of pending requests, over the memory limit,
+/// and against refusing writes that fit.
+#[test]
+fn a_burst_of_writes_stays_within_the_memory_limit() {
+    const CLIENTS: u64 = 85;
+    let cluster = small_cluster(256);
+    let free_bytes = (MEMORY_MB << 20) - memory_of(&cluster, "VmRSS:");
+    let body = vec![b'o'; MAX_BODY_BYTES];
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| cluster.client()).collect();
+    for client in &mut clients {
+        for _ in 0..MAX_OPEN {
+            let (_, bytes) = encode_write(client, &body);
+            client.stream.write_all(&bytes).expect("a request");
+        }
+    }
+    let burst = Burst::collect(&cluster, clients, CLIENTS * MAX_OPEN);
+    let held_bytes = burst.pending.len() as u64 * MAX_BODY_BYTES as u64;
+    assert!(
+        held_bytes > free_bytes * 2 / 3,
+        "{held_bytes} bytes of {free_bytes} free ones were used"
+    );
+    burst.finish(MAX_OPEN);
+    assert_stayed_within_limit(&cluster);
+}
+
+/// Clients send most of a large write each, and the rest later. Guards against keeping every incomplete message, and
+/// against closing the connections of those that do not fit.
+#[test]
+fn incomplete_writes_stay_within_the_memory_limit() {
+    const CLIENTS: u64 = 500;
+    const MISSING_BYTES: usize = 1_000;
+    let cluster = small_cluster(1024);
+    let body = vec![b'o'; MAX_BODY_BYTES];
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| cluster.client()).collect();
+    let queues = SocketQueues::of(cluster.program.address);
+    for client in &mut clients {
+        let (_, bytes) = encode_write(client, &body);
+        let (first, rest) = bytes.split_at(bytes.len() - MISSING_BYTES);
+        client.stream.write_all(first).expect("a part");
+        debug_assert_eq!(rest, [b'o'; MISSING_BYTES]);
+    }
+    wait_for("the daemon has read everything", || {
+        queues.unread_bytes() == 0
+    });
+    for client in &mut clients {
+        let rest = [b'o'; MISSING_BYTES];
+        client.stream.write_all(&rest).expect("the rest");
+    }
+    Burst::collect(&cluster, clients, CLIENTS).finish(1);
+    assert_stayed_within_limit(&cluster);
+}
+
+/// Clients do not read large answers while others wait for small ones. Guards against separate limits for requests and
+/// answers, which exceed the memory limit together.
+#[test]
+fn unread_answers_beside_pending_writes_stay_within_the_memory_limit() {
+    const CLIENTS: u64 = 400;
+    const SLOW_CLIENTS: usize = 8;
+    let cluster = small_cluster(1024);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| cluster.client()).collect();
+    for client in &clients[..SLOW_CLIENTS] {
+        let socket = socket2::SockRef::from(&client.stream);
+        socket.set_recv_buffer_size(4096).expect("a small buffer");
+    }
+    let mut slow_keys = BTreeSet::new();
+    for (n, client) in clients.iter_mut().enumerate() {
+        for _ in 0..MAX_OPEN {
+            let (key, bytes) = encode_write(client, b"o");
+            client.stream.write_all(&bytes).expect("a request");
+            if n < SLOW_CLIENTS {
+                slow_keys.insert(key);
+            }
+        }
+    }
+    let mut burst = Burst::collect(&cluster, clients, CLIENTS * MAX_OPEN);
+    let is_slow = |request: &HostMessage| slow_keys.contains(request.field("dedupe").unwrap_or(""));
+    let (large, pending): (Vec<_>, Vec<_>) = burst.pending.into_iter().partition(is_slow);
+    burst.pending = pending;
+    // The system takes some 4 MB for each client, and the rest is far more than the program may use.
+    let answered = Arc::new(AtomicUsize::new(0));
+    let answering = {
+        let answered = answered.clone();
+        std::thread::spawn(move || {
+            for request in &large {
+                request.answer_hit(&[b'v'; 240_000]);
+                answered.fetch_add(1, Ordering::Relaxed);
+            }
+        })
+    };
+    let (mut before, mut unchanged) = (0, 0);
+    wait_for("the program takes no more answers", || {
+        let now = answered.load(Ordering::Relaxed);
+        unchanged = if now == before { unchanged + 1 } else { 0 };
+        before = now;
+        unchanged > 40
+    });
+    burst.clients.drain(..SLOW_CLIENTS);
+    burst.refused.drain(..SLOW_CLIENTS);
+    answering.join().expect("answered");
+    burst.finish(MAX_OPEN);
+    assert_stayed_within_limit(&cluster);
+}
--- a/crates/trailproxyd/tests/parsers.rs
+++ b/crates/trailproxyd/tests/parsers.rs
@@ -84,6 +84,30 @@
         assert!(matches!(&items[3], Value::Array(inner) if inner[1] == Value::Bytes(&[7; 300])));
     }
 
+    /// Guards against a length that is wrong for a message whose body is skipped, and against taking a message for
+    /// complete that goes on behind the binary that is cut off.
+    #[test]
+    fn only_the_last_binary_of_a_message_may_be_cut_off() {
+        let mut whole = Vec::new();
+        put_array(&mut whole, 2);
+        put_int(&mut whole, 7);
+        put_bin_head(&mut whole, 300);
+        let head_length = whole.len();
+        whole.extend([7; 300]);
+        for split_at in 0..head_length {
+            let cut = read_without_last_binary(&whole[..split_at], 1000);
+            assert!(matches!(cut, Err(ParseError::Incomplete(_))));
+        }
+        for split_at in head_length..whole.len() {
+            let (value, n) = read_without_last_binary(&whole[..split_at], 1000).expect("a head");
+            let items = vec![Value::Int(7), Value::Bytes(&[])];
+            assert_eq!((value, n), (Value::Array(items), whole.len()));
+        }
+        let sample = sample();
+        let goes_on = read_without_last_binary(&sample[..sample.len() - 100], 1000);
+        assert!(matches!(goes_on, Err(ParseError::Incomplete(_))));
+    }
+
     /// Guards against unbounded memory or recursion by a length, a nesting or a type that is not allowed.
     #[test]
     fn messages_over_a_limit_are_malformed() {
@@ -183,15 +207,16 @@
 }
 
 mod ring {
-    use trailproxyd::buffered::BufferedBytes;
+    use trailproxyd::memory::{MemoryAccount, MemoryUse};
     use trailproxyd::ring::{MIN_CAPACITY_BYTES, Ring};
 
     /// Guards against reordered bytes when the content wraps around, and against memory that stays allocated after a
     /// large message.
     #[test]
     fn bytes_keep_their_order_and_memory_is_released() {
-        let buffered = BufferedBytes::default();
-        let (mut ring, mut rng) = (Ring::new(buffered.clone()), fastrand::Rng::with_seed(5));
+        let account = MemoryAccount::unlimited();
+        let mut ring = Ring::new(&account, MemoryUse::Answers);
+        let mut rng = fastrand::Rng::with_seed(5);
         let (mut put, mut got) = (0u64, 0u64);
         for _ in 0..2000 {
             let piece: Vec<u8> = (0..rng.usize(0..9000))
@@ -216,9 +241,51 @@
         ring.push(&[0; 300_000]);
         ring.consume(ring.len());
         ring.release_memory(false);
-        assert!(buffered.bytes() <= MIN_CAPACITY_BYTES);
+        assert!(account.used(MemoryUse::Answers) <= MIN_CAPACITY_BYTES);
         ring.release_memory(true);
-        assert_eq!(buffered.bytes(), 0);
+        assert_eq!(account.used(MemoryUse::Answers), 0);
+    }
+
+    /// Guards against a buffer that grows past the memory limit, and against one that can't hold a short message then.
+    #[test]
+    fn a_buffer_grows_beyond_its_minimum_only_as_memory_allows() {
+        let account = MemoryAccount::new(0);
+        let mut ring = Ring::new(&account, MemoryUse::Requests);
+        assert!(ring.try_reserve(MIN_CAPACITY_BYTES));
+        assert!(!ring.try_reserve(MIN_CAPACITY_BYTES + 1));
+        assert_eq!(ring.capacity(), MIN_CAPACITY_BYTES);
+        assert!(account.try_charge(MemoryUse::Requests, 1).is_none());
+    }
+}
+
+mod outgoing {
+    use trailproxyd::memory::MemoryAccount;
+    use trailproxyd::outgoing::OutgoingBytes;
+
+    /// Guards against reordered, lost and repeated bytes where a body is written from where it is kept, for every length
+    /// of what the socket accepts.
+    #[test]
+    fn a_body_is_written_between_its_head_and_its_end() {
+        let body: Vec<u8> = (0..5_000u32).map(|n| n as u8).collect();
+        let whole = [b"head", &body[..], b"end"].concat();
+        for accepted in [1, 2, 3, 4, 5, 999, 4_096, 10_000] {
+            let mut outgoing = OutgoingBytes::new(&MemoryAccount::unlimited());
+            outgoing.push(b"head");
+            outgoing.push_body(body.clone(), b"end");
+            let mut written: Vec<u8> = Vec::new();
+            while !outgoing.is_empty() {
+                assert_eq!(outgoing.len(), whole.len() - written.len());
+                let rest: Vec<u8> = outgoing
+                    .parts()
+                    .iter()
+                    .flat_map(|part| part.to_vec())
+                    .collect();
+                let n = accepted.min(rest.len());
+                written.extend(&rest[..n]);
+                outgoing.consume(n);
+            }
+            assert_eq!(written, whole);
+        }
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,8 +1,9 @@
-//! The rules and per-host state that [`crate::logic`] decides by: what may be done, when a host is unhealthy, what
-//! system errors mean.
+//! The rules and per-host state that [`crate::logic`] decides by: what may be done, when a host is unhealthy, how much
+//! memory may be used, what system errors mean.
 
 pub(crate) mod breaker;
 pub(crate) mod host;
+pub mod memory;
 pub mod permits;
 pub mod refusals;
 pub mod stamps;
--- a/src/policy/refusals.rs
+++ b/src/policy/refusals.rs
@@ -22,6 +22,8 @@
     NotPermitted,
     /// As many requests are pending as the settings allow.
     TableFull,
+    /// The memory limit leaves no room for the request.
+    MemoryFull,
 }
 
 impl GiveUpReason {
@@ -35,6 +37,7 @@
             GiveUpReason::NoHostInTime => "no_host_in_time",
             GiveUpReason::NotPermitted => "not_permitted",
             GiveUpReason::TableFull => "table_full",
+            GiveUpReason::MemoryFull => "memory_full",
         }
     }
 }
