Keep a client's connection open while its answers are on their way

Cause: a connection counted as idle once its last byte was in the buffer of the system, up to 4 MB before the client. The trace says slot needed for a new client, owed 0, with over a megabyte undelivered in the table of sockets. The same at the idle timeout and at the end of the process. What the client sends next is answered by a reset, which drops the rest.

Change: before a close or a half-close the system is asked for bytes that the client's system has not confirmed; while there are some, for at most the longest deadline and half a second, the connection stays and is read.

--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -82,6 +82,8 @@
     clients_unsaid,
     /// Client connections closed to free a slot for a new client.
     places_given_up,
+    /// Times that a connection was not closed because answers were on their way to its client.
+    closes_postponed,
     /// Times that a new client found no free connection slot and waited.
     places_wanted,
     /// Failed accepts of client connections.
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -59,6 +59,8 @@
 /// An idle connection is closed by a half-close first, and the client has this time to close its side. An immediate
 /// close would reset a request that the client may be sending, and answers in transit with it.
 const HALF_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often a connection that is not closed because answers are on their way checks whether they have arrived.
+const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// By the protocol, clients close connections that were idle for 4 s. A client that has not done so will not use the
 /// connection again.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(4500);
@@ -236,6 +238,8 @@
     eof_at: Option<Instant>,
     /// Whether the dispatcher was told that the client has gone.
     gone_reported: bool,
+    /// Whether the last check found that answers are on their way to the client. The connection is not closed then.
+    delivering: bool,
     /// Whether the connection closes as soon as nothing is open.
     finishing: bool,
     /// Whether `finishing` was requested, as opposed to an idle timeout.
@@ -308,6 +312,7 @@
             admitted_at: now,
             eof_at: None,
             gone_reported: false,
+            delivering: false,
             finishing: false,
             finish_requested: false,
             half_closed: false,
@@ -339,6 +344,8 @@
                 let facts = CloseFacts {
                     owed: self.owed.len(),
                     unwritten: self.replies.len() + self.reply_ends.len(),
+                    delivering: self.is_delivering(),
+                    client_closed: self.eof_at.is_some(),
                 };
                 let may_close = permits::may_close(&facts);
                 check_invariant(may_close, &self.shared.counts.broken_closed_owing);
@@ -349,9 +356,10 @@
                 why
             }
         };
+        let undelivered = system_calls::undelivered_bytes(&self.stream);
         self.shared
             .trace
-            .client_closed(self.id, why, self.owed.len());
+            .client_closed(self.id, why, self.owed.len(), undelivered);
     }
 
     /// Returns the number of open requests, including answers that are not fully written.
@@ -364,6 +372,28 @@
         !self.incoming.is_empty() || self.skipped.is_some()
     }
 
+    /// Returns whether answers are on their way to the client, as far as the system knows. Their last byte is in the
+    /// system's buffer long before a slow client receives it.
+    fn is_delivering(&self) -> bool {
+        let since_write = TimeSpan(self.last_progress.elapsed().as_micros() as u64);
+        let max_deadline = TimeSpan(self.shared.max_deadline.as_micros() as u64);
+        let undelivered = system_calls::undelivered_bytes(&self.stream);
+        permits::is_delivering(undelivered, since_write, max_deadline)
+    }
+
+    /// Checks whether answers are on their way to the client. The connection counts as idle from their arrival on.
+    fn check_delivery(&mut self) -> bool {
+        let delivering = self.is_delivering();
+        if self.delivering && !delivering {
+            self.unused_since = Instant::now();
+        }
+        if !self.delivering && delivering {
+            count(&self.shared.counts.closes_postponed);
+        }
+        self.delivering = delivering;
+        delivering
+    }
+
     /// Returns how the connection uses its slot, and until when it may use it so.
     fn slot_use(&self) -> (SlotUse, Instant) {
         match (
@@ -371,6 +401,7 @@
             self.has_received_message && !self.is_within_message(),
         ) {
             (1.., _) => (SlotUse::Busy, self.unused_since),
+            (0, _) if self.delivering => (SlotUse::Busy, self.unused_since),
             (0, false) => (
                 SlotUse::Incomplete(self.unused_since),
                 self.unused_since + MESSAGE_TIMEOUT,
@@ -393,7 +424,7 @@
         let (used, use_ends_at) = self.slot_use();
         self.shared.slots.borrow_mut().set_use(self.id, used);
         if all_written && self.open_count() == 0 {
-            if self.finishing && !self.half_closed {
+            if self.finishing && !self.half_closed && !self.check_delivery() {
                 // Requests received until now are answered first: a client that sent one is not idle.
                 system_calls::sync_readiness(&self.stream).await;
                 self.read()?;
@@ -431,7 +462,8 @@
                 Some(ToClient::YieldSlot) => {
                     system_calls::sync_readiness(&self.stream).await;
                     self.read()?;
-                    if self.slot_use().0 == used && used != SlotUse::Busy {
+                    let is_unused = self.slot_use().0 == used && used != SlotUse::Busy;
+                    if is_unused && !self.check_delivery() {
                         count(&self.shared.counts.places_given_up);
                         return Err(CloseReason::Clean("slot needed for a new client"));
                     }
@@ -446,14 +478,22 @@
                 self.read()?;
             }
             _ = sleep_until(use_ends_at), if used != SlotUse::Busy && !self.finishing => {
-                match used {
-                    SlotUse::Idle(_) => count(&self.shared.counts.clients_idle),
-                    _ => count(&self.shared.counts.clients_unsaid),
+                if !self.check_delivery() {
+                    match used {
+                        SlotUse::Idle(_) => count(&self.shared.counts.clients_idle),
+                        _ => count(&self.shared.counts.clients_unsaid),
+                    }
+                    self.finishing = true;
                 }
-                self.finishing = true;
             }
             _ = sleep_until(self.closes_at.unwrap_or(use_ends_at)), if self.closes_at.is_some() => {
-                return Err(CloseReason::Clean("idle, and the client did not close its side"));
+                if !self.check_delivery() {
+                    return Err(CloseReason::Clean("idle, and the client did not close its side"));
+                }
+                self.closes_at = Some(Instant::now() + DELIVERY_CHECK_INTERVAL);
+            }
+            _ = sleep(DELIVERY_CHECK_INTERVAL), if self.delivering => {
+                self.check_delivery();
             }
             _ = sleep_until(gone_at.unwrap_or(use_ends_at)), if gone_at.is_some() && !self.gone_reported => {}
             _ = sleep_until(stalled_at), if !all_written => {
--- a/crates/trailproxyd/src/system_calls.rs
+++ b/crates/trailproxyd/src/system_calls.rs
@@ -80,6 +80,18 @@
     (failed == 0 && age <= MAX_DATA_AGE).then_some(age)
 }
 
+/// Returns how many written bytes the system of the other side has not confirmed, and 0 if that is not known.
+pub fn undelivered_bytes(stream: &TcpStream) -> usize {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the request writes one number to the pointer.
+    let failed = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if failed == 0 {
+        usize::try_from(bytes).unwrap_or(0)
+    } else {
+        0
+    }
+}
+
 /// Waits until the runtime has noticed data or a close that the system already holds for a connection.
 ///
 /// The runtime reads only after the system has signalled readiness. After an interrupted wait, for example because the
--- a/crates/trailproxyd/src/trace.rs
+++ b/crates/trailproxyd/src/trace.rs
@@ -125,9 +125,9 @@
     }
 
     /// A client connection was closed with this many answers owed.
-    pub fn client_closed(&self, client: ClientId, reason: &str, owed: usize) {
+    pub fn client_closed(&self, client: ClientId, reason: &str, owed: usize, undelivered: usize) {
         if let Some(log) = &self.log {
-            info!(log, "client closed"; "client" => client.0, "why" => reason, "owed" => owed);
+            info!(log, "client closed"; "client" => client.0, "why" => reason, "owed" => owed, "undelivered" => undelivered);
         }
     }
 
--- a/crates/trailproxyd/tests/memory.rs
+++ b/crates/trailproxyd/tests/memory.rs
@@ -3,11 +3,12 @@
 
 #[allow(dead_code, reason = "other test files use the rest")]
 mod harness;
-mod sockets_of_program;
+#[allow(dead_code, reason = "other test files use the rest")]
+mod socket_queues;
 
 use harness::{Client, Cluster, FinalAnswer, HostMessage, keyed_fields, wait_for};
 use serde_json::json;
-use sockets_of_program::SocketQueues;
+use socket_queues::unread_bytes;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::sync::Arc;
@@ -175,7 +176,6 @@
     let cluster = small_cluster(1024);
     let body = vec![b'o'; MAX_BODY_BYTES];
     let mut clients: Vec<Client> = (0..CLIENTS).map(|_| cluster.client()).collect();
-    let queues = SocketQueues::of(cluster.program.address);
     for client in &mut clients {
         let (_, bytes) = encode_write(client, &body);
         let (first, rest) = bytes.split_at(bytes.len() - MISSING_BYTES);
@@ -183,7 +183,7 @@
         debug_assert_eq!(rest, [b'o'; MISSING_BYTES]);
     }
     wait_for("the daemon has read everything", || {
-        queues.unread_bytes() == 0
+        unread_bytes(cluster.program.address) == 0
     });
     for client in &mut clients {
         let rest = [b'o'; MISSING_BYTES];
--- a/src/policy/permits.rs
+++ b/src/policy/permits.rs
@@ -176,6 +176,15 @@
     now.since(written_at) < DEADLINE_SLACK
 }
 
+/// How late an answer may arrive at most. A later one counts as lost, like none.
+const MAX_LATENESS: TimeSpan = TimeSpan::from_millis(500);
+
+/// Whether answers are on their way to a client that may still wait for them: its system has not confirmed all bytes, of
+/// which the last was written this long ago. `max_deadline` is the longest time that a client waits for an answer.
+pub fn is_delivering(undelivered: usize, since_write: TimeSpan, max_deadline: TimeSpan) -> bool {
+    undelivered > 0 && since_write < max_deadline + MAX_LATENESS
+}
+
 /// What decides whether a client's connection may be closed.
 #[derive(Clone, Copy, Debug)]
 pub struct CloseFacts {
@@ -183,9 +192,22 @@
     pub owed: usize,
     /// Number of answers that are not completely written.
     pub unwritten: usize,
+    /// Whether answers are on their way to the client, by [`is_delivering`].
+    pub delivering: bool,
+    /// Whether the client has closed its side.
+    pub client_closed: bool,
 }
 
-/// Whether a client's connection can be closed now without losing an answer.
+/// Whether a client's connection can be closed now without losing an answer. What arrives on a closed connection is
+/// answered by a reset, which drops the answers on their way. From a client that has closed its side, nothing arrives.
+///
+/// ```
+/// use trailproxy::policy::permits::{CloseFacts, may_close};
+/// let facts = CloseFacts { owed: 0, unwritten: 0, delivering: true, client_closed: false };
+/// assert!(!may_close(&facts));
+/// assert!(may_close(&CloseFacts { client_closed: true, ..facts }));
+/// ```
 pub fn may_close(facts: &CloseFacts) -> bool {
-    facts.owed == 0 && facts.unwritten == 0
+    let all_delivered = facts.client_closed || !facts.delivering;
+    facts.owed == 0 && facts.unwritten == 0 && all_delivered
 }
