Count a client's requests as open only until it has revoked them

Change: each answer that is not fully written says what the client awaits by it: a reply, a heartbeat or nothing. A revocation drops an answer that is not encoded and marks one that is being written. It works because the count is the client's own: sent, not revoked, not fully written.

--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -29,9 +29,9 @@
 use trailproxy::units::*;
 
 /// The number of open requests on one connection that the protocol allows. A connection that sends more is closed and
-/// all its requests are cancelled. Answers that the client has not read yet count as open.
+/// all its requests are cancelled. A request is open until its answer is written or the client has revoked it.
 const MAX_OPEN_REQUESTS: usize = 32;
-/// The same limit with answers to invalid requests and heartbeats included. A connection that exceeds it is closed,
+/// The number of open requests and heartbeats, with invalid requests, that a connection may have. A connection that exceeds it is closed,
 /// too. Reading does not stop at the limit, because the client's close could not be noticed behind unread data.
 const MAX_OPEN_MESSAGES: usize = 2 * MAX_OPEN_REQUESTS;
 /// The longest body of a write request that the protocol allows.
@@ -214,8 +214,8 @@
     owed: BTreeMap<u32, Rc<Cell<bool>>>,
     /// Answers that are not encoded yet.
     replies: VecDeque<OutgoingAnswer>,
-    /// For each encoded answer that is not fully written, its end as a position in the stream of all answers.
-    reply_ends: VecDeque<u64>,
+    /// The encoded answers that are not fully written.
+    unwritten: VecDeque<UnwrittenAnswer>,
     /// The number of bytes of answers written so far.
     written: u64,
     /// The number of bytes of answers encoded so far.
@@ -270,6 +270,34 @@
     Heartbeat(u32, bool),
 }
 
+impl OutgoingAnswer {
+    /// What the client waits for.
+    fn awaited(&self) -> Awaited {
+        match self {
+            OutgoingAnswer::Reply(number, _) => Awaited::Reply(*number),
+            OutgoingAnswer::Heartbeat(..) => Awaited::Heartbeat,
+        }
+    }
+}
+
+/// What a client waits for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Awaited {
+    /// The answer to the open request with this number.
+    Reply(u32),
+    /// The answer to a heartbeat.
+    Heartbeat,
+    /// Nothing: the client has revoked the request.
+    Nothing,
+}
+
+/// An encoded answer that is not fully written.
+struct UnwrittenAnswer {
+    /// The end of the answer as a position in the stream of all answers.
+    end: u64,
+    awaited: Awaited,
+}
+
 /// Why a connection closes.
 enum CloseReason {
     /// An orderly close, with no answer owed.
@@ -300,7 +328,7 @@
             outgoing: OutgoingBytes::new(&shared.memory),
             owed: BTreeMap::new(),
             replies: VecDeque::new(),
-            reply_ends: VecDeque::new(),
+            unwritten: VecDeque::new(),
             written: 0,
             encoded: 0,
             last_progress: now,
@@ -343,7 +371,7 @@
             CloseReason::Clean(why) => {
                 let facts = CloseFacts {
                     owed: self.owed.len(),
-                    unwritten: self.replies.len() + self.reply_ends.len(),
+                    unwritten: self.replies.len() + self.unwritten.len(),
                     delivering: self.is_delivering(),
                     client_closed: self.eof_at.is_some(),
                 };
@@ -362,9 +390,46 @@
             .client_closed(self.id, why, self.owed.len(), undelivered);
     }
 
-    /// Returns the number of open requests, including answers that are not fully written.
+    /// Returns the number of answers that are not fully written, including those that are not known yet.
     fn open_count(&self) -> usize {
-        self.owed.len() + self.replies.len() + self.reply_ends.len()
+        self.owed.len() + self.replies.len() + self.unwritten.len()
+    }
+
+    /// Returns what the client waits for of the answers that are known.
+    fn awaited(&self) -> impl Iterator<Item = Awaited> {
+        let replies = self.replies.iter().map(OutgoingAnswer::awaited);
+        replies.chain(self.unwritten.iter().map(|answer| answer.awaited))
+    }
+
+    /// Returns the number of open requests as the client counts them: it has sent them, has not revoked them, and their
+    /// answers are not fully written.
+    fn open_requests(&self) -> usize {
+        let is_reply = |awaited: &Awaited| matches!(awaited, Awaited::Reply(_));
+        self.owed.len() + self.awaited().filter(is_reply).count()
+    }
+
+    /// Returns the number of open requests and heartbeats as the client counts them.
+    fn open_messages(&self) -> usize {
+        let is_open = |awaited: &Awaited| *awaited != Awaited::Nothing;
+        self.owed.len() + self.awaited().filter(is_open).count()
+    }
+
+    /// Handles the revocation of a request. No answer is owed any more: one that is not encoded is dropped, and one that is
+    /// being written is completed, but its request is no longer open.
+    fn revoke(&mut self, number: u32) {
+        if let Some(closed) = self.owed.remove(&number) {
+            closed.set(true);
+            let client = self.id;
+            let cancelled = FromClient::Cancelled(ClientRequestId { client, number });
+            let _ = self.shared.queue.send(Inbound::Client(cancelled));
+            return;
+        }
+        let revoked = Awaited::Reply(number);
+        self.replies.retain(|answer| answer.awaited() != revoked);
+        let unwritten = self.unwritten.iter_mut();
+        for answer in unwritten.filter(|answer| answer.awaited == revoked) {
+            answer.awaited = Awaited::Nothing;
+        }
     }
 
     /// Returns whether a part of the next message has arrived.
@@ -662,10 +727,11 @@
                 if self.outgoing.is_empty() {
                     self.last_progress = Instant::now();
                 }
-                let before = self.outgoing.len();
+                let (awaited, before) = (answer.awaited(), self.outgoing.len());
                 encode_answer(answer, &mut self.outgoing);
                 self.encoded += (self.outgoing.len() - before) as u64;
-                self.reply_ends.push_back(self.encoded);
+                let end = self.encoded;
+                self.unwritten.push_back(UnwrittenAnswer { end, awaited });
             }
             if self.outgoing.is_empty() {
                 self.outgoing.release_memory(self.replies.is_empty());
@@ -676,13 +742,9 @@
                     self.outgoing.consume(n);
                     self.written += n as u64;
                     self.last_progress = Instant::now();
-                    while self
-                        .reply_ends
-                        .front()
-                        .is_some_and(|&end| end <= self.written)
-                    {
-                        self.reply_ends.pop_front();
-                    }
+                    let written = self.written;
+                    let is_written = |answer: &mut UnwrittenAnswer| answer.end <= written;
+                    while self.unwritten.pop_front_if(is_written).is_some() {}
                     self.unused_since = self.last_progress;
                 }
                 Transfer::NotReady => return Ok(()),
@@ -732,7 +794,7 @@
         match message {
             Message::Malformed(why) => return malformed(why),
             Message::Request(_) | Message::NotAdmitted(..)
-                if self.open_count() >= MAX_OPEN_REQUESTS =>
+                if self.open_requests() >= MAX_OPEN_REQUESTS =>
             {
                 return malformed("too many open requests");
             }
@@ -757,21 +819,9 @@
                     .queue
                     .send(Inbound::Client(FromClient::Requested(request)));
             }
-            Message::Revoke(number) => {
-                if let Some(closed) = self.owed.remove(&number) {
-                    closed.set(true);
-                    let id = ClientRequestId {
-                        client: self.id,
-                        number,
-                    };
-                    let _ = self
-                        .shared
-                        .queue
-                        .send(Inbound::Client(FromClient::Cancelled(id)));
-                }
-            }
+            Message::Revoke(number) => self.revoke(number),
             Message::Heartbeat(_) | Message::Invalid(_)
-                if self.open_count() >= MAX_OPEN_MESSAGES =>
+                if self.open_messages() >= MAX_OPEN_MESSAGES =>
             {
                 return malformed("too many unread answers");
             }
--- a/crates/trailproxyd/tests/socket_queues/mod.rs
+++ b/crates/trailproxyd/tests/socket_queues/mod.rs
@@ -55,6 +55,17 @@
     own.map(|socket| socket.unread).sum()
 }
 
+/// The number of bytes that were written at this address, and that the other side has not read.
+pub fn unread_bytes_from(address: SocketAddr) -> u64 {
+    let address = encode(address);
+    let bytes = |socket: &Socket| {
+        let sent = (socket.local_address == address).then_some(socket.undelivered);
+        let received = (socket.remote_address == address).then_some(socket.unread);
+        sent.unwrap_or(0) + received.unwrap_or(0)
+    };
+    established().iter().map(bytes).sum()
+}
+
 /// The number of bytes that were written to a socket from the other side, and that its system has not confirmed.
 pub fn undelivered_bytes(address: SocketAddr) -> u64 {
     let address = encode(address);
