Soak what clients may do within the protocol, with shapes drawn from a seed

One run draws limits, connections, sizes, paces and delays, and plays writers, readers, clients that revoke and idle ones at once. It checks that nothing is lost, answered twice or late, that refusals name a time, and the peak memory. Figures of the process's memory are read in one place of the harness.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # One target for each thing that is done with the repository.
-.PHONY: soak replicas-by-zone build test lint run lab lab-validate bench-relay zones replicas store-faults budgets other-sites capacity
+.PHONY: soak client-shapes replicas-by-zone build test lint run lab lab-validate bench-relay zones replicas store-faults budgets other-sites capacity
 
 build:
 	cargo build --release --workspace --locked
@@ -39,6 +39,10 @@
 	target/release/trailproxy soak --seed $(SEED) --runs 8 --out out/soak/twelve
 	target/release/trailproxy soak --seed $(SEED) --runs 4 --dispatchers 30 --rate 5 --out out/soak/thirty
 
+# What clients may do within the protocol, all at once, at limits that are drawn: about six minutes. SEED= chooses the first run.
+client-shapes:
+	SHAPES_SEED=$(SEED) SHAPES_RUNS=50 cargo test --release --locked -p trailproxyd --test client_shapes -- --ignored --nocapture
+
 # Five dispatchers under faults between them, alone and in pairs, with peers and without: about eleven minutes on six
 # cores. SEED= moves what is drawn; the summary comes into out/replicas.
 SEED ?= 1
--- a/crates/trailproxyd/tests/harness/mod.rs
+++ b/crates/trailproxyd/tests/harness/mod.rs
@@ -500,6 +500,15 @@
         status.expect("ended")
     }
 
+    /// Returns a memory figure of the process in bytes, as the system reports it: `VmRSS:` or `VmHWM:`.
+    pub fn memory(&self, name: &str) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("a process");
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
+        let kb = line.expect("a figure").trim().trim_end_matches(" kB");
+        kb.parse::<u64>().expect("a number") << 10
+    }
+
     /// Returns the last line of figures in the log. The daemon logs one when it exits, too.
     pub fn last_figures(&self) -> String {
         self.log()
@@ -769,38 +778,25 @@
         self.next
     }
 
+    /// Returns the number of the last request.
+    pub fn last_number(&self) -> u64 {
+        self.next
+    }
+
     /// Revokes a request.
     pub fn revoke(&mut self, number: u64) {
+        assert!(self.try_revoke(number), "written");
+    }
+
+    /// Revokes a request, and returns whether the connection accepted that.
+    pub fn try_revoke(&mut self, number: u64) -> bool {
         let message = vec![2.into(), "revoke".into(), Value::Array(vec![number.into()])];
-        rmpv::encode::write_value(&mut self.stream, &Value::Array(message)).expect("written");
+        rmpv::encode::write_value(&mut self.stream, &Value::Array(message)).is_ok()
     }
 
     /// Waits for the next answer and returns it with the number of its request.
     pub fn next_answer(&mut self) -> (u64, FinalAnswer) {
-        let message = rmpv::decode::read_value(&mut self.stream).expect("an answer");
-        let items = message.as_array().expect("an array");
-        assert_eq!((items.len(), items[0].as_u64()), (4, Some(1)));
-        let map = |value: &Value| -> BTreeMap<String, String> {
-            let entries = value.as_map().expect("fields").iter();
-            let text = |value: &Value| value.as_str().unwrap_or("?").to_owned();
-            entries
-                .map(|(name, value)| (text(name), text(value)))
-                .collect()
-        };
-        let last = match items[2].as_array() {
-            Some(error) => {
-                FinalAnswer::Error(error[0].as_str().expect("a word").into(), map(&error[1]))
-            }
-            None => {
-                let result = items[3].as_array().expect("a result");
-                let body = match &result[0] {
-                    Value::Boolean(well) => vec![u8::from(*well)],
-                    body => body.as_slice().expect("bytes").to_vec(),
-                };
-                FinalAnswer::Done(body, map(&result[1]))
-            }
-        };
-        (items[1].as_u64().expect("a number"), last)
+        read_answer(&mut self.stream).expect("an answer")
     }
 
     /// Waits for the daemon to close the connection, and returns whether it did so without sending more data.
@@ -809,6 +805,34 @@
     }
 }
 
+/// Reads an answer and returns it with the number of its request. An answer that is not complete is an error.
+pub fn read_answer(input: &mut impl Read) -> Result<(u64, FinalAnswer), rmpv::decode::Error> {
+    let message = rmpv::decode::read_value(input)?;
+    let items = message.as_array().expect("an array");
+    assert_eq!((items.len(), items[0].as_u64()), (4, Some(1)));
+    let map = |value: &Value| -> BTreeMap<String, String> {
+        let entries = value.as_map().expect("fields").iter();
+        let text = |value: &Value| value.as_str().unwrap_or("?").to_owned();
+        entries
+            .map(|(name, value)| (text(name), text(value)))
+            .collect()
+    };
+    let last = match items[2].as_array() {
+        Some(error) => {
+            FinalAnswer::Error(error[0].as_str().expect("a word").into(), map(&error[1]))
+        }
+        None => {
+            let result = items[3].as_array().expect("a result");
+            let body = match &result[0] {
+                Value::Boolean(well) => vec![u8::from(*well)],
+                body => body.as_slice().expect("bytes").to_vec(),
+            };
+            FinalAnswer::Done(body, map(&result[1]))
+        }
+    };
+    Ok((items[1].as_u64().expect("a number"), last))
+}
+
 /// Returns the fields of a request with this idempotency key and an id of its own.
 pub fn keyed_fields(key: &str) -> Vec<(String, String)> {
     static NEXT: AtomicU64 = AtomicU64::new(1);
--- a/crates/trailproxyd/tests/memory.rs
+++ b/crates/trailproxyd/tests/memory.rs
@@ -50,18 +50,9 @@
     cluster
 }
 
-/// Returns a memory figure of the daemon's process in bytes.
-fn memory_of(cluster: &Cluster, name: &str) -> u64 {
-    let path = format!("/proc/{}/status", cluster.program.child.id());
-    let status = std::fs::read_to_string(path).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix(name));
-    let kb = line.expect("a figure").trim().trim_end_matches(" kB");
-    kb.parse::<u64>().expect("a number") << 10
-}
-
 /// Fails if the daemon was ever above its memory limit.
 fn assert_stayed_within_limit(cluster: &Cluster) {
-    let peak = memory_of(cluster, "VmHWM:");
+    let peak = cluster.program.memory("VmHWM:");
     assert!(peak <= MEMORY_MB << 20, "the peak was {} KB", peak >> 10);
 }
 
@@ -148,7 +139,7 @@
 fn a_burst_of_writes_stays_within_the_memory_limit() {
     const CLIENTS: u64 = 85;
     let cluster = small_cluster(256);
-    let free_bytes = (MEMORY_MB << 20) - memory_of(&cluster, "VmRSS:");
+    let free_bytes = (MEMORY_MB << 20) - cluster.program.memory("VmRSS:");
     let body = vec![b'o'; MAX_BODY_BYTES];
     let mut clients: Vec<Client> = (0..CLIENTS).map(|_| cluster.client()).collect();
     for client in &mut clients {
--- a/crates/trailproxyd/tests/sockets.rs
+++ b/crates/trailproxyd/tests/sockets.rs
@@ -1014,15 +1014,6 @@
     assert_eq!(client.next_answer().1, FinalAnswer::done(b"last"));
 }
 
-/// Returns a memory figure of the daemon's process.
-fn resident_kb(cluster: &Cluster, name: &str) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", cluster.program.child.id()));
-    let status = status.expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix(name));
-    let kb = line.expect("a figure").trim().trim_end_matches(" kB");
-    kb.parse().expect("a number")
-}
-
 /// Several clients ask for large objects and do not read them. Guards against buffering all answers: the daemon must
 /// stop reading from hosts instead.
 #[test]
@@ -1040,7 +1031,7 @@
     other.request("image", 1000, 3000);
     cluster.next_request().answer_hit(b"x");
     assert_eq!(other.next_answer().1, FinalAnswer::done(b"x"));
-    let idle_kb = resident_kb(&cluster, "VmRSS:");
+    let idle_kb = cluster.program.memory("VmRSS:") / 1024;
     // As many requests as a client may have open: the system buffers some 4 MB of the 7.7 MB for each client, and the rest
     // is far more than the program may buffer.
     let mut slow: Vec<Client> = (0..4).map(|_| cluster.client()).collect();
