--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -4,6 +4,8 @@
 mod accounts;
 mod budgets_runtime;
 mod checks;
+mod client_connection;
+mod client_messages;
 mod client_slots;
 mod clients;
 mod dispatch;
