--- a/crates/trailproxyd/src/memory.rs
+++ b/crates/trailproxyd/src/memory.rs
@@ -69,7 +69,10 @@
         if memory::reading_is_due(self.0.limit, age, added) {
             self.read_resident();
         }
-        self.allows(kind, bytes) || (self.release_free_memory() && self.allows(kind, bytes))
+        if !memory::fits(&self.facts(), bytes) || !self.allows(kind, bytes) {
+            self.release_free_memory();
+        }
+        self.allows(kind, bytes)
     }
 
     /// Counts bytes until the charge is dropped, if they may be used.
@@ -101,14 +104,18 @@
         }
     }
 
-    fn allows(&self, kind: MemoryUse, bytes: usize) -> bool {
-        let facts = MemoryFacts {
+    fn facts(&self) -> MemoryFacts {
+        MemoryFacts {
             limit: self.0.limit,
             overhead: self.0.overhead.get(),
             connections: self.0.connections.get(),
             requests: self.0.requests.get(),
             answers: self.0.answers.get(),
-        };
+        }
+    }
+
+    fn allows(&self, kind: MemoryUse, bytes: usize) -> bool {
+        let facts = self.facts();
         match kind {
             // Their number has limits of its own.
             MemoryUse::Connections => true,
@@ -129,19 +136,18 @@
         }
     }
 
-    /// Returns free memory of the heap to the system, at intervals, and returns whether it did. Free memory remains
-    /// resident otherwise, and there would be no room for new requests.
-    fn release_free_memory(&self) -> bool {
+    /// Returns free memory of the heap to the system, at intervals. It remains resident otherwise, and there would be no
+    /// room for new requests.
+    fn release_free_memory(&self) {
         let now = Instant::now();
         let interval = Duration::from_micros(memory::RELEASE_INTERVAL.0);
         let released_at = self.0.released_at.get();
         if released_at.is_some_and(|released_at| now < released_at + interval) {
-            return false;
+            return;
         }
         self.0.released_at.set(Some(now));
         release_heap();
         self.read_resident();
-        true
     }
 }
 
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -54,6 +54,12 @@
     }
 }
 
+/// Whether this many more bytes fit into the available memory. If not, free memory is to be returned to the system first:
+/// answers may use their reserve even if the overhead has grown since requests were admitted.
+pub fn fits(facts: &MemoryFacts, bytes: usize) -> bool {
+    facts.requests + facts.answers + bytes <= facts.available()
+}
+
 /// Whether requests may use this many more bytes.
 ///
 /// ```
