--- a/crates/trailproxyd/src/memory.rs
+++ b/crates/trailproxyd/src/memory.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::Instant;
 use trailproxy::policy::memory::{self, MemoryFacts};
 use trailproxy::units::TimeSpan;
@@ -36,7 +35,9 @@
     /// The bytes that were counted anew since then.
     added_since_reading: Cell<usize>,
     /// When free memory was last returned to the system.
-    released_at: Cell<Option<Instant>>,
+    released_at: Cell<Instant>,
+    /// The overhead after that.
+    overhead_at_release: Cell<usize>,
 }
 
 impl MemoryAccount {
@@ -52,7 +53,8 @@
             initial_overhead: overhead,
             read_at: Cell::new(Instant::now()),
             added_since_reading: Cell::default(),
-            released_at: Cell::default(),
+            released_at: Cell::new(Instant::now()),
+            overhead_at_release: Cell::new(overhead),
         }))
     }
 
@@ -64,7 +66,7 @@
 
     /// Whether this many more bytes may be used.
     pub fn may_add(&self, kind: MemoryUse, bytes: usize) -> bool {
-        let age = TimeSpan::from_secs_f64(self.0.read_at.get().elapsed().as_secs_f64());
+        let age = age_of(self.0.read_at.get());
         let added = self.0.added_since_reading.get();
         if memory::reading_is_due(self.0.limit, age, added) {
             self.read_resident();
@@ -139,15 +141,15 @@
     /// Returns free memory of the heap to the system, at intervals. It remains resident otherwise, and there would be no
     /// room for new requests.
     fn release_free_memory(&self) {
-        let now = Instant::now();
-        let interval = Duration::from_micros(memory::RELEASE_INTERVAL.0);
-        let released_at = self.0.released_at.get();
-        if released_at.is_some_and(|released_at| now < released_at + interval) {
-            return;
+        let age = age_of(self.0.released_at.get());
+        let overhead = self.0.overhead.get();
+        let grown = overhead.saturating_sub(self.0.overhead_at_release.get());
+        if memory::may_release(self.0.limit, age, grown) {
+            release_heap();
+            self.read_resident();
+            self.0.released_at.set(Instant::now());
+            self.0.overhead_at_release.set(self.0.overhead.get());
         }
-        self.0.released_at.set(Some(now));
-        release_heap();
-        self.read_resident();
     }
 }
 
@@ -219,6 +221,11 @@
     }
 }
 
+/// How long ago an instant was.
+fn age_of(at: Instant) -> TimeSpan {
+    TimeSpan::from_secs_f64(at.elapsed().as_secs_f64())
+}
+
 /// Returns the resident memory of the process, if the system tells it.
 fn resident_bytes() -> Option<usize> {
     let sizes = std::fs::read_to_string("/proc/self/statm").ok()?;
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -9,8 +9,8 @@
 /// What one pending request uses besides its body, in bytes.
 pub const REQUEST_OVERHEAD_BYTES: usize = 2 * 1024;
 
-/// Free memory is returned to the system at most this often, because that walks the whole heap.
-pub const RELEASE_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
+/// Free memory is returned to the system at most this often, because that walks the whole heap, unless much was freed.
+const RELEASE_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
 
 /// What one connection to a client or a host uses besides its buffers, in bytes.
 pub const CONNECTION_BYTES: usize = 4 * 1024;
@@ -25,7 +25,8 @@
 const MAX_ANSWERS_DIVISOR: usize = 2;
 /// The resident memory is read again after this time, because what is not counted may have changed.
 const MAX_READING_AGE: TimeSpan = TimeSpan::from_millis(10);
-/// The resident memory is read again when this share of the limit was counted anew.
+/// The resident memory is read again when this share of the limit was counted anew, and free memory is returned to the
+/// system again when the overhead has grown by it.
 const READING_DIVISOR: usize = 32;
 
 /// The memory of the process, in bytes.
@@ -60,6 +61,12 @@
     facts.requests + facts.answers + bytes <= facts.available()
 }
 
+/// Whether free memory may be returned to the system, this long after the last time, since when the overhead has grown by
+/// this many bytes.
+pub fn may_release(limit: usize, age: TimeSpan, grown: usize) -> bool {
+    age >= RELEASE_INTERVAL || grown >= limit / READING_DIVISOR
+}
+
 /// Whether requests may use this many more bytes.
 ///
 /// ```
