--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -441,6 +441,10 @@
 }
 
 impl Back {
+    pub fn new(stream: TcpStream) -> Back {
+        Back { stream: Arc::new(Mutex::new(stream)) }
+    }
+
     /// Answers ID WORD FIELDS BODY.
     pub fn answer(&self, id: &str, word: &str, fields: &str, body: &[u8]) {
         let mut bytes = b"*4\r\n".to_vec();
@@ -521,7 +525,7 @@
 }
 
 /// The first RESP array of bulk strings, and its length.
-fn read_words(bytes: &[u8]) -> Option<(Vec<Vec<u8>>, usize)> {
+pub fn read_words(bytes: &[u8]) -> Option<(Vec<Vec<u8>>, usize)> {
     let mut at = 0;
     let line = |at: &mut usize| -> Option<usize> {
         let end = bytes.get(*at..)?.windows(2).position(|pair| pair == b"\r\n")?;
@@ -904,3 +908,31 @@
   "prefix":"depots/","wait_ms":4.0,"keep_s":30.0,"records":true,"hints":false,"purges":true,"words":false}}}}"#
     )
 }
+
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
+/// Sets an option of a socket that this program has opened.
+pub fn set_option(socket: &impl std::os::fd::AsRawFd, level: i32, name: i32, value: i32) {
+    // SAFETY: the value is a number, and as long as it is said to be.
+    unsafe { setsockopt(socket.as_raw_fd(), level, name, &value, 4) };
+}
+
+/// What the system holds of a connection on this machine, in bytes: written at `from` and not yet confirmed, and
+/// received at `to` and not yet read.
+pub fn held_by_system(from: u16, to: u16) -> Option<(usize, usize)> {
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let mut queues = (None, None);
+    for line in table.lines().skip(1) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let port = |n: usize| u16::from_str_radix(words.get(n)?.split(':').nth(1)?, 16).ok();
+        let queue = |end: usize| usize::from_str_radix(words.get(4)?.split(':').nth(end)?, 16).ok();
+        match (port(1), port(2)) {
+            (Some(local), Some(remote)) if (local, remote) == (from, to) => queues.0 = queue(0),
+            (Some(local), Some(remote)) if (local, remote) == (to, from) => queues.1 = queue(1),
+            _ => {}
+        }
+    }
+    Some((queues.0?, queues.1?))
+}
