Review case 8: an access is never answered when a new configuration changes the store

An access that the store has let go on in the same turn in which a changed section store (or peers) is applied is dropped with the old state, and never answered.

--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -2,71 +2,89 @@
 mod common;
 
 use common::*;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
-/// What the journal service has to tell counts as told this long afterwards.
-const TOLD_WITHIN: Duration = Duration::from_secs(7);
-/// The time in which nothing new may go to a host that is told to drain, with the slack of sockets.
-const GRACE: Duration = Duration::from_millis(2_050);
-/// How long the journal service takes to answer a call on a slow day.
-const SLOW_MS: u64 = 2_500;
+/// Accesses a second, from all clients together; the pages have up to 950 at a dispatcher.
+const RATE: u64 = 600;
+const CLIENTS: u64 = 12;
+/// How long a client waits for an answer, in milliseconds, and how much later it is owed none any more.
+const ALLOW_MS: u64 = 1_000;
+const LATEST_MS: u64 = 500;
+/// How long new configurations come, at most, and how far apart.
+const LOAD: Duration = Duration::from_secs(90);
+const EVERY_MS: u64 = 200;
 
 fn main() {
     let run = Run::new();
     let record = run.record.clone();
     let journal = Journal::start(&record);
-    let sent: Shared<Vec<(String, Instant)>> = Arc::default();
-    let host = |id: &str| {
-        let sent = sent.clone();
-        Host::start(
-            id,
-            Arc::new(move |pull, back| {
-                sent.lock().unwrap().push((pull.host.clone(), pull.at));
-                let fields = format!("tag=0000000000000001,why=TCP_HIT,minted={}", pull.unix_ms - 1_000);
-                back.answer(&pull.id, "data", &fields, b"bytes");
-            }),
-        )
-    };
-    let (a, b, parent, origin) = (host("cache-a"), host("cache-b"), host("hub-a"), host("origin"));
-    let all = |phase: &str| {
-        vec![member(&a, "depot", "cache", phase, 0), member(&b, "depot", "cache", "ready", 0),
-            member(&parent, "hub", "parent", "ready", 0), member(&origin, "hub", "origin", "ready", 0)]
-    };
-    journal.tell(&hosts_event(true, &all("ready")));
-    if run.trouble {
-        journal.head_delay_ms.store(SLOW_MS, Ordering::Relaxed);
-    }
+    let store = Store::quiet(&record);
+    let answer: Behaviour =
+        Arc::new(|pull, back| back.answer(&pull.id, "data", "tag=0000000000000001,why=TCP_MISS", b"changed"));
+    let origin = Host::start("origin", answer);
+    journal.tell(&hosts_event(true, &[member(&origin, "hub", "origin", "ready", 0)]));
+    // The operator tries another wait for the store, and goes back.
+    let section = |wait: u64| store_section(store.port).replace("\"wait_ms\":4.0", &format!("\"wait_ms\":{wait}.0"));
+    let operator = run.temp.join("operator.json");
+    std::fs::write(&operator, section(4)).unwrap();
+    let path = operator.to_string_lossy().into_owned();
     let config = config(&journal.address, &journal.known(), &settings(1));
-    let dispatcher = run.start("n1", &config, &[]);
-    sleep_ms(4_000);
-    let mut client = Client::connect(&dispatcher.listen).unwrap();
-    journal.tell(&hosts_event(false, &[member(&a, "depot", "cache", "draining", 0)]));
-    let told_at = Instant::now() + TOLD_WITHIN;
-    let latest = told_at + GRACE;
-    let mut n = 0u64;
-    while Instant::now() < latest + Duration::from_secs(5) {
-        n += 1;
-        let (id, object) = (new_ref(), format!("{:016x}", 0x7f3a_9c21_0000_0000 + n));
-        let fields = [("ref", id.as_str()), ("allow", "3000"), ("lookup", &object), ("part", "0"), ("group", "17"), ("room", "40.0")];
-        if client.request("image", &fields, b"").is_err() {
-            run.finish(2, "the connection to the dispatcher ended");
-        }
-        if let Some(answer) = client.answer(Duration::from_secs(4)) && n % 50 == 1 {
-            record.line(format!("client: request {n} is answered {}", answer.result));
-        }
-        sleep_ms(20);
+    let dispatcher = run.start("n1", &config, &[("RELAY_OPERATOR", path.as_str())]);
+    sleep_ms(2_000);
+    let (asked, over) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let lost: Shared<Vec<String>> = Arc::default();
+    let until = Instant::now() + if run.trouble { LOAD } else { Duration::from_secs(20) };
+    let mut clients = Vec::new();
+    for n in 0..CLIENTS {
+        let (listen, record) = (dispatcher.listen.clone(), record.clone());
+        let (asked, over, lost) = (asked.clone(), over.clone(), lost.clone());
+        clients.push(thread::spawn(move || {
+            let mut next = Instant::now() + Duration::from_micros(n * 1_000_000 / RATE);
+            let mut client = Client::connect(&listen).unwrap();
+            while Instant::now() < until && !over.load(Ordering::Relaxed) {
+                thread::sleep(next.saturating_duration_since(Instant::now()));
+                next += Duration::from_micros(CLIENTS * 1_000_000 / RATE);
+                let (id, key) = (new_ref(), format!("{}{}", new_ref(), new_ref()));
+                let allow = ALLOW_MS.to_string();
+                let fields = [("ref", id.as_str()), ("allow", &allow), ("replay", &key), ("lookup", "7f3a9c21e0b4d655"),
+                    ("part", "0"), ("group", "17"), ("room", "1.0")];
+                let sent = record.ms();
+                if client.request("order-change", &fields, b"change").is_err() {
+                    record.line(format!("client {n}: the connection ended"));
+                    client = Client::connect(&listen).unwrap();
+                    continue;
+                }
+                asked.fetch_add(1, Ordering::Relaxed);
+                if client.answer(Duration::from_millis(ALLOW_MS + LATEST_MS + 50)).is_none() {
+                    record.line(format!("client {n}: sent {id} at {sent}, allow {allow}, and got no answer"));
+                    lost.lock().unwrap().push(id);
+                    over.store(true, Ordering::Relaxed);
+                }
+            }
+        }));
+    }
+    let mut hangups = 0;
+    while run.trouble && Instant::now() < until && !over.load(Ordering::Relaxed) {
+        sleep_ms(EVERY_MS);
+        hangups += 1;
+        // The file is replaced as a whole.
+        let new = run.temp.join("operator.new");
+        std::fs::write(&new, section(4 + hangups % 2)).unwrap();
+        std::fs::rename(&new, &operator).unwrap();
+        dispatcher.signal(SIGHUP);
+        record.line(format!("new configuration {hangups}, SIGHUP"));
     }
-    let sent = sent.lock().unwrap();
-    let at_a: Vec<Instant> = sent.iter().filter(|(host, _)| host == "cache-a").map(|(_, at)| *at).collect();
-    let late = at_a.iter().filter(|at| **at > latest).count();
-    record.line(format!("cache-a got {} requests, {late} of them after its drain was to be heeded", at_a.len()));
-    if at_a.is_empty() {
-        run.finish(2, "cache-a was never asked");
+    clients.into_iter().for_each(|client| drop(client.join()));
+    if dispatcher.ended().is_some() {
+        run.finish(1, "the dispatcher ended");
     }
-    match late {
-        0 => run.finish(0, "nothing went to the draining host past the grace"),
-        n => run.finish(1, &format!("{n} requests went to a draining host past the grace")),
+    let (asked, lost) = (asked.load(Ordering::Relaxed), lost.lock().unwrap().len());
+    record.line(format!("{asked} accesses, {lost} of them never answered, {hangups} new configurations"));
+    match lost {
+        0 => run.finish(0, "every access was answered"),
+        n => run.finish(1, &format!("{n} accesses of {asked} were never answered, after {hangups} new configurations")),
     }
 }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -2,82 +2,71 @@
 mod common;
 
 use common::*;
-use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long the origin drops repeats of a key.
-const WINDOW: Duration = Duration::from_secs(2);
-/// How late the store answers on a slow day.
-const SLOW_MS: u64 = 50;
+/// What the journal service has to tell counts as told this long afterwards.
+const TOLD_WITHIN: Duration = Duration::from_secs(7);
+/// The time in which nothing new may go to a host that is told to drain, with the slack of sockets.
+const GRACE: Duration = Duration::from_millis(2_050);
+/// How long the journal service takes to answer a call on a slow day.
+const SLOW_MS: u64 = 2_500;
 
 fn main() {
     let run = Run::new();
     let record = run.record.clone();
     let journal = Journal::start(&record);
-    let store = Store::start(&record);
-    let keys: Shared<HashMap<String, (Instant, u32)>> = Arc::default();
-    let (seen, origin_record) = (keys.clone(), record.clone());
-    let origin = Host::start(
-        "origin",
-        Arc::new(move |pull, back| {
-            let key = pull.field("dedupe").to_owned();
-            let mut all = seen.lock().unwrap();
-            let entry = all.entry(key.clone()).or_insert((pull.at, 0));
-            if entry.1 > 0 && pull.at - entry.0 < WINDOW {
-                origin_record.line(format!("origin: {} with key {key} is a repeat, dropped", pull.id));
-            } else {
-                *entry = (pull.at, entry.1 + 1);
-                origin_record.line(format!("origin: {} with key {key} runs, time {}", pull.id, entry.1));
-            }
-            thread::spawn(move || {
-                sleep_ms(700);
-                back.answer(&pull.id, "data", "tag=0000000000000001,why=TCP_MISS", b"changed");
-            });
-        }),
-    );
-    journal.tell(&hosts_event(true, &[member(&origin, "hub", "origin", "ready", 0)]));
-    let operator = run.temp.join("operator.json");
-    std::fs::write(&operator, store_section(store.port)).unwrap();
-    let operator = operator.to_string_lossy().into_owned();
-    let config = config(&journal.address, &journal.known(), &settings(2));
-    let env = [("RELAY_OPERATOR", operator.as_str())];
-    let (n1, n2) = (run.start("n1", &config, &env), run.start("n2", &config, &env));
-    // Until the dispatchers trust the store.
-    sleep_ms(4_000);
-    let key = format!("{}{}", new_ref(), new_ref());
-    let ask = |client: &mut Client, allow: &str| {
-        let id = new_ref();
-        let fields = [("ref", id.as_str()), ("allow", allow), ("replay", &key), ("lookup", "7f3a9c21e0b4d655"),
-            ("part", "0"), ("group", "17"), ("room", "1.0")];
-        record.line(format!("client: sends {id} with key {key}, allow {allow}"));
-        client.request("order-change", &fields, b"change").is_ok()
+    let sent: Shared<Vec<(String, Instant)>> = Arc::default();
+    let host = |id: &str| {
+        let sent = sent.clone();
+        Host::start(
+            id,
+            Arc::new(move |pull, back| {
+                sent.lock().unwrap().push((pull.host.clone(), pull.at));
+                let fields = format!("tag=0000000000000001,why=TCP_HIT,minted={}", pull.unix_ms - 1_000);
+                back.answer(&pull.id, "data", &fields, b"bytes");
+            }),
+        )
+    };
+    let (a, b, parent, origin) = (host("cache-a"), host("cache-b"), host("hub-a"), host("origin"));
+    let all = |phase: &str| {
+        vec![member(&a, "depot", "cache", phase, 0), member(&b, "depot", "cache", "ready", 0),
+            member(&parent, "hub", "parent", "ready", 0), member(&origin, "hub", "origin", "ready", 0)]
     };
-    let mut client = Client::connect(&n1.listen).unwrap();
-    ask(&mut client, "3000");
-    sleep_ms(300);
-    n1.signal(SIGKILL);
-    record.line("n1 is killed");
+    journal.tell(&hosts_event(true, &all("ready")));
     if run.trouble {
-        store.delay_ms.store(SLOW_MS, Ordering::Relaxed);
-        record.line(format!("store: answers {SLOW_MS} ms late from now on"));
+        journal.head_delay_ms.store(SLOW_MS, Ordering::Relaxed);
     }
-    // The front notices after 1.3 to 3.4 s; until then the client finds nobody.
-    sleep_ms(1_900);
-    let mut client = Client::connect(&n2.listen).unwrap();
-    if !ask(&mut client, "800") {
-        run.finish(2, "the connection to the dispatcher ended");
+    let config = config(&journal.address, &journal.known(), &settings(1));
+    let dispatcher = run.start("n1", &config, &[]);
+    sleep_ms(4_000);
+    let mut client = Client::connect(&dispatcher.listen).unwrap();
+    journal.tell(&hosts_event(false, &[member(&a, "depot", "cache", "draining", 0)]));
+    let told_at = Instant::now() + TOLD_WITHIN;
+    let latest = told_at + GRACE;
+    let mut n = 0u64;
+    while Instant::now() < latest + Duration::from_secs(5) {
+        n += 1;
+        let (id, object) = (new_ref(), format!("{:016x}", 0x7f3a_9c21_0000_0000 + n));
+        let fields = [("ref", id.as_str()), ("allow", "3000"), ("lookup", &object), ("part", "0"), ("group", "17"), ("room", "40.0")];
+        if client.request("image", &fields, b"").is_err() {
+            run.finish(2, "the connection to the dispatcher ended");
+        }
+        if let Some(answer) = client.answer(Duration::from_secs(4)) && n % 50 == 1 {
+            record.line(format!("client: request {n} is answered {}", answer.result));
+        }
+        sleep_ms(20);
     }
-    match client.answer(Duration::from_secs(3)) {
-        Some(answer) => record.line(format!("client: is answered {} {:?}", answer.result, answer.fields)),
-        None => record.line("client: no answer"),
+    let sent = sent.lock().unwrap();
+    let at_a: Vec<Instant> = sent.iter().filter(|(host, _)| host == "cache-a").map(|(_, at)| *at).collect();
+    let late = at_a.iter().filter(|at| **at > latest).count();
+    record.line(format!("cache-a got {} requests, {late} of them after its drain was to be heeded", at_a.len()));
+    if at_a.is_empty() {
+        run.finish(2, "cache-a was never asked");
     }
-    let times = keys.lock().unwrap().get(&key).map_or(0, |entry| entry.1);
-    match times {
-        0 => run.finish(2, "the origin was not asked"),
-        1 => run.finish(0, "the change was made once"),
-        n => run.finish(1, &format!("the change was made {n} times")),
+    match late {
+        0 => run.finish(0, "nothing went to the draining host past the grace"),
+        n => run.finish(1, &format!("{n} requests went to a draining host past the grace")),
     }
 }
--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -735,6 +735,8 @@
     pub delay_ms: Arc<AtomicU64>,
     state: Arc<Mutex<StoreState>>,
     record: Record,
+    /// Whether operations are left out of the record.
+    quiet: bool,
 }
 
 /// A part of an answer of the store.
@@ -746,6 +748,21 @@
 
 impl Store {
     pub fn start(record: &Record) -> Store {
+        Store::start_with(record, false)
+    }
+
+    /// One whose operations are left out of the record.
+    pub fn quiet(record: &Record) -> Store {
+        Store::start_with(record, true)
+    }
+
+    fn note(&self, text: impl AsRef<str>) {
+        if !self.quiet {
+            self.record.line(text);
+        }
+    }
+
+    fn start_with(record: &Record, quiet: bool) -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let state = StoreState { run_id: format!("{}{}00000000", new_ref(), new_ref()), ..StoreState::default() };
         let store = Store {
@@ -753,6 +770,7 @@
             delay_ms: Arc::default(),
             state: Arc::new(Mutex::new(state)),
             record: record.clone(),
+            quiet,
         };
         let this = store.clone();
         thread::spawn(move || {
@@ -845,7 +863,7 @@
         match script {
             "claim" => match state.records.get(&keys[1]) {
                 Some(known) if known.token != args[2] => {
-                    self.record.line(format!("store: a claim finds a record, {}, {} ms old", show(known), now - known.first));
+                    self.note(format!("store: a claim finds a record, {}, {} ms old", show(known), now - known.first));
                     let (zone, cell) = known.place.clone().unwrap_or_default();
                     let body = known.body.clone().map_or(Part::Nil, Part::Text);
                     let stand = Part::Text(known.stand.clone());
@@ -854,7 +872,7 @@
                 }
                 Some(_) => done("mine"),
                 None => {
-                    self.record.line("store: a key is claimed");
+                    self.note("store: a key is claimed");
                     let (token, stand) = (args[2].clone(), b"claimed".to_vec());
                     state.records.insert(keys[1].clone(), KeyRecord { token, stand, first: now, ..KeyRecord::default() });
                     done("mine")
@@ -868,7 +886,7 @@
                 });
                 if known.token == args[2] {
                     (known.stand, known.place) = (b"sent".to_vec(), Some((args[4].clone(), args[5].clone())));
-                    self.record.line("store: a hand-off is recorded");
+                    self.note("store: a hand-off is recorded");
                 }
                 done("taken")
             }
@@ -889,7 +907,7 @@
                     if args[7] == b"1" {
                         kept.body = Some(args[8].clone());
                     }
-                    self.record.line(format!("store: the end of a request is recorded, {}", show(&kept)));
+                    self.note(format!("store: the end of a request is recorded, {}", show(&kept)));
                     state.records.insert(keys[1].clone(), kept);
                 }
                 done("taken")
