--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -8,14 +8,14 @@
 use std::time::{Duration, Instant};
 
 /// Accesses a second, from all clients together; the pages have up to 950 at a dispatcher.
-const RATE: u64 = 600;
+const RATE: u64 = 900;
 const CLIENTS: u64 = 12;
 /// How long a client waits for an answer, in milliseconds, and how much later it is owed none any more.
 const ALLOW_MS: u64 = 1_000;
 const LATEST_MS: u64 = 500;
 /// How long new configurations come, at most, and how far apart.
 const LOAD: Duration = Duration::from_secs(90);
-const EVERY_MS: u64 = 200;
+const EVERY_MS: u64 = 100;
 
 fn main() {
     let run = Run::new();
--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -106,11 +106,17 @@
 
     /// Starts a dispatcher by the command of the deploy file and waits until it answers a heartbeat with true.
     pub fn start(&self, name: &str, config: &str, env: &[(&str, &str)]) -> Dispatcher {
-        let port = free_port();
-        self.start_at(name, &format!("127.0.0.1:{port}"), config, env)
+        for _ in 0..5 {
+            // Another process may take the port before the dispatcher does.
+            let listen = format!("127.0.0.1:{}", free_port());
+            if let Some(dispatcher) = self.start_at(name, &listen, config, env) {
+                return dispatcher;
+            }
+        }
+        self.finish(2, "the dispatcher did not become ready");
     }
 
-    pub fn start_at(&self, name: &str, listen: &str, config: &str, env: &[(&str, &str)]) -> Dispatcher {
+    fn start_at(&self, name: &str, listen: &str, config: &str, env: &[(&str, &str)]) -> Option<Dispatcher> {
         let path = self.temp.join(format!("{name}.json"));
         std::fs::write(&path, config).expect("the configuration can't be written");
         let log = File::create(self.temp.join(format!("{name}-{}.log", unix_ms()))).expect("no log file");
@@ -127,13 +133,16 @@
         let pid = child.lock().unwrap().id();
         let dispatcher = Dispatcher { name: name.into(), listen: listen.into(), config: path, pid, child };
         for _ in 0..500 {
+            if dispatcher.ended().is_some() {
+                return None;
+            }
             if dispatcher.is_ready() {
                 self.record.line(format!("{name} is ready at {listen}"));
-                return dispatcher;
+                return Some(dispatcher);
             }
             sleep_ms(20);
         }
-        self.finish(2, "the dispatcher did not become ready");
+        None
     }
 }
 
