--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -3,81 +3,211 @@
 
 use common::*;
 use std::collections::HashMap;
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long the origin drops repeats of a key.
-const WINDOW: Duration = Duration::from_secs(2);
+/// How long the cache host hangs.
+const HANG: Duration = Duration::from_secs(8);
+/// The size of a change, the largest that the protocol allows.
+const BODY: usize = 48_000;
+/// One connection of the cache host, as the cache host sees it.
+struct Line {
+    /// The port of the dispatcher.
+    from: u16,
+    /// The bytes read so far.
+    read: usize,
+}
+
+/// What the cache host has seen of a request: where its last byte stands in the stream of its connection, and when that
+/// was read.
+#[derive(Clone)]
+struct Whole {
+    line: usize,
+    end: usize,
+    at: Instant,
+}
 
 fn main() {
     let run = Run::new();
     let record = run.record.clone();
     let journal = Journal::start(&record);
-    // By key: when it was first seen since it was last forgotten, and how often the change was made.
-    let keys: Shared<HashMap<String, (Instant, u32)>> = Arc::default();
-    let first: Shared<bool> = Arc::new(Mutex::new(true));
-    let (trouble, seen, origin_record) = (run.trouble, keys.clone(), record.clone());
-    let origin = Host::start(
-        "origin",
-        Arc::new(move |pull, back| {
-            let key = pull.field("dedupe").to_owned();
-            let mut all = seen.lock().unwrap();
-            let entry = all.entry(key.clone()).or_insert((pull.at, 0));
-            if entry.1 > 0 && pull.at - entry.0 < WINDOW {
-                origin_record.line(format!("origin: {} with key {key} is a repeat, dropped", pull.id));
-            } else {
-                *entry = (pull.at, entry.1 + 1);
-                origin_record.line(format!("origin: {} with key {key} runs, time {}", pull.id, entry.1));
+    let hanging = Arc::new(AtomicBool::new(false));
+    let lines: Shared<Vec<Line>> = Arc::default();
+    let wholes: Shared<HashMap<String, Whole>> = Arc::default();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    // As on a way through a tunnel: segments of 1,200 bytes, where loopback's are of 64 KB; and a receive buffer of 16 KB.
+    // So the systems hold one change and a part of the next, and not megabytes.
+    set_option(&listener, 6, 2, 1_200);
+    set_option(&listener, 1, 8, 8_192);
+    let port = listener.local_addr().unwrap().port();
+    let cache = Host {
+        id: "cache-a".into(),
+        address: format!("127.0.0.1:{port}"),
+        killed: Arc::default(),
+        connections: Arc::default(),
+    };
+    {
+        let (hanging, lines, wholes, record) = (hanging.clone(), lines.clone(), wholes.clone(), record.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let number = {
+                    let mut lines = lines.lock().unwrap();
+                    lines.push(Line { from: stream.peer_addr().unwrap().port(), read: 0 });
+                    lines.len() - 1
+                };
+                let (hanging, lines, wholes, record) = (hanging.clone(), lines.clone(), wholes.clone(), record.clone());
+                thread::spawn(move || serve(stream, number, &hanging, &lines, &wholes, &record));
             }
-            let is_first = std::mem::replace(&mut *first.lock().unwrap(), false);
-            let record = origin_record.clone();
-            thread::spawn(move || {
-                if trouble && is_first {
-                    sleep_ms(2_100);
-                    record.line(format!("origin: the connection ends under {}, which has run", pull.id));
-                    back.close();
-                } else {
-                    sleep_ms(20);
-                    back.answer(&pull.id, "data", "tag=0000000000000001,why=TCP_MISS", b"changed");
-                }
-            });
-        }),
-    );
-    journal.tell(&hosts_event(true, &[member(&origin, "hub", "origin", "ready", 0)]));
-    let config = config(&journal.address, &journal.known(), &settings(1));
+        });
+    }
+    let quiet = |id: &str| Host::start(id, Arc::new(|pull, back| back.answer(&pull.id, "absent", "-", b"")));
+    let (parent, origin) = (quiet("hub-a"), quiet("origin"));
+    let mut all = vec![member(&cache, "depot", "cache", "ready", 0), member(&parent, "hub", "parent", "ready", 0),
+        member(&origin, "hub", "origin", "ready", 0)];
+    // The caches of other depots, which get nothing from this dispatcher. Its descriptors are divided among all hosts of
+    // the list: it holds one connection to each.
+    let others = (0..120).map(|n| Host { id: format!("cache-of-others-{n}"), ..cache.clone() });
+    all.extend(others.map(|host| member(&host, "depot-2", "cache", "ready", 0)));
+    journal.tell(&hosts_event(true, &all));
+    // Accesses go to the cache hosts only.
+    let settings = settings(1).replace("\"straight\": true", "\"straight\": false");
+    let settings = settings.replace("[\"hub\", \"depot\"]", "[\"hub\", \"depot\", \"depot-2\"]");
+    let config = config(&journal.address, &journal.known(), &settings).replace("\"sockets\": 1024", "\"sockets\": 256");
     let dispatcher = run.start("n1", &config, &[]);
     let mut client = Client::connect(&dispatcher.listen).unwrap();
-    let key = format!("{}{}", new_ref(), new_ref());
-    let start = Instant::now();
-    // The client waits three seconds in all, and tries again only after a rejection, when it is told to.
-    let limit = Duration::from_secs(3);
-    for _ in 0..3 {
-        let left = limit.saturating_sub(start.elapsed());
-        if left < Duration::from_millis(30) {
-            break;
-        }
-        let (id, allow) = (new_ref(), left.as_millis().to_string());
-        let fields = [("ref", id.as_str()), ("allow", &allow), ("replay", &key), ("lookup", "7f3a9c21e0b4d655"),
+    let mut ids: HashMap<u32, String> = HashMap::new();
+    let mut ask = |client: &mut Client, allow: &str| {
+        let (id, key) = (new_ref(), format!("{}{}", new_ref(), new_ref()));
+        let fields = [("ref", id.as_str()), ("allow", allow), ("replay", &key), ("lookup", "7f3a9c21e0b4d655"),
             ("part", "0"), ("group", "17"), ("room", "1.0")];
-        record.line(format!("client: sends {id} with key {key}, allow {allow}"));
-        client.request("order-change", &fields, b"change").unwrap();
-        let Some(answer) = client.answer(left + Duration::from_millis(600)) else {
-            record.line("client: no answer");
+        record.line(format!("client: sends {id} with {BODY} bytes, allow {allow}"));
+        let number = client.request("order-change", &fields, &vec![b'x'; BODY]).unwrap_or(0);
+        ids.insert(number, id);
+    };
+    if run.trouble {
+        hanging.store(true, Ordering::Relaxed);
+        record.line("cache-a hangs: it reads and answers nothing");
+    }
+    let hung_at = Instant::now();
+    // Changes are sent one by one until the systems have no room for the whole of the last one. Each has a little less
+    // time than the one before, so that the last one ends first.
+    let mut sent = 0;
+    let held = || {
+        let lines = lines.lock().unwrap();
+        let held = lines.first().and_then(|line| held_by_system(line.from, port)).unwrap_or_default();
+        held.0 + held.1
+    };
+    while sent < if run.trouble { 25 } else { 5 } {
+        let allow = 2_500 - 40 * sent;
+        ask(&mut client, &allow.to_string());
+        sent += 1;
+        sleep_ms(25);
+        if run.trouble && held() < sent * BODY {
             break;
+        }
+    }
+    record.line(format!("the systems hold {} bytes of {sent} changes", held()));
+    if run.trouble && held() >= sent * BODY {
+        run.finish(2, "the systems had room for all changes");
+    }
+    // By id: when the final answer came, and the bytes that the systems had taken of each connection 100 ms later.
+    let mut taken: HashMap<String, (Instant, Vec<usize>)> = HashMap::new();
+    for _ in 0..sent {
+        let Some(answer) = client.answer(Duration::from_secs(4)) else {
+            run.finish(2, "a change got no answer");
         };
+        let id = ids[&answer.number].clone();
         record.line(format!("client: {id} is answered {} {:?}", answer.result, answer.fields));
-        if answer.result != "Throttled" {
-            break;
+        sleep_ms(100);
+        let mut all = Vec::new();
+        for (number, line) in lines.lock().unwrap().iter().enumerate().filter(|_| run.trouble) {
+            let (unconfirmed, unread) = held_by_system(line.from, port).unwrap_or_default();
+            record.line(format!("line {number}: {} bytes read, {unread} unread, {unconfirmed} unconfirmed", line.read));
+            all.push(line.read + unconfirmed + unread);
         }
-        let cooldown = answer.fields.get("cooldown").and_then(|ms| ms.parse().ok()).unwrap_or(100);
-        sleep_ms(cooldown);
+        taken.insert(id, (answer.at, all));
+    }
+    if run.trouble {
+        thread::sleep(HANG.saturating_sub(hung_at.elapsed()));
+        hanging.store(false, Ordering::Relaxed);
+        record.line("cache-a goes on");
+        sleep_ms(1_500);
     }
-    sleep_ms(300);
-    let times = keys.lock().unwrap().get(&key).map_or(0, |entry| entry.1);
-    match times {
-        0 => run.finish(2, "the origin was not asked"),
-        1 => run.finish(0, "the change was made once"),
-        n => run.finish(1, &format!("the change was made {n} times, the last after a rejection")),
+    let wholes = wholes.lock().unwrap();
+    let mut late = 0;
+    for (id, (answered, bytes)) in &taken {
+        if let Some(whole) = wholes.get(id)
+            && bytes.get(whole.line).is_some_and(|taken| whole.end > *taken)
+        {
+            late += 1;
+            let (by, after) = (whole.end - bytes[whole.line], whole.at - *answered);
+            record.line(format!(
+                "{id} ran {} ms after its final answer; its last {by} bytes were sent more than 100 ms after that",
+                after.as_millis()
+            ));
+        }
+    }
+    match late {
+        0 => run.finish(0, "nothing was sent for a change after its final answer"),
+        n => run.finish(1, &format!("{n} changes were sent on after their final answers, and ran")),
+    }
+}
+
+/// Serves one connection: reads while the host does not hang, and carries out each change as soon as it is whole.
+fn serve(
+    mut stream: TcpStream,
+    number: usize,
+    hanging: &AtomicBool,
+    lines: &Mutex<Vec<Line>>,
+    wholes: &Mutex<HashMap<String, Whole>>,
+    record: &Record,
+) {
+    let (mut bytes, mut piece, mut parsed) = (Vec::new(), [0; 16_384], 0);
+    let killed: Shared<Vec<String>> = Arc::default();
+    loop {
+        while hanging.load(Ordering::Relaxed) {
+            sleep_ms(5);
+        }
+        // Short waits, so that a hang is noticed.
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(5)));
+        match stream.read(&mut piece) {
+            Ok(0) => return,
+            Ok(n) => {
+                bytes.extend(&piece[..n]);
+                lines.lock().unwrap()[number].read += n;
+            }
+            Err(_) => continue,
+        }
+        while let Some((words, length)) = read_words(&bytes) {
+            bytes.drain(..length);
+            parsed += length;
+            let text = |n: usize| words.get(n).map_or(String::new(), |word| String::from_utf8_lossy(word).into_owned());
+            match text(0).as_str() {
+                "PULL" => {
+                    let whole = Whole { line: number, end: parsed, at: Instant::now() };
+                    wholes.lock().unwrap().insert(text(1), whole);
+                    record.line(format!("cache-a: {} is whole on line {number} at {parsed}, and runs", text(1)));
+                    // The answer takes 100 ms; a request that is given up meanwhile gets none.
+                    if let Ok(stream) = stream.try_clone() {
+                        let (back, killed, id) = (Back::new(stream), killed.clone(), text(1));
+                        thread::spawn(move || {
+                            sleep_ms(100);
+                            if !killed.lock().unwrap().contains(&id) {
+                                back.answer(&id, "data", "tag=0000000000000001,why=TCP_MISS", b"changed");
+                            }
+                        });
+                    }
+                }
+                "KILL" => {
+                    killed.lock().unwrap().push(text(1));
+                    record.line(format!("cache-a: KILL {} on line {number}", text(1)));
+                }
+                word => record.line(format!("cache-a: {word} {} on line {number}", text(1))),
+            }
+        }
     }
 }
