--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -16,6 +17,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -125,6 +127,14 @@
         command.env("RELAY_NAME", name).env("RELAY_LISTEN", listen).env("RELAY_CONFIG", &path);
         command.envs(env.iter().copied());
         command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
+        // The dispatcher ends with this program, however that ends: PR_SET_PDEATHSIG with SIGKILL.
+        // SAFETY: the call between fork and exec is a system call only.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64, 0, 0, 0);
+                Ok(())
+            })
+        };
         let Ok(child) = command.spawn() else {
             self.finish(2, "the dispatcher can't be started");
         };
