Never send the rest of a request that has ended

Seen: a host that reads nothing holds some changes whole and a part of one more.

Cause: whether the rest may go out was decided by the deadline of an open attempt. A cancelled attempt is not open, and what was not found counted as in order. Nothing asked whether the request was over.

Change: a host starts a request when it has all of it, so permits::may_complete asks what may_send asks, and for a stall. A request that may not be completed is abandoned: it counts as not sent, nothing more is written on its connection, whole requests on it are still answered, then it closes. It closes at once where one of these is cancelled. Before, a stall ended them all.

--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -66,6 +66,8 @@
     lines_closed,
     /// Connections to hosts that were reset or failed.
     lines_reset,
+    /// Requests that were abandoned after a part of them was written to a host.
+    partial_requests_abandoned,
     /// Connections to the journal service that were tried.
     journal_calls,
     /// New journal entries.
--- a/crates/trailproxyd/src/host_connection.rs
+++ b/crates/trailproxyd/src/host_connection.rs
@@ -24,7 +24,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::interface::{Ending, Note};
 use trailproxy::policy::memory::CONNECTION_BYTES;
-use trailproxy::policy::permits;
+use trailproxy::policy::permits::{self, Denial, WriteProgress};
 use trailproxy::units::{HostId, TimeSpan, Timestamp};
 
 /// The longest string of a message, by the protocol: an object's body or one of the other strings.
@@ -61,6 +61,13 @@
     Probe(ProbeId),
 }
 
+/// An attempt whose request is the message that is being written.
+struct OutgoingAttempt {
+    attempt: AttemptRequest,
+    /// When the request was encoded, with the time that was left then.
+    encoded_at: Instant,
+}
+
 /// An attempt that was written at least in part and has no answer yet.
 struct OpenAttempt {
     id: AttemptId,
@@ -84,13 +91,16 @@
     /// The message that is being written, if any. A message of which no byte could be written is taken out again.
     outgoing: OutgoingBytes<RequestBody>,
     /// The attempt whose request is in `outgoing`.
-    attempt_in_outgoing: Option<AttemptRequest>,
+    attempt_in_outgoing: Option<OutgoingAttempt>,
     /// Whether a byte of the message in `outgoing` was written.
     has_begun: bool,
     /// When bytes were last written.
     last_write_at: Instant,
     /// Messages that wait for `outgoing`.
     unsent: VecDeque<OutgoingMessage>,
+    /// Whether the last request was abandoned after a part of it was written. Nothing may follow that part, so that nothing
+    /// more is written; answers are still read.
+    writing_ended: bool,
     /// Open attempts, by the id of the request.
     open: BTreeMap<Rc<str>, OpenAttempt>,
     /// The last probe, until it is answered. The result of any earlier probe was reported already.
@@ -136,6 +146,7 @@
             has_begun: false,
             last_write_at: Instant::now(),
             unsent: VecDeque::new(),
+            writing_ended: false,
             open: BTreeMap::new(),
             probe: None,
             cancelled: VecDeque::new(),
@@ -186,7 +197,7 @@
             .filter(|_| !self.outgoing.is_empty());
         for (_, attempt) in std::mem::take(&mut self.open) {
             let not_started =
-                (incomplete.as_ref()).is_some_and(|incomplete| incomplete.id == attempt.id);
+                (incomplete.as_ref()).is_some_and(|incomplete| incomplete.attempt.id == attempt.id);
             self.end(
                 attempt.id,
                 if not_started {
@@ -294,6 +305,9 @@
         if idle && self.retired {
             return Err("retired");
         }
+        if self.writing_ended && self.open.is_empty() {
+            return Err("ended within a request");
+        }
         // The connection closes a dial timeout before the host would close it. Otherwise a request might cross the
         // host's close.
         let bounds = &self.shared.bounds;
@@ -323,11 +337,17 @@
     fn handle_order(&mut self, order: ToHost) -> Result<(), CloseReason> {
         self.last_active_at = Instant::now();
         match order {
+            ToHost::Send(attempt) if self.writing_ended => {
+                self.drop_message(OutgoingMessage::Attempt(attempt));
+            }
+            ToHost::Probe(id) if self.writing_ended => {
+                self.drop_message(OutgoingMessage::Probe(id));
+            }
             ToHost::Send(attempt) => self.unsent.push_back(OutgoingMessage::Attempt(attempt)),
             ToHost::Probe(id) => self.unsent.push_back(OutgoingMessage::Probe(id)),
             ToHost::Cancel(id) => {
                 if !self.drop_unsent(id) {
-                    self.cancel(id);
+                    self.cancel(id)?;
                 }
             }
             ToHost::CancelUnsent(id) => {
@@ -352,7 +372,11 @@
 
     /// Checks again, after the first byte of a request was written, that the request was allowed to start.
     fn check_begun(&self, now: Instant) {
-        let Some(attempt) = &self.attempt_in_outgoing else {
+        let Some(OutgoingAttempt {
+            attempt,
+            encoded_at,
+        }) = &self.attempt_in_outgoing
+        else {
             return;
         };
         let clock = &self.shared.clock;
@@ -361,24 +385,62 @@
             .attempt_begun(&attempt.request, attempt.id, self.id);
         let late = permits::started_in_violation(clock.timestamp(now), &attempt.send_facts(clock));
         check_invariant(!late, &self.shared.counts.broken_began_late);
-        let deadline_holds = self.deadline_holds(now);
+        let deadline_holds =
+            permits::deadline_still_holds(clock.timestamp(now), clock.timestamp(*encoded_at));
         check_invariant(
             deadline_holds,
             &self.shared.counts.broken_deadline_passed_on,
         );
     }
 
-    /// Returns whether the deadline that was encoded in the current request is still accurate enough.
-    fn deadline_holds(&self, now: Instant) -> bool {
+    /// Returns the attempt whose request is written in part.
+    fn partly_written(&self) -> Option<&OutgoingAttempt> {
+        let is_partial = self.has_begun && !self.outgoing.is_empty();
+        self.attempt_in_outgoing.as_ref().filter(|_| is_partial)
+    }
+
+    /// Returns whether the rest of the message that is being written may be sent now.
+    fn may_write_rest(&self, now: Instant) -> Result<(), Denial> {
+        let Some(outgoing) = self.partly_written() else {
+            return Ok(());
+        };
         let clock = &self.shared.clock;
-        let reference = self
-            .attempt_in_outgoing
-            .as_ref()
-            .map(|attempt| &attempt.request.reference);
-        let open = reference.and_then(|reference| self.open.get(reference));
-        open.is_none_or(|open| {
-            permits::deadline_still_holds(clock.timestamp(now), clock.timestamp(open.sent_at))
-        })
+        let progress = WriteProgress {
+            encoded_at: clock.timestamp(outgoing.encoded_at),
+            last_write_at: clock.timestamp(self.last_write_at),
+        };
+        permits::may_complete(
+            clock.timestamp(now),
+            &outgoing.attempt.send_facts(clock),
+            &progress,
+        )
+    }
+
+    /// Abandons the request that is written in part. The host does not start it, because nothing more is written on this
+    /// connection. Answers to earlier requests are still read, unless one of these was cancelled: then the connection
+    /// closes, which tells the host so.
+    fn abandon_partial_request(&mut self, why: Denial) -> Result<(), CloseReason> {
+        count(&self.shared.counts.partial_requests_abandoned);
+        self.writing_ended = true;
+        self.report_unusable();
+        self.outgoing.clear();
+        self.outgoing.release_memory(true);
+        if let Some(OutgoingAttempt { attempt, .. }) = self.attempt_in_outgoing.take() {
+            self.shared
+                .trace
+                .attempt_dropped(&attempt.request, attempt.id, why.as_str());
+            self.open.remove(&attempt.request.reference);
+            self.end(attempt.id, Ending::NotSent);
+        }
+        let is_cancel = |message: &OutgoingMessage| matches!(message, OutgoingMessage::Cancel(_));
+        let must_close = self.unsent.iter().any(is_cancel);
+        for message in std::mem::take(&mut self.unsent) {
+            self.drop_message(message);
+        }
+        match must_close {
+            true => Err("a cancellation can't be sent"),
+            false => Ok(()),
+        }
     }
 
     /// Handles a write that is not possible now. A request that has not begun returns to the queue and is encoded again
@@ -387,7 +449,7 @@
         if self.has_begun {
             return;
         }
-        if let Some(attempt) = self.attempt_in_outgoing.take() {
+        if let Some(OutgoingAttempt { attempt, .. }) = self.attempt_in_outgoing.take() {
             self.open.remove(&attempt.request.reference);
             self.outgoing.clear();
             self.outgoing.release_memory(true);
@@ -395,13 +457,18 @@
         }
     }
 
-    /// Sends a cancellation for an open attempt.
-    fn cancel(&mut self, id: AttemptId) {
+    /// Cancels an open attempt: by a message, or by the end of the connection if no message can be sent. An attempt that is
+    /// written in part is abandoned.
+    fn cancel(&mut self, id: AttemptId) -> Result<(), CloseReason> {
+        let partial = self.partly_written();
+        if partial.is_some_and(|outgoing| outgoing.attempt.id == id) {
+            return self.abandon_partial_request(Denial::Cancelled);
+        }
         let found = self.open.iter().find(|(_, attempt)| attempt.id == id);
         let Some((reference, attempt)) =
             found.map(|(reference, attempt)| (reference.clone(), attempt))
         else {
-            return;
+            return Ok(());
         };
         // A connection on which an answer was outstanding and nothing was received for a dial timeout is not used
         // again.
@@ -414,9 +481,13 @@
             self.report_unusable();
         }
         self.open.remove(&reference);
-        self.unsent.push_back(OutgoingMessage::Cancel(reference));
         self.cancelled
             .push_back((Instant::now() + CANCEL_TRANSIT_TIME, id));
+        if self.writing_ended {
+            return Err("a cancellation can't be sent");
+        }
+        self.unsent.push_back(OutgoingMessage::Cancel(reference));
+        Ok(())
     }
 
     /// Encodes and writes messages until the socket accepts no more.
@@ -431,8 +502,8 @@
                     return Ok(());
                 };
                 self.encode(message);
-            } else if self.is_stalled(now) {
-                return Err("write stalled within a request");
+            } else if let Err(why) = self.may_write_rest(now) {
+                return self.abandon_partial_request(why);
             }
             match system_calls::write(&self.stream, &self.outgoing.parts()) {
                 Transfer::Bytes(n) => {
@@ -456,17 +527,6 @@
         }
     }
 
-    /// Returns whether the rest of a partly written request has waited so long that it must not be sent: the host would
-    /// start it with an outdated deadline. A request that is written slowly but steadily may continue.
-    fn is_stalled(&self, now: Instant) -> bool {
-        let clock = &self.shared.clock;
-        let is_steady = permits::deadline_still_holds(
-            clock.timestamp(now),
-            clock.timestamp(self.last_write_at),
-        );
-        self.has_begun && !is_steady && !self.deadline_holds(now)
-    }
-
     /// Encodes a message into `outgoing`. An attempt that may no longer start is dropped instead.
     fn encode(&mut self, message: OutgoingMessage) {
         let mut out = Vec::with_capacity(512);
@@ -509,7 +569,10 @@
                 };
                 let before = self.open.insert(request.reference.clone(), open);
                 check_invariant(before.is_none(), &self.shared.counts.broken_two_endings);
-                self.attempt_in_outgoing = Some(attempt);
+                self.attempt_in_outgoing = Some(OutgoingAttempt {
+                    attempt,
+                    encoded_at: now,
+                });
             }
         }
     }
--- a/src/policy/permits.rs
+++ b/src/policy/permits.rs
@@ -34,6 +34,10 @@
     HostNotReady,
     /// The source of the fill drains or is gone.
     SourceNotReady,
+    /// The attempt was cancelled.
+    Cancelled,
+    /// Nothing of the request was written for so long that the deadline in it is outdated.
+    WriteStalled,
 }
 
 impl Denial {
@@ -48,6 +52,8 @@
             Denial::OtherRepeatGroup => "other_repeat_group",
             Denial::HostNotReady => "host_not_ready",
             Denial::SourceNotReady => "source_not_ready",
+            Denial::Cancelled => "cancelled",
+            Denial::WriteStalled => "write_stalled",
         }
     }
 }
@@ -176,6 +182,47 @@
     now.since(written_at) < DEADLINE_SLACK
 }
 
+/// How far a request that is being written has come.
+#[derive(Clone, Copy, Debug)]
+pub struct WriteProgress {
+    /// When the request was encoded, with the time that was left then.
+    pub encoded_at: Timestamp,
+    /// When bytes of it were last written.
+    pub last_write_at: Timestamp,
+}
+
+/// Whether the rest of a partly written request may be sent now. A host starts a request only when it has all of it, so
+/// that whatever forbids a start forbids the rest as well. A request that is written slowly but steadily may continue; one
+/// that has stalled would start with an outdated deadline.
+///
+/// ```
+/// use trailproxy::policy::permits::{Denial, SendFacts, WriteProgress, may_complete};
+/// use trailproxy::units::Timestamp;
+/// let facts = SendFacts {
+///     answered: false,
+///     client_closed: None,
+///     deadline: Timestamp(900_000),
+///     repeat_by: None,
+/// };
+/// let progress = WriteProgress { encoded_at: Timestamp(0), last_write_at: Timestamp(150_000) };
+/// assert_eq!(may_complete(Timestamp(200_000), &facts, &progress), Ok(()));
+/// assert_eq!(may_complete(Timestamp(300_000), &facts, &progress), Err(Denial::WriteStalled));
+/// let answered = SendFacts { answered: true, ..facts };
+/// assert_eq!(may_complete(Timestamp(200_000), &answered, &progress), Err(Denial::Answered));
+/// ```
+pub fn may_complete(
+    now: Timestamp,
+    facts: &SendFacts,
+    progress: &WriteProgress,
+) -> Result<(), Denial> {
+    may_send(now, facts)?;
+    let is_steady = deadline_still_holds(now, progress.last_write_at);
+    match is_steady || deadline_still_holds(now, progress.encoded_at) {
+        true => Ok(()),
+        false => Err(Denial::WriteStalled),
+    }
+}
+
 /// How late an answer may arrive at most. A later one counts as lost, like none.
 const MAX_LATENESS: TimeSpan = TimeSpan::from_millis(500);
 
