Skip the oldest incomplete messages before refusing whole requests

Seen: 501 clients that send all but the last bytes of a large write, at 32 MB and 1,024 descriptors. The process stays within its limit, but an ordinary client with writes of 20,000 bytes had 214 of 261 refused in 5.5 s.

Cause: incomplete messages and requests share their memory first come, first served, and what arrived in part keeps it until its time is over (2.5 s).

Change: incomplete messages are listed by age. Where they hold over half of the available memory and another one grows or a request is refused, the oldest is read without its body, if it is 0.1 s old at least.

--- a/crates/trailproxyd/src/client_connection.rs
+++ b/crates/trailproxyd/src/client_connection.rs
@@ -7,11 +7,12 @@
 use crate::client_messages::*;
 use crate::client_slots::SlotUse;
 use crate::clients::ClientsContext;
+use crate::incomplete_messages::may_skip;
 use crate::memory::{Charge, CountedBytes, MemoryUse};
 use crate::messages::*;
 use crate::msgpack::{self, ParseError};
 use crate::outgoing::OutgoingBytes;
-use crate::ring::Ring;
+use crate::ring::{MIN_CAPACITY_BYTES, Ring};
 use crate::system_calls::{self, RESOURCE_RETRY_DELAY, Transfer};
 use local_channel::mpsc;
 use slog::debug;
@@ -58,12 +59,16 @@
     id: ClientId,
     stream: TcpStream,
     shared: Rc<ClientsContext>,
-    /// Messages of the dispatcher's task to this connection.
+    /// Messages of other tasks to this connection.
     orders: mpsc::Receiver<ToClient>,
+    /// Passes such messages on.
+    orders_in: mpsc::Sender<ToClient>,
     /// Received bytes that are not parsed yet.
     incoming: Ring,
     /// The next message has at least this many bytes.
     min_message_bytes: usize,
+    /// Since when a message that is not complete has held more memory than any connection may have.
+    message_held_since: Option<Instant>,
     /// The message of which the rest is skipped, because there is no memory for it.
     skipped: Option<SkippedMessage>,
     /// Encoded answers that are not written yet.
@@ -147,14 +152,16 @@
         let (orders_in, orders) = mpsc::channel();
         let now = Instant::now();
         shared.slots.borrow_mut().open(id, now, orders_in.clone());
-        let opened = Inbound::Client(FromClient::Opened(id, orders_in));
+        let opened = Inbound::Client(FromClient::Opened(id, orders_in.clone()));
         let _ = shared.queue.send(opened);
         Connection {
             id,
             stream,
             orders,
+            orders_in,
             incoming: Ring::new(&shared.memory, MemoryUse::Requests),
             min_message_bytes: 1,
+            message_held_since: None,
             skipped: None,
             outgoing: OutgoingBytes::new(&shared.memory),
             owed: BTreeMap::new(),
@@ -191,6 +198,7 @@
         };
         self.report_close(&reason);
         self.owed.values().for_each(|closed| closed.set(true));
+        self.shared.incomplete.borrow_mut().remove(self.id);
         self.shared.slots.borrow_mut().close(self.id);
         let closed = Inbound::Client(FromClient::Closed(self.id));
         let _ = self.shared.queue.send(closed);
@@ -343,6 +351,12 @@
                 Some(ToClient::Finish) | None => {
                     (self.finishing, self.finish_requested) = (true, true);
                 }
+                Some(ToClient::SkipMessage) => {
+                    let since = self.message_held_since;
+                    if since.is_some_and(|since| may_skip(since, Instant::now())) {
+                        self.skip_message()?;
+                    }
+                }
                 Some(ToClient::YieldSlot) => {
                     system_calls::sync_readiness(&self.stream).await;
                     self.read()?;
@@ -437,12 +451,34 @@
         let wanted = self
             .min_message_bytes
             .clamp(received + 1, received + READ_STEP_BYTES);
-        match self.incoming.try_reserve(wanted) {
+        let has_room = self.incoming.try_reserve(wanted);
+        if has_room && self.incoming.capacity() > MIN_CAPACITY_BYTES {
+            let since = *self.message_held_since.get_or_insert_with(Instant::now);
+            let mut incomplete = self.shared.incomplete.borrow_mut();
+            incomplete.hold(self.id, since, self.incoming.capacity(), &self.orders_in);
+        }
+        self.limit_incomplete_messages();
+        match has_room {
             true => Ok(()),
             false => self.skip_message(),
         }
     }
 
+    /// Has the oldest incomplete message skipped if such messages hold too much memory.
+    fn limit_incomplete_messages(&self) {
+        let mut incomplete = self.shared.incomplete.borrow_mut();
+        if self.shared.memory.must_skip_message(incomplete.bytes()) {
+            incomplete.skip_oldest(Instant::now());
+        }
+    }
+
+    /// Records that the connection holds no memory for an incomplete message any more.
+    fn release_message(&mut self) {
+        if self.message_held_since.take().is_some() {
+            self.shared.incomplete.borrow_mut().remove(self.id);
+        }
+    }
+
     /// Releases the received part of a message, and remembers how it is answered once the rest has arrived. A message is
     /// answered when it is complete, because its client does not expect an answer before.
     fn skip_message(&mut self) -> Result<(), CloseReason> {
@@ -457,6 +493,7 @@
         });
         self.incoming.consume(self.incoming.len());
         self.incoming.release_memory(false);
+        self.release_message();
         self.min_message_bytes = 1;
         Ok(())
     }
@@ -480,6 +517,7 @@
     /// Records that a message has arrived and another one may begin.
     fn on_message_end(&mut self) {
         self.min_message_bytes = 1;
+        self.release_message();
         (self.has_received_message, self.unused_since) = (true, Instant::now());
     }
 
@@ -618,6 +656,7 @@
                 return malformed("too many open requests");
             }
             Message::NotAdmitted(id, class) => {
+                self.limit_incomplete_messages();
                 if self.owed.insert(id.number, Rc::default()).is_some() {
                     return malformed("a request number is used twice");
                 }
--- a/crates/trailproxyd/src/clients.rs
+++ b/crates/trailproxyd/src/clients.rs
@@ -5,6 +5,7 @@
 use crate::checks::{Counts, count};
 use crate::client_connection::Connection;
 use crate::client_slots::{Availability, ClientSlots};
+use crate::incomplete_messages::IncompleteMessages;
 use crate::memory::MemoryAccount;
 use crate::messages::*;
 use crate::stall_detector::StallDetector;
@@ -35,6 +36,8 @@
     pub classes: HashMap<String, ClassId>,
     /// The limited number of connections, and how each connection uses its slot.
     pub slots: RefCell<ClientSlots>,
+    /// The messages that have arrived in part.
+    pub incomplete: RefCell<IncompleteMessages>,
     /// The longest deadline of any class: no client waits longer than this for an answer.
     pub max_deadline: Duration,
     /// Whether the process was asked to end.
--- a/crates/trailproxyd/src/main.rs
+++ b/crates/trailproxyd/src/main.rs
@@ -13,6 +13,7 @@
 mod host_connection;
 mod host_context;
 mod host_pools;
+mod incomplete_messages;
 mod journal_client;
 mod logging;
 mod messages;
--- a/crates/trailproxyd/src/memory.rs
+++ b/crates/trailproxyd/src/memory.rs
@@ -77,6 +77,11 @@
         self.allows(kind, bytes)
     }
 
+    /// Whether the oldest incomplete message is to be skipped, while all of them hold this many bytes.
+    pub fn must_skip_message(&self, incomplete: usize) -> bool {
+        memory::must_skip_message(&self.facts(), incomplete)
+    }
+
     /// Counts bytes until the charge is dropped, if they may be used.
     pub fn try_charge(&self, kind: MemoryUse, bytes: usize) -> Option<Charge> {
         self.may_add(kind, bytes)
--- a/crates/trailproxyd/src/messages.rs
+++ b/crates/trailproxyd/src/messages.rs
@@ -145,6 +145,9 @@
     Reply(u32, Reply),
     /// No more answers follow: write what is left, close the sending side and read until the client closes.
     Finish,
+    /// The memory of the incomplete message is needed for others: the message is read without its body and refused once it
+    /// is complete.
+    SkipMessage,
     /// The connection slot is needed for a new client: the connection closes unless data has arrived by now.
     YieldSlot,
 }
--- a/crates/trailproxyd/src/serving.rs
+++ b/crates/trailproxyd/src/serving.rs
@@ -70,6 +70,7 @@
             .zip((0..).map(trailproxy::units::ClassId))
             .collect(),
         slots: RefCell::new(client_slots::ClientSlots::new(max_clients)),
+        incomplete: RefCell::default(),
         max_deadline: Duration::from_micros(start.bounds.max_deadline.0),
         ending: Cell::new(false),
         memory: memory.clone(),
--- a/crates/trailproxyd/tests/memory.rs
+++ b/crates/trailproxyd/tests/memory.rs
@@ -261,3 +261,49 @@
     burst.finish(MAX_OPEN);
     assert_stayed_within_limit(&cluster);
 }
+
+/// Hundreds of clients send most of a large write and stop, and another client goes on with whole ones. Guards against
+/// messages that are never completed and keep out all others until they time out.
+#[test]
+fn whole_writes_are_served_beside_hundreds_of_incomplete_ones() {
+    const CLIENTS: u64 = 500;
+    const MISSING_BYTES: usize = 10;
+    const WRITES_OF_OTHERS: usize = 20;
+    const MAX_REFUSED: usize = 2;
+    let cluster = small_cluster(1024);
+    let body = vec![b'o'; MAX_BODY_BYTES];
+    let mut stopped: Vec<Client> = (0..CLIENTS).map(|_| cluster.client()).collect();
+    for client in &mut stopped {
+        let (_, bytes) = encode_write(client, &body);
+        let part = &bytes[..bytes.len() - MISSING_BYTES];
+        client.stream.write_all(part).expect("a part");
+    }
+    wait_for("the daemon has read everything", || {
+        unread_bytes(cluster.program.address) == 0
+    });
+    std::thread::sleep(Duration::from_millis(150));
+    let mut client = cluster.client();
+    let mut refused = 0;
+    for _ in 0..WRITES_OF_OTHERS {
+        let (_, bytes) = encode_write(&mut client, &body);
+        client.stream.write_all(&bytes).expect("a request");
+        let answer = std::thread::scope(|scope| {
+            let answer = scope.spawn(|| client.next_answer().1);
+            while !answer.is_finished() {
+                if let Some(request) = cluster.next_request_within(Duration::from_millis(1)) {
+                    request.answer_hit(b"changed");
+                }
+            }
+            answer.join().expect("an answer")
+        });
+        if !answer.is_done() {
+            assert_refused(&answer);
+            refused += 1;
+        }
+    }
+    assert!(
+        refused <= MAX_REFUSED,
+        "{refused} of {WRITES_OF_OTHERS} refused"
+    );
+    assert_stayed_within_limit(&cluster);
+}
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -23,6 +23,10 @@
 const ANSWERS_RESERVE_DIVISOR: usize = 8;
 /// Answers use at most this share of the available memory, so that slow clients do not keep out new requests.
 const MAX_ANSWERS_DIVISOR: usize = 2;
+/// Incomplete messages use at most this share of the available memory while some of them are old.
+const MAX_INCOMPLETE_DIVISOR: usize = 2;
+/// A message that has been incomplete for this long may be skipped. Ordinary clients have sent theirs by then.
+const MIN_SKIP_AGE: TimeSpan = TimeSpan::from_millis(100);
 /// The resident memory is read again after this time, because what is not counted may have changed.
 const MAX_READING_AGE: TimeSpan = TimeSpan::from_millis(10);
 /// The resident memory is read again when this share of the limit was counted anew, and free memory is returned to the
@@ -87,6 +91,30 @@
     facts.requests + bytes + left_to_answers <= available
 }
 
+/// Whether the oldest of the incomplete messages, which hold this many bytes, is to be skipped. Without that, clients that
+/// never complete their messages would keep out all others.
+///
+/// ```
+/// use trailproxy::policy::memory::{MemoryFacts, must_skip_message};
+/// let facts = MemoryFacts {
+///     limit: 32 << 20,
+///     overhead: 6 << 20,
+///     connections: 1 << 20,
+///     requests: 18 << 20,
+///     answers: 0,
+/// };
+/// assert!(must_skip_message(&facts, 16 << 20));
+/// assert!(!must_skip_message(&facts, 8 << 20));
+/// ```
+pub fn must_skip_message(facts: &MemoryFacts, incomplete: usize) -> bool {
+    incomplete > facts.available() / MAX_INCOMPLETE_DIVISOR
+}
+
+/// Whether a message that has been incomplete for this long may be skipped.
+pub fn may_skip_message(age: TimeSpan) -> bool {
+    age >= MIN_SKIP_AGE
+}
+
 /// Whether answers may use this many more bytes.
 pub fn may_hold_answer(facts: &MemoryFacts, bytes: usize) -> bool {
     let available = facts.available();
