Yield after each turn of a connection that has more to read

Seen: one client that sends small messages at full speed keeps other clients without an answer for 3.5 s; with requests that it revokes at once the process passed its limit of 32 MB.

Cause: a turn ends after 8 reads, but the wait for readiness that follows ends at once while data is there, without anything else having run. The queue to the decisions grew meanwhile.

Change: a turn ends after 8 reads or 32 messages, and the task yields before the next. What a turn leaves keeps the connection from being closed as idle, as ended by its client, or for a new one.

The soak of client shapes draws floods as well, from a seed of its own, so that the other draws stay as they were.

--- a/crates/trailproxyd/src/client_connection.rs
+++ b/crates/trailproxyd/src/client_connection.rs
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 use trailproxy::policy::memory::CONNECTION_BYTES;
 use trailproxy::policy::permits::{self, CloseFacts};
@@ -40,6 +41,8 @@
 const READ_STEP_BYTES: usize = 16 * 1024;
 /// How many reads a connection does before other tasks run.
 const MAX_READS_PER_TURN: usize = 8;
+/// How many messages a connection handles before other tasks run. A client may send without a pause.
+const MAX_MESSAGES_PER_TURN: usize = 32;
 /// How long a client may take to send a complete message: it must get an answer or a close within 3 s.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// A client that closes its sending direction is taken to have gone after this time. Until then the requests that it
@@ -67,6 +70,10 @@
     incoming: Ring,
     /// The next message has at least this many bytes.
     min_message_bytes: usize,
+    /// How many more messages may be handled in this turn.
+    messages_left: usize,
+    /// Whether the last turn ended with messages or data left, which the next one handles without waiting for more.
+    has_more: bool,
     /// Since when a message that is not complete has held more memory than any connection may have.
     message_held_since: Option<Instant>,
     /// The message of which the rest is skipped, because there is no memory for it.
@@ -161,6 +168,8 @@
             orders_in,
             incoming: Ring::new(&shared.memory, MemoryUse::Requests),
             min_message_bytes: 1,
+            messages_left: MAX_MESSAGES_PER_TURN,
+            has_more: false,
             message_held_since: None,
             skipped: None,
             outgoing: OutgoingBytes::new(&shared.memory),
@@ -234,6 +243,14 @@
         self.owed.len() + self.replies.len() + self.unwritten.len()
     }
 
+    /// Returns whether one more answer may be queued, after those that are queued were written as far as possible.
+    fn may_add_answer(&mut self) -> Result<bool, CloseReason> {
+        if self.open_count() >= MAX_OPEN_MESSAGES {
+            self.write()?;
+        }
+        Ok(self.open_count() < MAX_OPEN_MESSAGES)
+    }
+
     /// Returns the number of open requests as the client counts them: it has sent them, has not revoked them, and their
     /// answers are not fully written.
     fn open_requests(&self) -> usize {
@@ -311,6 +328,10 @@
         if let Some(until) = self.paused_until.take() {
             sleep_until(until).await;
         }
+        if self.has_more {
+            // A client that sends without a pause never has to be waited for, so that nobody else would run.
+            yield_now().await;
+        }
         self.write()?;
         let all_written = self.outgoing.is_empty();
         let (used, use_ends_at) = self.slot_use();
@@ -320,7 +341,7 @@
                 // Requests received until now are answered first: a client that sent one is not idle.
                 system_calls::sync_readiness(&self.stream).await;
                 self.read()?;
-                if self.open_count() > 0 || !self.outgoing.is_empty() {
+                if self.open_count() > 0 || !self.outgoing.is_empty() || self.has_more {
                     self.finishing = self.finish_requested;
                     return Ok(());
                 }
@@ -330,7 +351,7 @@
                     (!self.shared.ending.get()).then(|| Instant::now() + HALF_CLOSE_TIMEOUT);
                 half_close(&self.stream).map_err(|_| CloseReason::Broken("half-close failed"))?;
             }
-            if self.eof_at.is_some() {
+            if self.eof_at.is_some() && !self.has_more {
                 return Err(CloseReason::Clean("client closed its side"));
             }
         }
@@ -360,7 +381,8 @@
                 Some(ToClient::YieldSlot) => {
                     system_calls::sync_readiness(&self.stream).await;
                     self.read()?;
-                    let is_unused = self.slot_use().0 == used && used != SlotUse::Busy;
+                    let is_same_use = self.slot_use().0 == used && !self.has_more;
+                    let is_unused = is_same_use && used != SlotUse::Busy;
                     if is_unused && !self.check_delivery() {
                         count(&self.shared.counts.places_given_up);
                         return Err(CloseReason::Clean("slot needed for a new client"));
@@ -370,7 +392,8 @@
             ready = self.stream.writable(), if !all_written => {
                 ready.map_err(|_| CloseReason::Broken("write failed"))?;
             }
-            ready = self.stream.readable(), if self.eof_at.is_none() => {
+            _ = std::future::ready(()), if self.has_more => self.read()?,
+            ready = self.stream.readable(), if self.eof_at.is_none() && !self.has_more => {
                 ready.map_err(|_| CloseReason::Broken("read failed"))?;
                 self.shared.stall_detector.record_activity(Instant::now());
                 self.read()?;
@@ -402,47 +425,60 @@
         Ok(())
     }
 
-    /// Reads and handles what was received, including the end of the stream. The number of reads is limited so that
-    /// other tasks can run.
+    /// Reads and handles what was received, including the end of the stream, for one turn: the numbers of reads and of
+    /// messages are limited, and `has_more` says whether either limit was reached.
     fn read(&mut self) -> Result<(), CloseReason> {
         let first_read = !self.has_received_message;
+        self.messages_left = MAX_MESSAGES_PER_TURN;
+        self.has_more = true;
         for _ in 0..MAX_READS_PER_TURN {
-            if self.eof_at.is_some() {
-                break;
+            // The last turn may have left complete messages.
+            self.parse(first_read)?;
+            if self.messages_left == 0 {
+                return Ok(());
             }
-            if self.incoming.len() == self.incoming.capacity() {
-                self.make_room()?;
+            if self.eof_at.is_some() || !self.read_once(first_read)? {
+                self.has_more = false;
+                return Ok(());
             }
-            match system_calls::read(&self.stream, self.incoming.free_space()) {
-                Transfer::Bytes(0) => {
-                    let closed_at = self.earliest_arrival(first_read);
-                    let trace = &self.shared.trace;
-                    trace.client_half_closed(self.id, closed_at.elapsed());
-                    self.eof_at = Some(closed_at);
-                    self.state.closed_at.set(Some(closed_at));
-                }
-                Transfer::Bytes(n) => {
-                    if self.has_received_message && !self.is_within_message() {
-                        self.unused_since = Instant::now();
-                    }
-                    self.incoming.commit(n);
-                    if self.half_closed {
-                        self.incoming.consume(n);
-                    }
-                    self.parse(first_read)?;
-                }
-                Transfer::NotReady => {
-                    self.incoming.release_memory(true);
-                    break;
+        }
+        Ok(())
+    }
+
+    /// Reads once, and returns whether more may be available.
+    fn read_once(&mut self, first_read: bool) -> Result<bool, CloseReason> {
+        if self.incoming.len() == self.incoming.capacity() {
+            self.make_room()?;
+        }
+        match system_calls::read(&self.stream, self.incoming.free_space()) {
+            Transfer::Bytes(0) => {
+                let closed_at = self.earliest_arrival(first_read);
+                let trace = &self.shared.trace;
+                trace.client_half_closed(self.id, closed_at.elapsed());
+                self.eof_at = Some(closed_at);
+                self.state.closed_at.set(Some(closed_at));
+                Ok(false)
+            }
+            Transfer::Bytes(n) => {
+                if self.has_received_message && !self.is_within_message() {
+                    self.unused_since = Instant::now();
                 }
-                Transfer::ResourceShortage => {
-                    self.pause();
-                    break;
+                self.incoming.commit(n);
+                if self.half_closed {
+                    self.incoming.consume(n);
                 }
-                Transfer::Failed(_) => return Err(CloseReason::Broken("reset")),
+                Ok(true)
             }
+            Transfer::NotReady => {
+                self.incoming.release_memory(true);
+                Ok(false)
+            }
+            Transfer::ResourceShortage => {
+                self.pause();
+                Ok(false)
+            }
+            Transfer::Failed(_) => Err(CloseReason::Broken("reset")),
         }
-        Ok(())
     }
 
     /// Makes room for more of an incomplete message, or skips the rest of it if there is no memory.
@@ -517,6 +553,7 @@
     /// Records that a message has arrived and another one may begin.
     fn on_message_end(&mut self) {
         self.min_message_bytes = 1;
+        self.messages_left = self.messages_left.saturating_sub(1);
         self.release_message();
         (self.has_received_message, self.unused_since) = (true, Instant::now());
     }
@@ -619,7 +656,10 @@
         if !self.half_closed {
             self.drop_skipped_bytes()?;
         }
-        while self.incoming.len() >= self.min_message_bytes && !self.half_closed {
+        while self.incoming.len() >= self.min_message_bytes
+            && !self.half_closed
+            && self.messages_left > 0
+        {
             let shared = &self.shared;
             let admit = |bytes| shared.memory.try_charge(MemoryUse::Requests, bytes);
             let bytes = self.incoming.as_contiguous();
@@ -642,23 +682,25 @@
         Ok(())
     }
 
+    /// Counts a message that breaks the protocol, after which the connection closes.
+    fn malformed(&self, why: &'static str) -> Result<(), CloseReason> {
+        count(&self.shared.counts.bad_clients);
+        Err(CloseReason::Broken(why))
+    }
+
     /// Handles one message of the client. An error closes the connection.
     fn handle_message(&mut self, message: Message) -> Result<(), CloseReason> {
-        let malformed = |why| {
-            count(&self.shared.counts.bad_clients);
-            Err(CloseReason::Broken(why))
-        };
         match message {
-            Message::Malformed(why) => return malformed(why),
+            Message::Malformed(why) => return self.malformed(why),
             Message::Request(_) | Message::NotAdmitted(..)
                 if self.open_requests() >= MAX_OPEN_REQUESTS =>
             {
-                return malformed("too many open requests");
+                return self.malformed("too many open requests");
             }
             Message::NotAdmitted(id, class) => {
                 self.limit_incomplete_messages();
                 if self.owed.insert(id.number, Rc::default()).is_some() {
-                    return malformed("a request number is used twice");
+                    return self.malformed("a request number is used twice");
                 }
                 let _ = self
                     .shared
@@ -668,7 +710,7 @@
             Message::Request(request) => {
                 let owed = self.owed.insert(request.id.number, request.closed.clone());
                 if owed.is_some() {
-                    return malformed("a request number is used twice");
+                    return self.malformed("a request number is used twice");
                 }
                 let deadline = request.arrived_at + Duration::from_micros(request.time_left.0);
                 self.latest_deadline = self.latest_deadline.max(deadline);
@@ -678,24 +720,20 @@
                     .send(Inbound::Client(FromClient::Requested(request)));
             }
             Message::Revoke(number) => self.revoke(number),
-            Message::Heartbeat(_) | Message::Invalid(_)
-                if self.open_count() >= MAX_OPEN_MESSAGES =>
-            {
-                return malformed("too many unread answers");
+            Message::Heartbeat(_) | Message::Invalid(_) if !self.may_add_answer()? => {
+                return self.malformed("too many unread answers");
             }
             Message::Heartbeat(number) => {
                 let is_ready = !self.shared.ending.get();
                 self.replies
                     .push_back(OutgoingAnswer::Heartbeat(number, is_ready));
-                self.write()?;
             }
             Message::Invalid(number) => {
                 count(&self.shared.counts.bad_clients);
                 if self.owed.insert(number, Rc::default()).is_some() {
-                    return malformed("a request number is used twice");
+                    return self.malformed("a request number is used twice");
                 }
                 self.reply(number, Reply::Failed);
-                self.write()?;
             }
             Message::Ignored => {}
         }
--- a/crates/trailproxyd/src/host_connection.rs
+++ b/crates/trailproxyd/src/host_connection.rs
@@ -35,6 +35,8 @@
 const PROBE_PREFIX: &str = "probe-";
 /// How often a connection that has stopped reading checks whether there is memory again.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+/// How many reads a connection does before other tasks run.
+const MAX_READS_PER_TURN: usize = 8;
 /// How much of the answers a connection reads at once, if there is memory for it.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -88,6 +90,8 @@
     incoming: Ring,
     /// The next message has at least this many bytes.
     min_message_bytes: usize,
+    /// Whether the last turn did as many reads as it may, so that the next one reads without waiting for more.
+    has_more: bool,
     /// The message that is being written, if any. A message of which no byte could be written is taken out again.
     outgoing: OutgoingBytes<RequestBody>,
     /// The attempt whose request is in `outgoing`.
@@ -141,6 +145,7 @@
             orders,
             incoming: Ring::new(&shared.memory, MemoryUse::Answers),
             min_message_bytes: 1,
+            has_more: false,
             outgoing: OutgoingBytes::new(&shared.memory),
             attempt_in_outgoing: None,
             has_begun: false,
@@ -282,6 +287,10 @@
             sleep_until(until).await;
         }
         self.yield_after_stall().await;
+        if self.has_more {
+            // A host that sends without a pause never has to be waited for, so that nobody else would run.
+            yield_now().await;
+        }
         // Read before writing, so that a close by the host is known before anything more is sent.
         let may_read = self.read()?;
         if !may_read {
@@ -319,6 +328,7 @@
                 Some(order) => self.handle_order(order)?,
                 None => return Err("no longer needed"),
             },
+            _ = std::future::ready(()), if self.has_more => {}
             ready = self.stream.readable(), if may_read => {
                 ready.map_err(|_| "read failed")?;
             }
@@ -584,10 +594,11 @@
         self.incoming.try_reserve(wanted.max(READ_BYTES)) || self.incoming.try_reserve(wanted)
     }
 
-    /// Reads and handles answers until nothing more is available, or until there is no memory for the next one. Returns
-    /// whether there was memory.
+    /// Reads and handles answers until nothing more is available, the turn is over, or there is no memory for the next one.
+    /// Returns whether there was memory.
     fn read(&mut self) -> Result<bool, CloseReason> {
-        loop {
+        self.has_more = false;
+        for _ in 0..MAX_READS_PER_TURN {
             if !self.parse()? || !self.make_room() {
                 return Ok(false);
             }
@@ -608,6 +619,8 @@
                 Transfer::Failed(_) => return Err("reset"),
             }
         }
+        self.has_more = self.parse()?;
+        Ok(self.has_more)
     }
 
     /// Handles all complete answers in the input buffer. Returns false if there is no memory for the next one.
--- a/crates/trailproxyd/src/journal_client.rs
+++ b/crates/trailproxyd/src/journal_client.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 use trailproxy::interface::{HostEntry, HostListKind, HostState};
 use trailproxy::units::*;
@@ -267,6 +268,8 @@
             if response.is_complete() {
                 return Err("closed".into());
             }
+            // A service that sends without a pause never has to be waited for, so that nobody else would run.
+            yield_now().await;
         }
     }
 
--- a/crates/trailproxyd/tests/client_shapes.rs
+++ b/crates/trailproxyd/tests/client_shapes.rs
@@ -1,13 +1,16 @@
 //! A seeded soak test of what clients may do within the protocol, all at once: writes of any size and pace, objects read at any
-//! pace, revocations, incomplete messages and idle connections, at any limit that operators set. Each run draws its shape
-//! from its seed.
+//! pace, revocations, incomplete messages, idle connections and floods of small messages, at any limit that operators set.
+//! Each run draws its shape from its seed.
 //!
 //! `SHAPES_SEED` and `SHAPES_RUNS` choose the runs of the long test, which is started by hand.
 
+#[allow(dead_code, reason = "other test files use the rest")]
+mod flooding;
 #[allow(dead_code, reason = "other test files use the rest")]
 mod harness;
 
 use fastrand::Rng;
+use flooding::Flood;
 use harness::{Client, Cluster, FinalAnswer, HostMessage, keyed_fields};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -42,10 +45,19 @@
     max_answer_bytes: usize,
     /// How long hosts take at most.
     host_delay: Duration,
+    /// Clients that send without a pause.
+    floods: Vec<Flood>,
 }
 
+/// Distinguishes the draw of the floods from that of everything else.
+const FLOODS_SEED: u64 = 1 << 63;
+/// The most floods of one run.
+const MAX_FLOODS: usize = 3;
+
 impl Shape {
-    fn draw(rng: &mut Rng) -> Shape {
+    fn draw(seed: u64, rng: &mut Rng) -> Shape {
+        let mut floods_rng = Rng::with_seed(seed | FLOODS_SEED);
+        let floods = floods_rng.usize(0..=MAX_FLOODS);
         let descriptors = rng.u64(256..=1024);
         Shape {
             memory_mb: *rng.choice(&[32, 32, 48, 64, 96, 192]).expect("a choice"),
@@ -55,6 +67,9 @@
             max_body_bytes: *rng.choice(&[100, 3_000, 48_000]).expect("a choice"),
             max_answer_bytes: *rng.choice(&[100, 20_000, 240_000]).expect("a choice"),
             host_delay: Duration::from_millis(*rng.choice(&[1, 50, 1_000]).expect("a choice")),
+            floods: (0..floods)
+                .map(|_| *floods_rng.choice(&Flood::ALL).expect("a choice"))
+                .collect(),
         }
     }
 }
@@ -315,7 +330,7 @@
 /// Plays the run of a seed, and fails if a client or the system sees what must not happen.
 fn play(seed: u64) {
     let mut rng = Rng::with_seed(seed);
-    let shape = Shape::draw(&mut rng);
+    let shape = Shape::draw(seed, &mut rng);
     let mut cluster = Cluster::with_config(|config, _| {
         config["limits"]["memory_mb"] = json!(shape.memory_mb);
         config["limits"]["sockets"] = json!(shape.descriptors);
@@ -328,6 +343,10 @@
         }
     });
     let stop = Arc::new(AtomicBool::new(false));
+    for &flood in &shape.floods {
+        let (client, stop) = (cluster.client(), stop.clone());
+        std::thread::spawn(move || flood.run(client, &stop));
+    }
     let clients: Vec<_> = (0..shape.clients)
         .map(|_| {
             let mut rng = rng.fork();
--- a/crates/trailproxyd/tests/harness/mod.rs
+++ b/crates/trailproxyd/tests/harness/mod.rs
@@ -193,7 +193,7 @@
 pub struct JournalCall {
     /// The position after which the daemon asks for events.
     pub last_event_id: u64,
-    stream: TcpStream,
+    pub stream: TcpStream,
 }
 
 impl JournalCall {
@@ -790,8 +790,7 @@
 
     /// Revokes a request, and returns whether the connection accepted that.
     pub fn try_revoke(&mut self, number: u64) -> bool {
-        let message = vec![2.into(), "revoke".into(), Value::Array(vec![number.into()])];
-        rmpv::encode::write_value(&mut self.stream, &Value::Array(message)).is_ok()
+        self.stream.write_all(&encode_revoke(number)).is_ok()
     }
 
     /// Waits for the next answer and returns it with the number of its request.
@@ -805,6 +804,14 @@
     }
 }
 
+/// Encodes the revocation of a request.
+pub fn encode_revoke(number: u64) -> Vec<u8> {
+    let message = vec![2.into(), "revoke".into(), Value::Array(vec![number.into()])];
+    let mut out = Vec::new();
+    rmpv::encode::write_value(&mut out, &Value::Array(message)).expect("bytes");
+    out
+}
+
 /// Reads an answer and returns it with the number of its request. An answer that is not complete is an error.
 pub fn read_answer(input: &mut impl Read) -> Result<(u64, FinalAnswer), rmpv::decode::Error> {
     let message = rmpv::decode::read_value(input)?;
