Stop looking at waiting attempts once no connection has room

Seen: beside clients that come and go with many requests, ordinary clients had answers after up to 3.3 s or were refused at the end of their time.

Cause: for each new attempt, all attempts that wait for a connection to its host were gone through, and for each of them the connections. Seven of twelve looks with a debugger found the process there.

Change: HostPools::assign ends as soon as no connection has room, and looks for the least used one only after it has given one something.

Test: floods.rs, 12,800 requests that wait for a host.

--- a/crates/trailproxyd/src/host_pools.rs
+++ b/crates/trailproxyd/src/host_pools.rs
@@ -52,6 +52,65 @@
 }
 
 impl Pool {
+    /// Returns the index of the connection that takes the next attempt, among those that are not to be avoided: the one
+    /// with the fewest attempts.
+    fn least_used(&self, max_streams: usize, avoid: &[ConnectionId]) -> Option<usize> {
+        let fits = |(_, connection): &(usize, &PooledConnection)| {
+            !connection.retired && connection.open < max_streams && !avoid.contains(&connection.id)
+        };
+        let candidates = self.connections.iter().enumerate().filter(fits);
+        let least = candidates.min_by_key(|(_, connection)| connection.open)?;
+        Some(least.0)
+    }
+
+    /// Gives waiting attempts to connections, and returns which went where. Up to `max_dials` rather wait for a connection
+    /// that is being dialled than share one. What does not fit on any connection is not looked at one by one, because there
+    /// may be thousands.
+    fn assign_waiting(
+        &mut self,
+        max_streams: usize,
+        max_dials: usize,
+    ) -> Vec<(AttemptId, ConnectionId)> {
+        let (mut assigned, mut passed_over) = (Vec::new(), Vec::new());
+        let mut least = self.least_used(max_streams, &[]);
+        while least.is_some()
+            && let Some((until, attempt)) = self.waiting.pop_front()
+        {
+            let chosen = match attempt.avoid_connections.as_slice() {
+                [] => least,
+                avoid => self.least_used(max_streams, avoid),
+            };
+            let may_share = passed_over.len() >= max_dials;
+            let is_free = |index: &usize| {
+                self.connections[*index].open < TARGET_ATTEMPTS_PER_CONNECTION || may_share
+            };
+            let Some(index) = chosen.filter(is_free) else {
+                passed_over.push((until, attempt));
+                continue;
+            };
+            let (id, connection) = (attempt.id, &mut self.connections[index]);
+            match connection.orders.send(ToHost::Send(attempt)) {
+                Ok(()) => {
+                    assigned.push((id, connection.id));
+                    connection.open += 1;
+                }
+                // The connection has closed and the report of that is still in the queue. The attempt goes back to the
+                // waiting ones, because nothing would end it at the closed connection.
+                Err(SendError(order)) => {
+                    connection.retired = true;
+                    if let ToHost::Send(attempt) = order {
+                        self.waiting.push_front((until, attempt));
+                    }
+                }
+            }
+            least = self.least_used(max_streams, &[]);
+        }
+        for waiting in passed_over.into_iter().rev() {
+            self.waiting.push_front(waiting);
+        }
+        assigned
+    }
+
     /// Ends everything that waits, because the host refuses connections.
     fn on_refused(&mut self, shared: &HostContext, host: HostId) {
         let is_waiting = |probe: &&mut Probe| probe.state == ProbeState::Waiting;
@@ -254,39 +313,9 @@
             + share
                 .saturating_sub(pool.connections.len() + pool.dialing)
                 .min(free);
-        let mut unassigned = VecDeque::new();
-        while let Some((until, attempt)) = pool.waiting.pop_front() {
-            let fits = |connection: &&mut PooledConnection| {
-                !connection.retired
-                    && connection.open < max_streams
-                    && !attempt.avoid_connections.contains(&connection.id)
-            };
-            let candidates = pool.connections.iter_mut().filter(fits);
-            match candidates.min_by_key(|connection| connection.open) {
-                Some(connection)
-                    if connection.open < TARGET_ATTEMPTS_PER_CONNECTION
-                        || unassigned.len() >= max_dials =>
-                {
-                    let id = attempt.id;
-                    match connection.orders.send(ToHost::Send(attempt)) {
-                        Ok(()) => {
-                            self.assignments.insert(id, (host, Some(connection.id)));
-                            connection.open += 1;
-                        }
-                        // The connection has closed and the report of that is still in the queue. The attempt goes back to
-                        // the waiting ones, because nothing would end it at the closed connection.
-                        Err(SendError(order)) => {
-                            connection.retired = true;
-                            if let ToHost::Send(attempt) = order {
-                                pool.waiting.push_front((until, attempt));
-                            }
-                        }
-                    }
-                }
-                _ => unassigned.push_back((until, attempt)),
-            }
+        for (attempt, connection) in pool.assign_waiting(max_streams, max_dials) {
+            self.assignments.insert(attempt, (host, Some(connection)));
         }
-        pool.waiting = unassigned;
         let mut wanted_connections = pool.waiting.len();
         let is_waiting = |probe: &&mut Probe| probe.state == ProbeState::Waiting;
         if let Some(probe) = pool.probe.as_mut().filter(is_waiting) {
--- a/crates/trailproxyd/tests/floods.rs
+++ b/crates/trailproxyd/tests/floods.rs
@@ -6,8 +6,9 @@
 mod harness;
 
 use flooding::{Flood, repeat};
-use harness::Cluster;
+use harness::{BlockedHost, Cluster, fields, hosts, member};
 use serde_json::json;
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -122,3 +123,51 @@
         repeat(&call.stream, b": well\n\n", &stop);
     });
 }
+
+/// Thousands of requests wait for a host whose connections do not come up. Guards against work for each new request that
+/// grows with the number of those that wait: nobody else is answered meanwhile.
+#[test]
+fn others_are_answered_while_thousands_of_requests_wait_for_a_connection() {
+    const CLIENTS: u64 = 400;
+    const OPEN_REQUESTS: u64 = 32;
+    const WAIT_MS: u64 = 60_000;
+    let blocked_host = BlockedHost::new();
+    let cluster = Cluster::with_config(|config, _| {
+        let cache = member("c1", blocked_host.address, "ready", 0);
+        config["known"]["entries"] = json!([hosts(1, true, &[cache])]);
+        let ceilings = &mut config["settings"]["ceilings"];
+        ceilings["max_open"] = json!(20_000);
+        ceilings["dial_timeout_us"] = json!(WAIT_MS * 1_000);
+        for class in config["settings"]["classes"]
+            .as_array_mut()
+            .expect("classes")
+        {
+            class["on_time_us"] = json!(WAIT_MS * 1_000);
+            class["hard_limit_us"] = json!(WAIT_MS * 1_000);
+        }
+    });
+    let mut others: Vec<_> = (0..CLIENTS).map(|_| cluster.client()).collect();
+    let mut client = cluster.client();
+    for other in &mut others {
+        let requests: Vec<u8> = (0..OPEN_REQUESTS)
+            .flat_map(|_| {
+                let mut fields = fields(other.last_number(), WAIT_MS);
+                let reference = format!("{:016x}", fastrand::u64(..));
+                fields[0].1 = reference;
+                other.encode("image", fields, &[])
+            })
+            .collect();
+        other.stream.write_all(&requests).expect("requests");
+    }
+    let asked_at = Instant::now();
+    client.request_with("heartbeat", vec![], &[]);
+    client.next_answer();
+    // One that is answered by the same task as the requests.
+    client.request_with("image", fields(1, 0), &[]);
+    client.next_answer();
+    assert!(
+        asked_at.elapsed() < ALLOWED,
+        "an answer after {:?}",
+        asked_at.elapsed()
+    );
+}
