Keep the id of each change that may have run for its whole time

Seen: a change that must not run twice has run and its client has left.

Cause: no more ids of ended requests were kept than requests may be open, whatever they stood for.

Change: ids of changes that may have run are kept apart and are not limited by that number; where they would take over an eighth of the memory limit, another change is refused. Others are limited as before.

Test: a_change_does_not_run_again_under_its_id_after_many_other_requests failed in three of three runs before ("it ran twice").

--- a/crates/trailproxyd/src/dispatch/requests.rs
+++ b/crates/trailproxyd/src/dispatch/requests.rs
@@ -3,6 +3,7 @@
 use super::{Dispatch, PendingRequest};
 use crate::checks::{check_invariant, count};
 use crate::messages::{AttemptId, ClientRequest, ClientRequestId, Reply};
+use crate::request_ids::PastEffect;
 use crate::subsystems::completion;
 use std::rc::Rc;
 use trailproxy::interface::{Arrival, Effect, Event};
@@ -45,7 +46,10 @@
     pub(super) fn on_request(&mut self, now: Timestamp, client_request: ClientRequest) {
         count(&self.counts.accesses);
         let max_open = self.pools.shared.bounds.max_open;
-        if !permits::may_take(self.state.requests.len(), max_open) {
+        let has_effect = self.effects[usize::from(client_request.class.0)] != Effect::Idempotent;
+        let has_room_for_id =
+            !has_effect || (self.pools.shared.memory).may_keep_id(self.state.ids.with_effect());
+        if !permits::may_take(self.state.requests.len(), max_open) || !has_room_for_id {
             let (id, class) = (client_request.id, client_request.class);
             return self.refuse_unread(now, id, class, GiveUpReason::TableFull);
         }
@@ -72,8 +76,10 @@
             .request_read(&client_request, arrival.time_left);
         self.state.deadlines.insert((deadline, id));
         self.state.client_requests.insert(client_request.id, id);
-        let keyed = self.effects[usize::from(client_request.class.0)] != Effect::Idempotent;
-        let key = client_request.idempotency_key.clone().filter(|_| keyed);
+        let key = client_request
+            .idempotency_key
+            .clone()
+            .filter(|_| has_effect);
         let (closed, attempts) = (false, Vec::new());
         self.state.requests.insert(
             id,
@@ -139,7 +145,13 @@
             let until = request.deadline.min(now + max_deadline) + max_deadline;
             let max_open = self.pools.shared.bounds.max_open;
             let reference = &request.client_request.reference;
-            self.state.ids.retire(reference, until, max_open);
+            let class = usize::from(request.client_request.class.0);
+            let may_have_run = request.attempts.iter().any(|attempt| attempt.may_have_run);
+            let effect = match may_have_run && self.effects[class] != Effect::Idempotent {
+                true => PastEffect::Possible,
+                false => PastEffect::Harmless,
+            };
+            self.state.ids.retire(reference, until, effect, max_open);
         }
     }
 
--- a/crates/trailproxyd/src/memory.rs
+++ b/crates/trailproxyd/src/memory.rs
@@ -77,6 +77,11 @@
         self.allows(kind, bytes)
     }
 
+    /// Whether another request with an effect may be accepted while this many ids of earlier ones are kept.
+    pub fn may_keep_id(&self, kept: usize) -> bool {
+        memory::may_keep_id(self.0.limit, kept)
+    }
+
     /// Whether the oldest incomplete message is to be skipped, while all of them hold this many bytes.
     pub fn must_skip_message(&self, incomplete: usize) -> bool {
         memory::must_skip_message(&self.facts(), incomplete)
--- a/crates/trailproxyd/tests/endings.rs
+++ b/crates/trailproxyd/tests/endings.rs
@@ -498,6 +498,33 @@
     });
 }
 
+/// A change has run, its client has left, and many other requests have ended since. Guards against forgetting its id for
+/// them: under the same id it would run again.
+#[test]
+fn a_change_does_not_run_again_under_its_id_after_many_other_requests() {
+    const MAX_OPEN: u64 = 100;
+    let cluster = Cluster::with_config(|config, _| {
+        config["settings"]["ceilings"]["max_open"] = json!(MAX_OPEN);
+    });
+    let change = fields(7, 3000);
+    let mut client = cluster.client();
+    client.request_with("order", change.clone(), &[]);
+    cluster.next_request().answer_hit(b"x");
+    assert!(client.next_answer().1.is_done());
+    drop(client);
+    let mut others = cluster.client();
+    for object in 0..2 * MAX_OPEN {
+        others.request("image", 100 + object, 3000);
+        cluster.next_request().answer_hit(b"x");
+        assert!(others.next_answer().1.is_done());
+    }
+    let mut client = cluster.client();
+    client.request_with("order", change, &[]);
+    let started = cluster.next_request_within(Duration::from_millis(300));
+    assert!(started.is_none(), "it ran twice");
+    assert!(client.next_answer().1.is_error("Broken"));
+}
+
 /// Starts a journal service that closes every call at once, and passes on when calls were made.
 fn closing_journal_service() -> (SocketAddr, Receiver<Instant>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -33,6 +33,17 @@
 /// system again when the overhead has grown by it.
 const READING_DIVISOR: usize = 32;
 
+/// The ids of ended requests that may have had an effect use at most this share of the limit.
+const RETIRED_IDS_DIVISOR: usize = 8;
+/// What the id of an ended request uses, in bytes.
+const RETIRED_ID_BYTES: usize = 16;
+
+/// Whether a request with an effect may be accepted while this many ids of earlier ones are kept. They can't be freed
+/// early: under the same id, a request would run twice.
+pub fn may_keep_id(limit: usize, kept: usize) -> bool {
+    kept < limit / RETIRED_IDS_DIVISOR / RETIRED_ID_BYTES
+}
+
 /// The memory of the process, in bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct MemoryFacts {
