Take a host that another one has replaced at its address for gone

Seen: a cold cache comes up at the address of a warm one, and the list tells of it before it tells that the former one has gone. All 33 of 33 requests for objects of the former one went to the cold process, where its slow start allows 8.

Cause: two hosts that are ready at one address were taken for two processes, and what went to the former one was counted for it.

Change: policy/replaced_hosts.rs says which of two hosts of one role at one address has been replaced; it counts as gone from the moment of that entry.

--- a/crates/trailproxyd/src/dispatch/journal.rs
+++ b/crates/trailproxyd/src/dispatch/journal.rs
@@ -56,6 +56,8 @@
                 unreadable,
             } => {
                 hosts_changed = true;
+                let role = |kind| self.decisions.role(kind);
+                self.pools.mark_replaced(&mut hosts, role);
                 for host in &mut hosts {
                     let stamp = host.entry.stamp;
                     host.entry.started =
--- a/crates/trailproxyd/src/host_pools.rs
+++ b/crates/trailproxyd/src/host_pools.rs
@@ -8,14 +8,17 @@
 use crate::messages::*;
 use crate::system_calls::errno;
 use local_channel::mpsc::{self, SendError};
+use slog::info;
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 use trailproxy::interface::*;
+use trailproxy::policy::Role;
+use trailproxy::policy::replaced_hosts::{HostAddress, replaced_hosts};
 use trailproxy::policy::system_errors::{self, ConnectError, classify_connect_error};
 use trailproxy::units::*;
 
@@ -188,6 +191,37 @@
         )
     }
 
+    /// Marks hosts as gone that have been replaced by another one at their address, also those that this list does not tell
+    /// of.
+    pub fn mark_replaced(&self, members: &mut Vec<ListedHost>, role: impl Fn(KindId) -> Role) {
+        let address = |member: &ListedHost| HostAddress {
+            host: member.entry.host,
+            role: role(member.entry.kind),
+            address: member.address,
+            started: member.entry.stamp,
+        };
+        let is_present = |member: &&ListedHost| member.entry.state != HostState::Gone;
+        let listed: Vec<_> = members.iter().filter(is_present).map(address).collect();
+        let told: BTreeSet<HostId> = members.iter().map(|member| member.entry.host).collect();
+        let others = self.pools.values().map(|pool| &pool.member);
+        let known: Vec<_> = others
+            .filter(|member| is_present(member) && !told.contains(&member.entry.host))
+            .map(address)
+            .collect();
+        for host in replaced_hosts(&known, &listed) {
+            let member = members.iter_mut().find(|member| member.entry.host == host);
+            if let Some(member) = member {
+                member.entry.state = HostState::Gone;
+            } else if let Some(pool) = self.pools.get(&host) {
+                let mut member = pool.member.clone();
+                member.entry.state = HostState::Gone;
+                members.push(member);
+            }
+            let name = self.host_name(host);
+            info!(self.shared.log, "host replaced at its address"; "host" => name.as_deref().unwrap_or(""));
+        }
+    }
+
     /// Applies a host list or a change of it. Pools are kept by host and not by address, because another host may get the
     /// address of a host that is gone. The dispatcher itself recalls attempts that wait for a host that is no longer ready.
     pub fn apply_host_list(&mut self, kind: HostListKind, members: &[ListedHost]) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -339,6 +339,15 @@
         relevant.all(|purge| purge.stamp.is_none_or(|stamp| copy_stamp > stamp))
     }
 
+    /// The role of the hosts of a kind.
+    pub fn role(&self, kind: KindId) -> Role {
+        match Some(kind) {
+            kind if kind == self.settings.parent_kind => Role::Parent,
+            kind if kind == self.settings.origin_kind => Role::Origin,
+            _ => Role::Cache,
+        }
+    }
+
     /// Takes over a host list and derives the ready hosts of each role from it.
     fn on_host_list(&mut self, now: Timestamp, kind: HostListKind, entries: Vec<HostEntry>) {
         if kind == HostListKind::Failed && self.settings.host_list_on_request {
@@ -359,10 +368,10 @@
             self.settings.cache_slow_start,
         );
         for entry in entries {
-            let (role, slow_start, dispatchers) = match Some(entry.kind) {
-                kind if kind == self.settings.parent_kind => (Role::Parent, parent, in_all_zones),
-                kind if kind == self.settings.origin_kind => (Role::Origin, parent, in_all_zones),
-                _ => (Role::Cache, cache, in_zone),
+            let role = self.role(entry.kind);
+            let (slow_start, dispatchers) = match role {
+                Role::Parent | Role::Origin => (parent, in_all_zones),
+                Role::Cache => (cache, in_zone),
             };
             let previous_stamp = self.hosts.get(&entry.host).map(|host| host.entry.stamp);
             let new_host = || Host {
--- a/src/policy/host.rs
+++ b/src/policy/host.rs
@@ -21,10 +21,13 @@
 pub(crate) const MIN_QUEUEING_WEIGHT: f64 = 0.4;
 
 /// The role of a host in answering requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Role {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// It answers clients from its copies.
     Cache,
+    /// It fills caches.
     Parent,
+    /// It is the source of all objects.
     Origin,
 }
 
