Skip several incomplete messages where something had no room

Seen: whole_writes_are_served_beside_hundreds_of_incomplete_ones failed in one run of the whole suite, with 4 of 20 writes refused where two may be.

Cause: a refusal had one message skipped, whose memory is free a turn later. What follows the first part of a large write is read before, and needs more.

Change: eight are skipped then, one after a growth that had room.

--- a/crates/trailproxyd/src/client_connection.rs
+++ b/crates/trailproxyd/src/client_connection.rs
@@ -23,7 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
-use trailproxy::policy::memory::CONNECTION_BYTES;
+use trailproxy::policy::memory::{CONNECTION_BYTES, messages_to_skip};
 use trailproxy::policy::permits::{self, CloseFacts};
 use trailproxy::units::*;
 
@@ -508,18 +508,20 @@
             let mut incomplete = self.shared.incomplete.borrow_mut();
             incomplete.hold(self.id, since, self.incoming.capacity(), &self.orders_in);
         }
-        self.limit_incomplete_messages();
+        self.limit_incomplete_messages(has_room);
         match has_room {
             true => Ok(()),
             false => self.skip_message(),
         }
     }
 
-    /// Has the oldest incomplete message skipped if such messages hold too much memory.
-    fn limit_incomplete_messages(&self) {
+    /// Has the oldest incomplete messages skipped while such messages hold too much memory, after something had room or not.
+    fn limit_incomplete_messages(&self, had_room: bool) {
         let mut incomplete = self.shared.incomplete.borrow_mut();
-        if self.shared.memory.must_skip_message(incomplete.bytes()) {
-            incomplete.skip_oldest(Instant::now());
+        for _ in 0..messages_to_skip(had_room) {
+            if self.shared.memory.must_skip_message(incomplete.bytes()) {
+                incomplete.skip_oldest(Instant::now());
+            }
         }
     }
 
@@ -713,7 +715,7 @@
                 return self.malformed("too many open requests");
             }
             Message::NotAdmitted(id, class) => {
-                self.limit_incomplete_messages();
+                self.limit_incomplete_messages(false);
                 if self.owed.insert(id.number, Rc::default()).is_some() {
                     return self.malformed("a request number is used twice");
                 }
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -121,6 +121,12 @@
     incomplete > facts.available() / MAX_INCOMPLETE_DIVISOR
 }
 
+/// How many incomplete messages are skipped at once: more where something had no room, because what it is followed by needs
+/// the memory before the next check.
+pub fn messages_to_skip(had_room: bool) -> usize {
+    if had_room { 1 } else { 8 }
+}
+
 /// Whether a message that has been incomplete for this long may be skipped.
 pub fn may_skip_message(age: TimeSpan) -> bool {
     age >= MIN_SKIP_AGE
