--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -70,6 +70,8 @@
     partial_requests_abandoned,
     /// Connections to the journal service that were tried.
     journal_calls,
+    /// Those of them that were made while another one was open.
+    journal_calls_beside,
     /// New journal entries.
     journal_events,
     /// Journal entries that were received again.
--- a/crates/trailproxyd/src/client_messages.rs
+++ b/crates/trailproxyd/src/client_messages.rs
@@ -1,6 +1,6 @@
 //! The messages of clients and the answers to them, in MessagePack-RPC. Nothing here does I/O.
 
-use crate::journal_client::object_id;
+use crate::journal_entries::object_id;
 use crate::memory::{Charge, CountedBytes};
 use crate::messages::*;
 use crate::msgpack::{self, Value};
--- a/crates/trailproxyd/src/journal_client.rs
+++ b/crates/trailproxyd/src/journal_client.rs
@@ -1,275 +1,187 @@
 //! The client of the journal service, which delivers host lists and purges once and in order.
 //!
-//! Events are read from one long HTTP response of server-sent events. The client repeats the call when it ends and asks
-//! for the events after the last position that it received.
+//! Several calls to the service may be open at once, while it is silent or slow. Whichever brings the next event delivers
+//! it; events that another call has brought before are passed over.
 
 use crate::checks::{Counts, check_invariant, count};
-use crate::http::Response;
+use crate::journal_call::{JournalCall, Received};
+use crate::journal_entries::Names;
 use crate::messages::*;
-use crate::sse::EventParser;
-use crate::system_calls::{self, RESOURCE_RETRY_DELAY, Transfer};
 use local_channel::mpsc;
 use serde_json::Value;
 use slog::{Logger, info, warn};
-use std::collections::HashMap;
-use std::io::IoSlice;
+use std::collections::BTreeMap;
+use std::future::{Future, pending, poll_fn};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpStream;
+use std::task::Poll;
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
-use trailproxy::interface::{HostEntry, HostListKind, HostState};
-use trailproxy::units::*;
-use trailproxy_terms::SocketSettings;
-
-/// The service sends a comment every second. After two missed ones the connection is considered dead.
-const RECEIVE_TIMEOUT: Duration = Duration::from_millis(2200);
-/// A connection must be made within this time. Dispatchers count as informed of an event 4 s after the service fell
-/// silent.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// The first wait after a failed call. Each further failure makes the wait half as long again, up to
-/// [`MAX_RETRY_INTERVAL`]: a service that comes back cannot bear a fleet that calls it at the same time, and a longer wait
-/// would delay events after its return.
-pub const MIN_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(400);
-const READ_BYTES: usize = 16 * 1024;
-
-/// The ids of zones and kinds by the names that the settings give them.
-pub struct Names {
-    zones: HashMap<String, ZoneId>,
-    kinds: HashMap<String, KindId>,
-}
-
-impl Names {
-    /// Assigns ids in the order of the settings.
-    pub fn from_bounds(bounds: &SocketSettings) -> Names {
-        let zones = bounds.zone_names.iter().cloned().zip((0..).map(ZoneId));
-        let kinds = bounds.kind_names.iter().cloned().zip((0..).map(KindId));
-        Names {
-            zones: zones.collect(),
-            kinds: kinds.collect(),
-        }
-    }
-}
-
-/// Parses an object's id of up to 16 hex digits.
-pub fn object_id(text: &str) -> Option<ObjectId> {
-    let hex = text.len() <= 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    hex.then(|| u64::from_str_radix(text, 16).ok().map(ObjectId))
-        .flatten()
-}
-
-/// Returns the last microsecond of a millisecond timestamp. For starts and purges, this is the strict side.
-fn end_of_ms(ms: u64) -> Timestamp {
-    Timestamp(ms.saturating_mul(1000).saturating_add(999))
-}
-
-impl JournalEntry {
-    /// Reads an event; `None` if it can't be understood. Members that can't be read are left out and counted.
-    pub fn read(json: &Value, names: &Names) -> Option<JournalEntry> {
-        let position = json.get("pos")?.as_u64()?;
-        if let Some(purge) = json.get("expire") {
-            let object = match purge.get("name") {
-                Some(name) => Some(object_id(name.as_str()?)?),
-                None => None,
-            };
-            let group = purge.get("set").and_then(Value::as_u64);
-            if object.is_none() && group.is_none() {
-                return None;
-            }
-            let group = GroupId(u32::try_from(group.unwrap_or(0)).ok()?);
-            let stamp = end_of_ms(purge.get("stamp")?.as_u64()?);
-            return Some(JournalEntry {
-                position,
-                change: JournalChange::Purged {
-                    object,
-                    group,
-                    stamp,
-                },
-            });
-        }
-        let hosts = json.get("hosts")?;
-        let kind = match hosts.get("complete").and_then(Value::as_bool) {
-            Some(true) => HostListKind::Full,
-            _ => HostListKind::Delta,
-        };
-        let members = hosts.get("members")?.as_array()?;
-        let listed = members.len();
-        let members = members
-            .iter()
-            .filter_map(|member| read_member(member, names));
-        let members: Vec<ListedHost> = members.collect();
-        let unreadable = listed - members.len();
-        Some(JournalEntry {
-            position,
-            change: JournalChange::Hosts {
-                kind,
-                hosts: members,
-                unreadable,
-            },
-        })
-    }
-}
-
-/// Reads a member of a host list. Zones and kinds that the settings don't name get an id that no setting has.
-fn read_member(json: &Value, names: &Names) -> Option<ListedHost> {
-    let text = |key: &str| json.get(key).and_then(Value::as_str);
-    let name = text("id")?;
-    let started = json.get("up_since_ms").and_then(Value::as_u64).unwrap_or(0);
-    let zone = names.zones.get(text("locality").unwrap_or(""));
-    let kind = names.kinds.get(text("flavor").unwrap_or(""));
-    let cell = json.get("cell").and_then(Value::as_u64).unwrap_or(0);
-    let capacity = json.get("size").and_then(Value::as_f64).unwrap_or(1.0);
-    let entry = HostEntry {
-        host: HostId::of_name(name),
-        cell: CellId(u16::try_from(cell).unwrap_or(u16::MAX)),
-        zone: zone.copied().unwrap_or(ZoneId(u16::MAX)),
-        kind: kind.copied().unwrap_or(KindId(u8::MAX)),
-        started: None,
-        stamp: (started > 0).then(|| end_of_ms(started)),
-        capacity: if capacity.is_finite() && capacity > 0.0 {
-            capacity
-        } else {
-            1.0
-        },
-        state: match text("phase")? {
-            "ready" => HostState::Ready,
-            "draining" => HostState::Draining,
-            "gone" => HostState::Gone,
-            _ => return None,
-        },
-    };
-    Some(ListedHost {
-        entry,
-        name: name.into(),
-        address: text("host_port")?.parse().ok()?,
-    })
-}
+use tokio::time::{Instant, sleep_until};
+use trailproxy::policy::journal_calls::{CallId, EndReason, JournalCalls, Order};
 
 /// The client and its position in the journal.
 pub struct JournalClient {
-    /// `None` if there is no service: nothing is added to what is known at the start.
-    pub address: Option<SocketAddr>,
-    pub names: Rc<Names>,
     /// The position of the last event received.
     pub last_position: u64,
-    /// The wait before the next call, without its random part.
-    pub retry_interval: Duration,
-    pub rng: fastrand::Rng,
+    /// Decides which calls are open.
+    pub decisions: JournalCalls<SocketAddr>,
+    /// The open calls.
+    pub calls: BTreeMap<CallId, JournalCall>,
+    pub names: Rc<Names>,
     pub queue: InboundSender,
+    pub clock: Clock,
     pub counts: Rc<Counts>,
+    /// What was logged last about calls, and at which position: repetitions are logged once.
+    pub last_logged: (String, u64),
     pub log: Logger,
 }
 
 /// What a new configuration says about the journal service.
 pub struct JournalServiceUpdate {
+    /// `None` if there is no service: nothing is added to what is known at the start.
     pub address: Option<SocketAddr>,
     /// The events that the configuration itself contains.
     pub known: Vec<JournalEntry>,
 }
 
+/// What a call has brought, or why it has ended.
+type CallResult = Result<Received, String>;
+
+/// What ends a wait of the client.
+enum Wake {
+    Update(JournalServiceUpdate),
+    Call(CallId, CallResult),
+    Due,
+}
+
 /// Receives events for as long as the process runs, and applies changes of the service's address.
-pub async fn follow(mut journal: JournalClient, mut changes: mpsc::Receiver<JournalServiceUpdate>) {
-    let mut last_logged = (String::new(), 0);
+pub async fn follow(mut journal: JournalClient, mut updates: mpsc::Receiver<JournalServiceUpdate>) {
+    let mut last_served = CallId(0);
     loop {
-        let change = tokio::select! {
+        journal.carry_out_orders();
+        let due = journal.decisions.next_due(journal.now());
+        let due = due.map(|at| journal.clock.instant(at));
+        let wake = tokio::select! {
             biased;
-            change = changes.recv() => change,
-            why = journal.call_and_wait() => {
-                // Repeated failures are logged once.
-                if last_logged != (why.clone(), journal.last_position) {
-                    info!(journal.log, "journal call ended"; "why" => &why, "last" => journal.last_position);
-                    last_logged = (why, journal.last_position);
-                }
-                None
-            }
+            Some(update) = updates.recv() => Wake::Update(update),
+            (id, result) = next_result(&mut journal.calls, last_served, journal.last_position) => Wake::Call(id, result),
+            () = sleep_until_due(due) => Wake::Due,
         };
-        // A change may interrupt a call within an event. The next call continues after the last whole event.
-        if let Some(change) = change {
-            (journal.address, journal.retry_interval) = (change.address, MIN_RETRY_INTERVAL);
-            change
-                .known
-                .into_iter()
-                .for_each(|entry| journal.add_known(entry));
-            last_logged.0.clear();
+        match wake {
+            Wake::Update(update) => journal.apply(update),
+            Wake::Call(id, result) => {
+                last_served = id;
+                journal.handle_result(id, result);
+            }
+            Wake::Due => {}
         }
+        // A service that sends without a pause never has to be waited for, so that nobody else would run.
+        yield_now().await;
+    }
+}
+
+/// Waits until a call brings something or ends. The calls after `last_served` are looked at first, so that one that sends
+/// without a pause does not hide the others.
+async fn next_result(
+    calls: &mut BTreeMap<CallId, JournalCall>,
+    last_served: CallId,
+    last_position: u64,
+) -> (CallId, CallResult) {
+    let mut waits: Vec<_> = calls
+        .iter_mut()
+        .map(|(id, call)| (*id, Box::pin(call.receive(last_position))))
+        .collect();
+    let served_before = waits.partition_point(|(id, _)| *id <= last_served);
+    waits.rotate_left(served_before);
+    poll_fn(|context| {
+        for (id, wait) in &mut waits {
+            if let Poll::Ready(result) = wait.as_mut().poll(context) {
+                return Poll::Ready((*id, result));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+async fn sleep_until_due(due: Option<Instant>) {
+    match due {
+        Some(due) => sleep_until(due).await,
+        None => pending().await,
     }
 }
 
 impl JournalClient {
-    /// Makes one call and waits for the time of the next, and returns why the call ended. Without an address it never
-    /// returns.
-    async fn call_and_wait(&mut self) -> String {
-        let Some(address) = self.address else {
-            return std::future::pending().await;
-        };
-        count(&self.counts.journal_calls);
-        let Err(why) = self.call(address).await;
-        let spread = 0.75 + 0.5 * self.rng.f64();
-        sleep(self.retry_interval.mul_f64(spread)).await;
-        self.retry_interval = self.retry_interval.mul_f64(1.5).min(MAX_RETRY_INTERVAL);
-        why
+    fn now(&self) -> trailproxy::units::Timestamp {
+        self.clock.timestamp(Instant::now())
     }
 
-    /// Calls the service and handles events until the call ends.
-    async fn call(&mut self, address: SocketAddr) -> Result<std::convert::Infallible, String> {
-        let timed_out = |_| "silent".to_owned();
-        let failed = |e: std::io::Error| e.to_string();
-        let dial = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = dial.await.map_err(timed_out)?.map_err(failed)?;
-        let last_position = self.last_position;
-        let request = format!(
-            "GET /journal HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\n\
-             Last-Event-ID: {last_position}\r\n\r\n"
-        );
-        let mut unsent = request.as_bytes();
-        while !unsent.is_empty() {
-            timeout(RECEIVE_TIMEOUT, stream.writable())
-                .await
-                .map_err(timed_out)?
-                .map_err(failed)?;
-            match system_calls::write(&stream, &[IoSlice::new(unsent)]) {
-                Transfer::Bytes(n) => unsent = &unsent[n..],
-                Transfer::NotReady => {}
-                Transfer::ResourceShortage => sleep(RESOURCE_RETRY_DELAY).await,
-                Transfer::Failed(e) => return Err(failed(e)),
-            }
-        }
-        let (mut response, mut events) = (Response::default(), EventParser::default());
-        let mut piece = [0; READ_BYTES];
-        let (mut body, mut received) = (Vec::new(), Vec::new());
-        loop {
-            timeout(RECEIVE_TIMEOUT, stream.readable())
-                .await
-                .map_err(timed_out)?
-                .map_err(failed)?;
-            let n = match system_calls::read(&stream, &mut piece) {
-                Transfer::Bytes(0) => return Err("closed".into()),
-                Transfer::Bytes(n) => n,
-                Transfer::NotReady => continue,
-                Transfer::ResourceShortage => {
-                    sleep(RESOURCE_RETRY_DELAY).await;
-                    continue;
+    /// Makes and ends calls as decided.
+    fn carry_out_orders(&mut self) {
+        for order in self.decisions.due_orders(self.now()) {
+            match order {
+                Order::Open { id, address } => {
+                    count(&self.counts.journal_calls);
+                    if !self.calls.is_empty() {
+                        count(&self.counts.journal_calls_beside);
+                        self.log_once("journal service silent, called again", "silent".into());
+                    }
+                    self.calls.insert(id, JournalCall::new(address));
+                }
+                Order::End { id, reason } => {
+                    self.calls.remove(&id);
+                    let reason = match reason {
+                        EndReason::Overtaken => "another call speaks",
+                        EndReason::Silent => "silent",
+                        EndReason::NoService => "no service is configured",
+                    };
+                    self.log_once("journal call ended", reason.into());
                 }
-                Transfer::Failed(e) => return Err(failed(e)),
-            };
-            self.retry_interval = MIN_RETRY_INTERVAL;
-            response
-                .feed(&piece[..n], &mut body)
-                .map_err(|error| error.0.to_owned())?;
-            events
-                .feed(&body, &mut received)
-                .map_err(|_| "an event is too long")?;
-            body.clear();
-            for event in received.drain(..) {
-                self.handle_event(&event.id, &event.data)?;
-            }
-            if response.is_complete() {
-                return Err("closed".into());
             }
-            // A service that sends without a pause never has to be waited for, so that nobody else would run.
-            yield_now().await;
+        }
+    }
+
+    /// Logs a line about calls unless the one before said the same.
+    fn log_once(&mut self, line: &'static str, why: String) {
+        let logged = (why, self.last_position);
+        if self.last_logged != logged {
+            info!(self.log, "{}", line; "why" => &logged.0, "last" => logged.1, "calls" => self.calls.len());
+            self.last_logged = logged;
+        }
+    }
+
+    /// Applies what a new configuration says. A call that is ended within an event is followed by one that asks for it.
+    fn apply(&mut self, update: JournalServiceUpdate) {
+        self.decisions.set_address(update.address);
+        self.calls.clear();
+        update
+            .known
+            .into_iter()
+            .for_each(|entry| self.add_known(entry));
+        self.last_logged.0.clear();
+    }
+
+    /// Handles what a call has brought, or its end.
+    fn handle_result(&mut self, id: CallId, result: CallResult) {
+        let Err(why) = result.and_then(|received| self.handle_received(id, received)) else {
+            return;
+        };
+        self.calls.remove(&id);
+        self.decisions.on_ended(self.now(), id);
+        self.log_once("journal call ended", why);
+    }
+
+    fn handle_received(&mut self, id: CallId, received: Received) -> Result<(), String> {
+        if received.body_arrived {
+            let now = self.now();
+            self.decisions.on_bytes(now, id, received.line_ended);
+        }
+        for event in received.events {
+            self.handle_event(&event.id, &event.data)?;
+        }
+        match received.is_complete {
+            true => Err("closed".into()),
+            false => Ok(()),
         }
     }
 
--- a/crates/trailproxyd/src/serving.rs
+++ b/crates/trailproxyd/src/serving.rs
@@ -15,12 +15,14 @@
 use local_channel::mpsc;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::Instant;
 use trailproxy::logic::Dispatcher;
+use trailproxy::policy::journal_calls::JournalCalls;
 
 /// How many clients may wait in the backlog of the listener.
 const BACKLOG: u32 = 1024;
@@ -85,12 +87,13 @@
     tokio::task::spawn_local(clients::accept(listener, stopped, shared.clone()));
     let (journal_address, address_changes) = mpsc::channel();
     let journal = journal_client::JournalClient {
-        address: start.journal,
-        names: start.names,
         last_position: start.known_position,
-        retry_interval: journal_client::MIN_RETRY_INTERVAL,
-        rng: fastrand::Rng::with_seed(start.seed.rotate_left(17)),
+        decisions: JournalCalls::new(start.journal, start.seed.rotate_left(17)),
+        calls: BTreeMap::new(),
+        names: start.names,
         queue: queue.clone(),
+        clock: Clock::new(),
+        last_logged: Default::default(),
         counts: counts.clone(),
         log: log.clone(),
     };
--- a/crates/trailproxyd/src/startup.rs
+++ b/crates/trailproxyd/src/startup.rs
@@ -1,6 +1,6 @@
 //! The configuration of a dispatcher at its start: the RELAY_ variables and the JSON file that they name.
 
-use crate::journal_client::Names;
+use crate::journal_entries::Names;
 use crate::messages::JournalEntry;
 use crate::operator::Source;
 use crate::starting::StepError;
--- a/crates/trailproxyd/tests/harness/mod.rs
+++ b/crates/trailproxyd/tests/harness/mod.rs
@@ -1,6 +1,8 @@
 //! A test harness for the built daemon: it runs the program between simulated hosts, a simulated journal service and test
 //! clients.
 
+pub mod journal_service;
+
 use rmpv::Value;
 use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
@@ -303,6 +305,13 @@
 #[derive(Default)]
 pub struct Environment(Vec<(&'static str, PathBuf)>);
 
+impl Environment {
+    /// Has the program log each step, also each journal entry that it handles.
+    pub fn with_trace() -> Environment {
+        Environment(vec![("RELAY_TRACE", PathBuf::from("1"))])
+    }
+}
+
 /// Injects faults into the system calls and the wall clock of one program through the preloaded shim.
 pub struct Faults {
     pub control: Control,
@@ -601,6 +610,13 @@
         Cluster::start(&faults.environment(), |_, _| {})
     }
 
+    /// Starts a cluster whose daemon follows this journal service and logs each step.
+    pub fn with_journal(journal: SocketAddr) -> Cluster {
+        Cluster::start(&Environment::with_trace(), |config, _| {
+            config["journal"] = json!(journal.to_string());
+        })
+    }
+
     /// Starts a cluster with faults and a change of the configuration.
     pub fn with_faults_and_config(
         faults: &Faults,
