--- a/crates/trailproxyd/src/journal_client.rs
+++ b/crates/trailproxyd/src/journal_client.rs
@@ -150,10 +150,9 @@
         }
     }
 
-    /// Applies what a new configuration says. A call that is ended within an event is followed by one that asks for it.
+    /// Applies what a new configuration says. An event that is only half there on a call is completed there.
     fn apply(&mut self, update: JournalServiceUpdate) {
         self.decisions.set_address(update.address);
-        self.calls.clear();
         update
             .known
             .into_iter()
--- a/crates/trailproxyd/tests/journal_calls.rs
+++ b/crates/trailproxyd/tests/journal_calls.rs
@@ -179,3 +179,55 @@
     cluster.program.signal("-CONT");
     assert_heard(&cluster, 2, Instant::now(), Duration::from_secs(1));
 }
+
+/// A service that is slow is named again by new configurations, faster than it answers. Guards against giving up the call
+/// that is open at each of them, so that nothing is ever heard.
+#[test]
+fn new_configurations_leave_the_open_call_alone() {
+    let late = CallPlan::late(Duration::from_millis(2_500));
+    let service = JournalService::start(move |_| late);
+    let cluster = Cluster::with_journal(service.address);
+    service.tell(&purge(2));
+    let told_at = Instant::now();
+    for _ in 0..7 {
+        std::thread::sleep(Duration::from_secs(1));
+        cluster.program.reload_config(&cluster.config.to_string());
+    }
+    assert_heard(&cluster, 2, told_at, TOLD_WITHIN + SLACK);
+    assert!(service.most_open_calls() <= MAX_CALLS);
+}
+
+/// A service that turns new calls away is named again by a new configuration. Guards against ending the call that it
+/// serves, which it does not let in again.
+#[test]
+fn a_new_configuration_keeps_a_call_that_could_not_be_made_again() {
+    let service = JournalService::start(|_| CallPlan::PROMPT);
+    let cluster = Cluster::with_journal(service.address);
+    wait_for("the service is called", || service.open_calls() == 1);
+    service.turn_away_new_calls();
+    cluster.program.reload_config(&cluster.config.to_string());
+    wait_for("the configuration is read", || {
+        cluster.program.log_contains("configuration read again")
+    });
+    service.tell(&purge(2));
+    assert_heard(&cluster, 2, Instant::now(), TOLD_AFTER_STOP);
+}
+
+/// A new configuration moves the service to an address where nobody is yet. Guards against ending the call to the former
+/// address before the new one speaks, and against following both from then on.
+#[test]
+fn the_former_service_is_followed_until_the_new_one_speaks() {
+    let former = JournalService::start(|_| CallPlan::PROMPT);
+    let new = JournalService::start(|_| CallPlan::late(Duration::from_secs(3)));
+    let cluster = Cluster::with_journal(former.address);
+    wait_for("the service is called", || former.open_calls() == 1);
+    let mut config = cluster.config.clone();
+    config["journal"] = json!(new.address.to_string());
+    cluster.program.reload_config(&config.to_string());
+    wait_for("the new service is called", || new.open_calls() == 1);
+    former.tell(&purge(2));
+    assert_heard(&cluster, 2, Instant::now(), Duration::from_secs(2));
+    wait_for("the former call is ended", || former.open_calls() == 0);
+    new.tell(&purge(3));
+    assert_heard(&cluster, 3, Instant::now(), TOLD_AFTER_STOP);
+}
--- a/src/policy/journal_calls.rs
+++ b/src/policy/journal_calls.rs
@@ -129,14 +129,16 @@
         }
     }
 
-    /// Applies a new configuration. All calls are ended.
+    /// Applies a new configuration. Calls that are open go on: those to the same address because nothing has changed for
+    /// them, those to another one until the new service speaks.
     pub fn set_address(&mut self, address: Option<Address>) {
         self.retry_interval = MIN_RETRY_INTERVAL;
         self.silence = FIRST_SILENCE;
-        self.address = address;
-        self.opened_at = Timestamp::default();
-        self.retry_at = None;
-        self.calls.clear();
+        if self.address != address {
+            self.address = address;
+            self.opened_at = Timestamp::default();
+            self.retry_at = None;
+        }
     }
 
     /// Bytes of the stream of events have arrived on a call, and they end a line if `line_ended`.
--- a/tests/journal_calls.rs
+++ b/tests/journal_calls.rs
@@ -304,3 +304,46 @@
     );
     assert!(fleet.iter().all(|play| play.open.len() == 1));
 }
+
+/// New configurations name the same dead service each second. Guards against calls that are replaced before they may be
+/// the first to speak.
+#[test]
+fn new_configurations_do_not_shorten_the_time_of_a_call() {
+    for seed in 0..20 {
+        let mut play = Play::new(seed);
+        for second in 0..60 {
+            play.calls.set_address(Some(0));
+            let begin = START + TimeSpan::from_secs(second);
+            play.run_from(begin, TimeSpan::from_secs(1), |_| Shape::DEAD);
+        }
+        assert_eq!(play.open.len(), MAX_CALLS);
+    }
+}
+
+/// A new configuration names another service, or none. Guards against waiting for the former one before the new one is
+/// called, against ending its call before the new one speaks, and against calls that remain.
+#[test]
+fn another_service_is_called_at_once_and_takes_over_when_it_speaks() {
+    let mut play = Play::new(1);
+    play.run(TimeSpan::from_secs(10), |_| Shape::PROMPT);
+    play.calls.set_address(Some(1));
+    play.run_from(
+        START + TimeSpan::from_secs(10),
+        TimeSpan::from_secs(2),
+        |_| Shape::late(TimeSpan::from_secs(3)),
+    );
+    assert_eq!((play.made.len(), play.open.len()), (2, 2));
+    play.run_from(
+        START + TimeSpan::from_secs(12),
+        TimeSpan::from_secs(6),
+        |_| Shape::PROMPT,
+    );
+    assert_eq!(play.open.len(), 1);
+    play.calls.set_address(None);
+    play.run_from(
+        START + TimeSpan::from_secs(18),
+        TimeSpan::from_secs(1),
+        |_| Shape::PROMPT,
+    );
+    assert_eq!(play.open.len(), 0);
+}
