--- a/crates/trailproxyd/src/journal_call.rs
+++ b/crates/trailproxyd/src/journal_call.rs
@@ -89,6 +89,18 @@
         }
     }
 
+    /// Returns what the system holds already for this call, if the runtime has not signalled it yet.
+    pub async fn receive_present(&mut self) -> Result<Option<Received>, String> {
+        let Connection::Connected(stream) = &self.connection else {
+            return Ok(None);
+        };
+        if self.paused_until.is_some() || !self.unsent.is_empty() {
+            return Ok(None);
+        }
+        system_calls::sync_readiness(stream).await;
+        self.read()
+    }
+
     /// Writes as much of the request as the connection takes.
     fn write(&mut self) -> Result<(), String> {
         let Connection::Connected(stream) = &self.connection else {
--- a/crates/trailproxyd/src/journal_client.rs
+++ b/crates/trailproxyd/src/journal_client.rs
@@ -73,7 +73,8 @@
                 last_served = id;
                 journal.handle_result(id, result);
             }
-            Wake::Due => {}
+            // After a stop of the process, the time has passed although the calls have brought something.
+            Wake::Due => journal.receive_present().await,
         }
         // A service that sends without a pause never has to be waited for, so that nobody else would run.
         yield_now().await;
@@ -160,6 +161,19 @@
         self.last_logged.0.clear();
     }
 
+    /// Handles what the system holds for each call.
+    async fn receive_present(&mut self) {
+        let ids: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in ids {
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            if let Some(result) = call.receive_present().await.transpose() {
+                self.handle_result(id, result);
+            }
+        }
+    }
+
     /// Handles what a call has brought, or its end.
     fn handle_result(&mut self, id: CallId, result: CallResult) {
         let Err(why) = result.and_then(|received| self.handle_received(id, received)) else {
--- a/crates/trailproxyd/tests/journal_calls.rs
+++ b/crates/trailproxyd/tests/journal_calls.rs
@@ -231,3 +231,20 @@
     new.tell(&purge(3));
     assert_heard(&cluster, 3, Instant::now(), TOLD_AFTER_STOP);
 }
+
+/// The process is stopped for longer than a service may be silent, while the service speaks. Guards against taking it for
+/// silent before what has arrived is read: each such call has the whole list sent again.
+#[test]
+fn a_service_that_spoke_while_the_process_was_stopped_is_not_called_again() {
+    const STOPS: usize = 5;
+    let service = JournalService::start(|_| CallPlan::PROMPT);
+    let cluster = Cluster::with_journal(service.address);
+    wait_for("the service is called", || service.open_calls() == 1);
+    for _ in 0..STOPS {
+        cluster.program.stop();
+        std::thread::sleep(Duration::from_secs(3));
+        cluster.program.signal("-CONT");
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    assert_eq!(service.calls().len(), 1);
+}
