--- a/crates/trailproxyd/tests/journal_calls.rs
+++ b/crates/trailproxyd/tests/journal_calls.rs
@@ -248,3 +248,20 @@
     }
     assert_eq!(service.calls().len(), 1);
 }
+
+/// The service begins each answer and closes it at once, as one does that has too many calls. Guards against a fixed rate
+/// of calls to it.
+#[test]
+fn calls_to_a_service_that_answers_and_closes_back_off() {
+    let shed = CallPlan {
+        closed_at: Duration::from_millis(30),
+        ..CallPlan::PROMPT
+    };
+    let service = JournalService::start(move |_| shed);
+    let _cluster = Cluster::with_journal(service.address);
+    wait_for("twelve calls", || service.calls().len() >= 12);
+    let calls = service.calls();
+    let took = calls[11].at - calls[0].at;
+    // Calls at the first interval would take half of that.
+    assert!(took >= Duration::from_millis(2_400), "{took:?}");
+}
--- a/src/policy/journal_calls.rs
+++ b/src/policy/journal_calls.rs
@@ -159,7 +159,9 @@
             return;
         }
         let speech = call.speech(now);
-        self.retry_interval = MIN_RETRY_INTERVAL;
+        if speech >= STEADY_SPEECH {
+            self.retry_interval = MIN_RETRY_INTERVAL;
+        }
         if speech >= TOLD_WITHIN {
             self.silence = FIRST_SILENCE;
         }
