Limit each step of connecting to the shared store, not all of them together

Operators saw: a store whose answers take 150 ms is never connected to ("no answer within 1s"), and nothing is passed on by it.

Cause: the limit of 1 s held for ten answers in turn; the connection was given up and begun anew each time.

Change: each step has the limit for itself.

--- a/crates/trailproxyd/src/store_connection.rs
+++ b/crates/trailproxyd/src/store_connection.rs
@@ -17,8 +17,8 @@
 use trailproxy_shared_store::decide::Reply;
 use trailproxy_shared_store::scripts::{SCRIPTS, ScriptRequest, Value, parse_reply};
 
-/// How long connecting to the server and loading the scripts may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the server may be silent while a connection is made, at each step of it.
+const STEP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// One connection, with the hashes of the scripts that are loaded on it.
 struct Connection {
@@ -105,27 +105,16 @@
         },
     };
     let client = redis::Client::open(address).map_err(|e| e.to_string())?;
-    let opening = async {
-        let mut connection = client.get_multiplexed_async_connection().await?;
-        let server: String = redis::cmd("INFO")
-            .arg("server")
-            .query_async(&mut connection)
-            .await?;
-        let mut script_hashes = Vec::new();
-        for script in SCRIPTS {
-            let mut load = redis::cmd("SCRIPT");
-            let hash: String = load
-                .arg("LOAD")
-                .arg(script.text)
-                .query_async(&mut connection)
-                .await?;
-            script_hashes.push((script.name, hash));
-        }
-        Ok::<_, redis::RedisError>((connection, server, script_hashes))
-    };
-    let opened = timeout(CONNECT_TIMEOUT, opening).await;
-    let opened = opened.map_err(|_| format!("no answer within {CONNECT_TIMEOUT:?}"))?;
-    let (connection, server, script_hashes) = opened.map_err(|e| e.to_string())?;
+    let mut connection = step(client.get_multiplexed_async_connection()).await?;
+    let mut info = redis::cmd("INFO");
+    let server: String = step(info.arg("server").query_async(&mut connection)).await?;
+    let mut script_hashes = Vec::new();
+    for script in SCRIPTS {
+        let mut load = redis::cmd("SCRIPT");
+        load.arg("LOAD").arg(script.text);
+        let hash: String = step(load.query_async(&mut connection)).await?;
+        script_hashes.push((script.name, hash));
+    }
     let run_id = server.lines().find_map(|line| line.strip_prefix("run_id:"));
     let run_id =
         run_id.ok_or("the server reports no run_id, by which its restarts are recognised")?;
@@ -138,6 +127,16 @@
     ))
 }
 
+/// Waits for one step of making a connection. Each step has its own limit: a server that is slow but answers goes on.
+async fn step<Output>(
+    answer: impl Future<Output = redis::RedisResult<Output>>,
+) -> Result<Output, String> {
+    match timeout(STEP_TIMEOUT, answer).await {
+        Ok(answer) => answer.map_err(|error| error.to_string()),
+        Err(_) => Err(format!("no answer within {STEP_TIMEOUT:?}")),
+    }
+}
+
 /// Executes one operation. Returns its result, and whether the connection is of no more use.
 async fn execute(connection: &Connection, request: &ScriptRequest) -> (Reply, bool) {
     let mut client = connection.client.clone();
--- a/crates/trailproxyd/tests/store.rs
+++ b/crates/trailproxyd/tests/store.rs
@@ -145,6 +145,28 @@
     }
 }
 
+/// Each answer of the store takes 150 ms. Guards against a limit for all answers that a connection needs together: it is given
+/// up each time and begun anew, and the dispatchers never learn anything from each other.
+#[test]
+fn a_store_that_answers_slowly_is_connected_to() {
+    let store = RedisServer::start(Redis::new(1), 1).expect("a server");
+    let delay = Delay {
+        least: TimeSpan::from_millis(150),
+        mean_more: TimeSpan::ZERO,
+    };
+    store.fault(Fault::Slow(delay), Duration::from_secs(60));
+    let (cluster, other, path) = start_two("slow-start", &section(store.address.port(), ""));
+    for program in [&cluster.program, &other] {
+        wait_for("a connection", || program.log_contains("trust: returning"));
+    }
+    wait_for("an epoch", || store.keys() > 0);
+    let before = store.keys();
+    let purge = json!({"pos": 2, "expire": {"name": format!("{:016x}", 7), "stamp": unix_ms()}});
+    cluster.next_journal_call().send(&purge);
+    wait_for("the store has the purge", || store.keys() > before);
+    let _ = std::fs::remove_file(path);
+}
+
 /// Guards against requests that fail without the store, and against a dispatcher that does not reconnect when the
 /// password file is corrected.
 #[test]
