Read the rest of an answer after a stop before taking its connection for stuck

Operators saw: after a stop of the process, a connection whose half answer was completed meanwhile was not used again; the next request made a new one.

Cause: after an interrupted wait the runtime ends what is due before it looks at the sockets; the limit for the rest of an answer had passed.

Change: when the limit ends, what the system holds is read first.

--- a/crates/trailproxyd/src/host_connection.rs
+++ b/crates/trailproxyd/src/host_connection.rs
@@ -245,6 +245,18 @@
         }
     }
 
+    /// Reports the connection as unusable unless the system holds more of the partial answer: after a stop of the process,
+    /// the time has passed although the rest has arrived.
+    async fn check_stuck(&mut self) -> Result<(), CloseReason> {
+        let last_received_at = self.last_received_at;
+        system_calls::sync_readiness(&self.stream).await;
+        self.read()?;
+        if self.last_received_at == last_received_at {
+            self.report_unusable();
+        }
+        Ok(())
+    }
+
     /// Reports the end of an attempt without an answer.
     fn end(&self, id: AttemptId, ending: Ending) {
         let answer = Answer::without_body(ending);
@@ -337,7 +349,7 @@
             }
             _ = sleep(READ_RETRY_INTERVAL), if !may_read => {}
             _ = sleep_until(next_known_at.unwrap_or(self.last_active_at)), if next_known_at.is_some() => {}
-            _ = sleep_until(stuck_at), if has_partial_answer => self.report_unusable(),
+            _ = sleep_until(stuck_at), if has_partial_answer => self.check_stuck().await?,
             _ = sleep_until(idle_until), if idle => return Err("idle"),
         }
         Ok(())
