--- a/src/policy/journal_calls.rs
+++ b/src/policy/journal_calls.rs
@@ -70,6 +70,8 @@
     /// When the last byte of the stream of events arrived; before the first one, when the call was made.
     active_at: Timestamp,
     has_spoken: bool,
+    /// Whether it went on after a silence in the middle, so that such a silence doesn't mean that it is dead.
+    has_resumed: bool,
     /// The end of the first line since the last pause.
     speaking_since: Option<Timestamp>,
 }
@@ -149,6 +151,7 @@
         };
         if now.since(call.active_at) >= FIRST_SILENCE {
             call.speaking_since = None;
+            call.has_resumed |= call.has_spoken;
         }
         call.active_at = now;
         if line_ended {
@@ -159,10 +162,15 @@
             return;
         }
         let speech = call.speech(now);
+        let trusted_after = if call.has_resumed {
+            TOLD_WITHIN
+        } else {
+            STEADY_SPEECH
+        };
         if speech >= STEADY_SPEECH {
             self.retry_interval = MIN_RETRY_INTERVAL;
         }
-        if speech >= TOLD_WITHIN {
+        if speech >= trusted_after {
             self.silence = FIRST_SILENCE;
         }
     }
@@ -290,6 +298,7 @@
             address,
             active_at: now,
             has_spoken: false,
+            has_resumed: false,
             speaking_since: None,
         });
         self.opened_at = now;
--- a/tests/journal_calls.rs
+++ b/tests/journal_calls.rs
@@ -128,7 +128,9 @@
             if age >= shape.closed_at {
                 self.open.remove(&id);
                 self.calls.on_ended(now, id);
-            } else if shape.speaks(age) && age.0.is_multiple_of(COMMENT_INTERVAL.0) {
+            } else if shape.speaks(age)
+                && (age - shape.speaks_at).0.is_multiple_of(COMMENT_INTERVAL.0)
+            {
                 self.calls.on_bytes(now, id, true);
                 self.heard_at.insert(id, now);
                 self.heard.push(now);
@@ -211,6 +213,25 @@
     }
 }
 
+/// Each call is late, and falls silent for good some seconds after it has begun. Guards against a wait that has grown while
+/// the first call was late: the next one is late, too.
+#[test]
+fn calls_that_are_late_and_fall_silent_later_are_followed_in_time() {
+    for (delay_ms, speech_s) in (0..4_300).step_by(100).flat_map(|ms| [(ms, 4), (ms, 6)]) {
+        let shape = Shape {
+            silent_at: TimeSpan::from_secs(speech_s),
+            silent_for: FOREVER,
+            ..Shape::late(TimeSpan::from_millis(delay_ms))
+        };
+        let mut play = Play::new(delay_ms);
+        play.run(TimeSpan::from_secs(200), |_| shape);
+        let gaps = play.heard.windows(2).map(|two| two[1].since(two[0]));
+        let longest = gaps.max().expect("two lines");
+        // An event may come into the service right after the last line.
+        assert!(longest <= TOLD_WITHIN, "{delay_ms} ms: {longest:?}");
+    }
+}
+
 /// Calls that all fall silent after some lines, and go on later. Guards against calls that go on being made at the first
 /// interval: each has the whole list sent again.
 #[test]
@@ -283,7 +304,6 @@
             };
             answered += 1;
             if let Some((shape, made_at)) = fleet[number].open.get_mut(&id) {
-                // The stream speaks at each whole second of its age.
                 shape.speaks_at = now.since(*made_at);
                 fleet[number].calls.on_bytes(now, id, true);
                 fleet[number].heard.push(now);
