--- a/crates/trailproxyd/src/serving.rs
+++ b/crates/trailproxyd/src/serving.rs
@@ -26,7 +26,7 @@
 
 /// How many clients may wait in the backlog of the listener.
 const BACKLOG: u32 = 1024;
-/// Descriptors kept for the listener, the journal, the log and the runtime, which take 15 at most.
+/// Descriptors kept for the listener, the calls to the journal service, the log and the runtime, which take 18 at most.
 const RESERVED_DESCRIPTORS: usize = 20;
 
 /// Serves until a signal ends it.
--- a/crates/trailproxyd/tests/harness/mod.rs
+++ b/crates/trailproxyd/tests/harness/mod.rs
@@ -612,8 +612,14 @@
 
     /// Starts a cluster whose daemon follows this journal service and logs each step.
     pub fn with_journal(journal: SocketAddr) -> Cluster {
+        Cluster::with_journal_and_config(journal, |_| {})
+    }
+
+    /// Starts such a cluster after a further change of the configuration.
+    pub fn with_journal_and_config(journal: SocketAddr, change: impl FnOnce(&mut Json)) -> Cluster {
         Cluster::start(&Environment::with_trace(), |config, _| {
             config["journal"] = json!(journal.to_string());
+            change(config);
         })
     }
 
