--- a/crates/trailproxyd/src/checks.rs
+++ b/crates/trailproxyd/src/checks.rs
@@ -70,7 +70,7 @@
     partial_requests_abandoned,
     /// Connections to the journal service that were tried.
     journal_calls,
-    /// Those of them that were made while another one was open.
+    /// Those of them that were made while another one to the same address was open.
     journal_calls_beside,
     /// New journal entries.
     journal_events,
--- a/crates/trailproxyd/src/journal_client.rs
+++ b/crates/trailproxyd/src/journal_client.rs
@@ -58,7 +58,7 @@
 pub async fn follow(mut journal: JournalClient, mut updates: mpsc::Receiver<JournalServiceUpdate>) {
     let mut last_served = CallId(0);
     loop {
-        journal.carry_out_orders();
+        journal.carry_out_orders().await;
         let due = journal.decisions.next_due(journal.now());
         let due = due.map(|at| journal.clock.instant(at));
         let wake = tokio::select! {
@@ -73,8 +73,7 @@
                 last_served = id;
                 journal.handle_result(id, result);
             }
-            // After a stop of the process, the time has passed although the calls have brought something.
-            Wake::Due => journal.receive_present().await,
+            Wake::Due => {}
         }
         // A service that sends without a pause never has to be waited for, so that nobody else would run.
         yield_now().await;
@@ -117,13 +116,22 @@
         self.clock.timestamp(Instant::now())
     }
 
-    /// Makes and ends calls as decided.
-    fn carry_out_orders(&mut self) {
+    /// Makes and ends calls as decided. If anything is due, what has arrived is handled before: after a stop of the process,
+    /// the time has passed although the calls have brought something.
+    async fn carry_out_orders(&mut self) {
+        let now = self.now();
+        if self.decisions.next_due(now).is_some_and(|at| at <= now) {
+            self.receive_present().await;
+        }
         for order in self.decisions.due_orders(self.now()) {
             match order {
-                Order::Open { id, address } => {
+                Order::Open {
+                    id,
+                    address,
+                    is_further,
+                } => {
                     count(&self.counts.journal_calls);
-                    if !self.calls.is_empty() {
+                    if is_further {
                         count(&self.counts.journal_calls_beside);
                         self.log_once("journal service silent, called again", "silent".into());
                     }
--- a/src/policy/journal_calls.rs
+++ b/src/policy/journal_calls.rs
@@ -46,7 +46,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order<Address> {
     /// Call the service at this address, and ask for the events after the last position received.
-    Open { id: CallId, address: Address },
+    Open {
+        id: CallId,
+        address: Address,
+        /// Whether a call to this address is open already.
+        is_further: bool,
+    },
     /// End this call.
     End { id: CallId, reason: EndReason },
 }
@@ -285,7 +290,8 @@
         let Some(address) = self.address else {
             return;
         };
-        if self.present_calls().next().is_some() {
+        let is_further = self.present_calls().next().is_some();
+        if is_further {
             self.silence = self.silence.mul_f64(SILENCE_GROWTH).min(MAX_SILENCE);
         }
         if let Some((id, _)) = self.replaceable() {
@@ -304,7 +310,11 @@
         self.opened_at = now;
         self.retry_at = None;
         self.silence_factor = 1.0 + SILENCE_SPREAD * self.rng.f64();
-        orders.push(Order::Open { id, address });
+        orders.push(Order::Open {
+            id,
+            address,
+            is_further,
+        });
     }
 
     fn end(&mut self, id: CallId, reason: EndReason) -> Order<Address> {
