--- a/crates/trailproxyd/src/operator.rs
+++ b/crates/trailproxyd/src/operator.rs
@@ -3,13 +3,13 @@
 //! waits for it.
 
 use crate::starting::StepError;
+use crate::system_calls::timeout_unless_finished;
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::process::Command;
-use tokio::time::timeout;
 use trailproxy::interface::{DispatcherSettings, Effect};
 use trailproxy::units::TimeSpan;
 use trailproxy_budgets::config::BudgetsConfig;
@@ -223,7 +223,7 @@
             );
             (child.wait().await, output, errors)
         };
-        let result = timeout(READER_TIMEOUT, finished).await;
+        let result = timeout_unless_finished(READER_TIMEOUT, finished).await;
         let (status, output, errors) = result.map_err(|_| {
             StepError::Invalid(format!(
                 "{reader} did not finish reading {} within {READER_TIMEOUT:?}",
--- a/crates/trailproxyd/src/system_calls.rs
+++ b/crates/trailproxyd/src/system_calls.rs
@@ -4,8 +4,10 @@
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::os::fd::AsRawFd;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 use trailproxy::policy::system_errors::{self, StreamError, classify_stream_error};
 
@@ -13,6 +15,9 @@
 pub const RESOURCE_RETRY_DELAY: Duration =
     Duration::from_micros(system_errors::RESOURCE_RETRY_DELAY.0);
 
+/// How long the runtime needs at most to notice what has finished before a limit ended.
+const FINISHED_GRACE: Duration = Duration::from_millis(20);
+
 /// The longest time span that is accepted as the age of the last data. Where no data was received yet, the system
 /// counts from the creation of the connection or from its own boot.
 const MAX_DATA_AGE: Duration = Duration::from_secs(3_600);
@@ -125,6 +130,19 @@
     }
 }
 
+/// Waits for an operation for this time. An operation that has finished by then counts although timers ran before
+/// the runtime polled the system, as they do after a stop of the process.
+pub async fn timeout_unless_finished<Operation: Future>(
+    limit: Duration,
+    operation: Operation,
+) -> Result<Operation::Output, Elapsed> {
+    let mut operation = pin!(operation);
+    match timeout(limit, &mut operation).await {
+        Ok(output) => Ok(output),
+        Err(_) => timeout(FINISHED_GRACE, operation).await,
+    }
+}
+
 /// Returns the system's number of an error, and 0 for an error without a number. The runtime reports a call that would
 /// block by an error without a number.
 pub fn errno(error: &io::Error) -> i32 {
--- a/crates/trailproxyd/tests/stopped_process.rs
+++ b/crates/trailproxyd/tests/stopped_process.rs
@@ -6,6 +6,8 @@
 use harness::*;
 use serde_json::json;
 use std::io::Write;
+use std::net::TcpStream;
+use std::os::unix::fs::PermissionsExt;
 use std::time::Duration;
 
 /// Longer than the time after which a connection with half an answer is not used any more.
@@ -46,3 +48,34 @@
         assert_eq!(next.peer(), request.peer());
     }
 }
+
+/// The reader of the operator's file finishes while the process is stopped, for longer than the reader may take. Guards
+/// against taking it for late, so that the process does not start.
+#[test]
+fn a_reader_that_finished_during_a_stop_is_not_late() {
+    const READER_LIMIT: Duration = Duration::from_secs(3);
+    let folder = std::env::temp_dir().join(format!("stopped-reader-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (reader, started) = (folder.join("reader"), folder.join("started"));
+    let script = format!(
+        "#!/bin/sh\ntouch {}\nsleep 1\necho '{{}}'\n",
+        started.display()
+    );
+    std::fs::write(&reader, script).expect("a reader");
+    let executable = std::fs::Permissions::from_mode(0o755);
+    std::fs::set_permissions(&reader, executable).expect("an executable file");
+    let config = json!({
+        "name": "n1", "seed": "8c1f30d27a5be964", "limits": {"memory_mb": 64, "sockets": 256},
+        "known": {"pos": 0, "entries": []}, "settings": Cluster::new().config["settings"],
+        "operator": folder.join("operator.star"), "reader": reader,
+    });
+    let program = Program::spawn_in(&config, free_address(), &Environment::default());
+    wait_for("the reader is started", || started.exists());
+    program.stop();
+    std::thread::sleep(READER_LIMIT + Duration::from_millis(500));
+    program.signal("-CONT");
+    wait_for("the daemon listens", || {
+        TcpStream::connect(program.address).is_ok()
+    });
+    let _ = std::fs::remove_dir_all(folder);
+}
