--- a/crates/trailproxyd/src/journal_client.rs
+++ b/crates/trailproxyd/src/journal_client.rs
@@ -18,22 +18,30 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 use trailproxy::policy::journal_calls::{CallId, EndReason, JournalCalls, Order};
+use trailproxy::units::Timestamp;
+
+/// What the client shares with the rest of the process.
+pub struct JournalContext {
+    /// The ids of zones and kinds in host lists.
+    pub names: Rc<Names>,
+    /// Where events are sent.
+    pub queue: InboundSender,
+    pub counts: Rc<Counts>,
+    pub log: Logger,
+}
 
 /// The client and its position in the journal.
 pub struct JournalClient {
+    context: JournalContext,
     /// The position of the last event received.
-    pub last_position: u64,
+    last_position: u64,
     /// Decides which calls are open.
-    pub decisions: JournalCalls<SocketAddr>,
+    decisions: JournalCalls<SocketAddr>,
     /// The open calls.
-    pub calls: BTreeMap<CallId, JournalCall>,
-    pub names: Rc<Names>,
-    pub queue: InboundSender,
-    pub clock: Clock,
-    pub counts: Rc<Counts>,
+    calls: BTreeMap<CallId, JournalCall>,
+    clock: Clock,
     /// What was logged last about calls, and at which position: repetitions are logged once.
-    pub last_logged: (String, u64),
-    pub log: Logger,
+    last_logged: (String, u64),
 }
 
 /// What a new configuration says about the journal service.
@@ -112,7 +120,23 @@
 }
 
 impl JournalClient {
-    fn now(&self) -> trailproxy::units::Timestamp {
+    /// A client that has made no call yet, and asks for the events after `last_position`.
+    pub fn new(
+        decisions: JournalCalls<SocketAddr>,
+        last_position: u64,
+        context: JournalContext,
+    ) -> JournalClient {
+        JournalClient {
+            context,
+            last_position,
+            decisions,
+            calls: BTreeMap::new(),
+            clock: Clock::new(),
+            last_logged: Default::default(),
+        }
+    }
+
+    fn now(&self) -> Timestamp {
         self.clock.timestamp(Instant::now())
     }
 
@@ -130,9 +154,9 @@
                     address,
                     is_further,
                 } => {
-                    count(&self.counts.journal_calls);
+                    count(&self.context.counts.journal_calls);
                     if is_further {
-                        count(&self.counts.journal_calls_beside);
+                        count(&self.context.counts.journal_calls_beside);
                         self.log_once("journal service silent, called again", "silent".into());
                     }
                     self.calls.insert(id, JournalCall::new(address));
@@ -154,7 +178,7 @@
     fn log_once(&mut self, line: &'static str, why: String) {
         let logged = (why, self.last_position);
         if self.last_logged != logged {
-            info!(self.log, "{}", line; "why" => &logged.0, "last" => logged.1, "calls" => self.calls.len());
+            info!(self.context.log, "{}", line; "why" => &logged.0, "last" => logged.1, "calls" => self.calls.len());
             self.last_logged = logged;
         }
     }
@@ -210,8 +234,8 @@
     fn add_known(&mut self, entry: JournalEntry) {
         if entry.position == self.last_position + 1 {
             self.last_position = entry.position;
-            count(&self.counts.journal_events);
-            let _ = self.queue.send(Inbound::Journal(entry));
+            count(&self.context.counts.journal_events);
+            let _ = self.context.queue.send(Inbound::Journal(entry));
         }
     }
 
@@ -221,26 +245,26 @@
         let position = id.parse().ok().or_else(|| json.get("pos")?.as_u64());
         let position = position.ok_or("an event has no position")?;
         if position <= self.last_position {
-            count(&self.counts.journal_repeats);
+            count(&self.context.counts.journal_repeats);
             return Ok(());
         }
         if position > self.last_position + 1 && self.last_position > 0 {
             return Err(format!("events before {position} are missing"));
         }
-        let entry = JournalEntry::read(&json, &self.names);
+        let entry = JournalEntry::read(&json, &self.context.names);
         check_invariant(
             position > self.last_position,
-            &self.counts.broken_journal_order,
+            &self.context.counts.broken_journal_order,
         );
         self.last_position = position;
         match entry {
             Some(entry) => {
-                count(&self.counts.journal_events);
-                let _ = self.queue.send(Inbound::Journal(entry));
+                count(&self.context.counts.journal_events);
+                let _ = self.context.queue.send(Inbound::Journal(entry));
             }
             None => {
-                count(&self.counts.bad_entries);
-                warn!(self.log, "journal event can't be read"; "pos" => position);
+                count(&self.context.counts.bad_entries);
+                warn!(self.context.log, "journal event can't be read"; "pos" => position);
             }
         }
         Ok(())
--- a/crates/trailproxyd/src/serving.rs
+++ b/crates/trailproxyd/src/serving.rs
@@ -4,8 +4,9 @@
 use crate::checks::Counts;
 use crate::dispatch::Dispatch;
 use crate::host_pools::HostPools;
+use crate::journal_client::{JournalClient, JournalContext};
 use crate::memory::MemoryAccount;
-use crate::messages::{Clock, Inbound};
+use crate::messages::{Clock, Inbound, InboundSender};
 use crate::reload::{ActiveConfig, ConfigReceivers, handle_hangups, read_operator};
 use crate::stall_detector::StallDetector;
 use crate::starting::{StepError, retry_async};
@@ -15,11 +16,11 @@
 use local_channel::mpsc;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::Signal;
 use tokio::time::Instant;
 use trailproxy::logic::Dispatcher;
 use trailproxy::policy::journal_calls::JournalCalls;
@@ -86,17 +87,15 @@
     let (stop, stopped) = mpsc::channel();
     tokio::task::spawn_local(clients::accept(listener, stopped, shared.clone()));
     let (journal_address, address_changes) = mpsc::channel();
-    let journal = journal_client::JournalClient {
-        last_position: start.known_position,
-        decisions: JournalCalls::new(start.journal, start.seed.rotate_left(17)),
-        calls: BTreeMap::new(),
+    let journal_context = JournalContext {
         names: start.names,
         queue: queue.clone(),
-        clock: Clock::new(),
-        last_logged: Default::default(),
         counts: counts.clone(),
         log: log.clone(),
     };
+    // The random waits of the journal's calls are drawn with another seed than the random choices of the decisions.
+    let journal_calls = JournalCalls::new(start.journal, start.seed.rotate_left(17));
+    let journal = JournalClient::new(journal_calls, start.known_position, journal_context);
     tokio::task::spawn_local(journal_client::follow(journal, address_changes));
     let active_config = ActiveConfig {
         file: start.file,
@@ -110,15 +109,8 @@
         log: log.clone(),
     };
     tokio::task::spawn_local(handle_hangups(hangup, active_config, receivers));
-    let queue_of_signals = queue.clone();
-    for mut stream in [terminate, interrupt] {
-        let (queue, shared) = (queue_of_signals.clone(), shared.clone());
-        tokio::task::spawn_local(async move {
-            while stream.recv().await.is_some() {
-                shared.ending.set(true);
-                let _ = queue.send(Inbound::Terminate);
-            }
-        });
+    for signal in [terminate, interrupt] {
+        tokio::task::spawn_local(handle_termination(signal, queue.clone(), shared.clone()));
     }
     let effects = start
         .settings
@@ -164,6 +156,18 @@
     Ok(())
 }
 
+/// Passes on each signal that asks the process to end.
+async fn handle_termination(
+    mut signal: Signal,
+    queue: InboundSender,
+    clients: Rc<clients::ClientsContext>,
+) {
+    while signal.recv().await.is_some() {
+        clients.ending.set(true);
+        let _ = queue.send(Inbound::Terminate);
+    }
+}
+
 /// Opens the listener, and retries while a failure may be temporary.
 async fn listen_with_retries(listen: SocketAddr, log: &Logger) -> Result<TcpListener, String> {
     let listen_once = async || {
