--- a/crates/trailproxyd/tests/journal_soak.rs
+++ b/crates/trailproxyd/tests/journal_soak.rs
@@ -102,6 +102,8 @@
             let mut rng = fastrand::Rng::with_seed(seed << 32 | number as u64);
             let delay = Duration::from_millis(rng.u64(delay_ms.0..delay_ms.1));
             let mut plan = CallPlan::late(delay);
+            // The head of a response may come long before the first event.
+            plan.head_at = delay.mul_f64(rng.f64());
             if let Some((least, most)) = speech_ms {
                 plan.silent.0 = delay + Duration::from_millis(rng.u64(least..most));
             }
